Serve a request from caller to target through separate processes

Cause: an empty repository. Change: entry daemon, control daemon and stand-in targets as thin programs over a library; the configuration types are generated from a JSON Schema; the entry learns configuration and residency from the control daemon by long polling, and models are placed by orders. Before: nothing ran. Conclusion: the path stands; the control daemon still keeps its log in memory and alone.

--- /dev/null
+++ b/src/bin/waxwing.rs
@@ -0,0 +1,3 @@
+//! Operator command line.
+
+fn main() {}
--- /dev/null
+++ b/src/config/entry.rs
@@ -0,0 +1,57 @@
+use std::{net::SocketAddr, path::PathBuf};
+
+use serde::{Deserialize, Serialize};
+
+use super::{CheckedConfig, ListenAddress};
+use crate::{
+    error::Result,
+    ids::{DataCentreId, VmId},
+};
+
+/// Settings of an entry daemon; see docs/operators.md.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntryConfig {
+    /// VM that this daemon runs on.
+    pub vm: VmId,
+    /// Data centre of the VM.
+    pub data_centre: DataCentreId,
+    /// Port for callers.
+    pub listen: ListenAddress,
+    /// System addresses of the control daemons.
+    pub control: Vec<SocketAddr>,
+    /// File with the secret that the system's own processes share.
+    pub system_secret_file: PathBuf,
+    /// File with the secret that callers' keys are hashed with.
+    pub key_hash_secret_file: PathBuf,
+    /// Greatest age of the freshness proof with which keyed routes are served, in milliseconds.
+    #[serde(default = "default_freshness_bound_ms")]
+    pub freshness_bound_ms: u64,
+    /// Time that running requests get after SIGTERM, in milliseconds.
+    #[serde(default = "default_drain_timeout_ms")]
+    pub drain_timeout_ms: u64,
+}
+
+fn default_freshness_bound_ms() -> u64 {
+    2_000
+}
+
+fn default_drain_timeout_ms() -> u64 {
+    60_000
+}
+
+impl CheckedConfig for EntryConfig {
+    fn check(&self) -> Result<(), (String, String)> {
+        let error = |field: &str, reason: &str| Err((field.to_owned(), reason.to_owned()));
+        match self {
+            config if config.vm.is_empty() => error("vm", "must not be empty"),
+            config if config.control.is_empty() => {
+                error("control", "must name at least one control daemon")
+            }
+            config if !(200..=3_000).contains(&config.freshness_bound_ms) => {
+                error("freshness_bound_ms", "must be from 200 to 3000")
+            }
+            _ => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/src/config/voter.rs
@@ -0,0 +1,19 @@
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{DataCentreId, VmId};
+
+/// Where a control daemon is reached.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct VoterAddress {
+    /// VM that the control daemon runs on.
+    pub vm: VmId,
+    /// Data centre of the VM.
+    pub data_centre: DataCentreId,
+    /// Address of the system port, for voters and entries.
+    pub system: SocketAddr,
+    /// Address of the administration port, for operators.
+    pub admin: SocketAddr,
+}
--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,9 @@
+//! The control daemon: serves entries and operators, and carries out the leader's duties.
+
+mod admin;
+mod daemon;
+mod hub;
+mod placer;
+mod system;
+
+pub use daemon::ControlDaemon;
--- /dev/null
+++ b/src/control/system.rs
@@ -0,0 +1,89 @@
+use std::{sync::Arc, time::Duration};
+
+use rocket::{
+    State,
+    data::{Data, ToByteUnit},
+    http::Status,
+    post,
+    request::{FromRequest, Outcome, Request},
+};
+use subtle::ConstantTimeEq;
+use tokio::time::{Instant, timeout_at};
+
+use super::hub::SyncHub;
+use crate::{
+    sync::{self, SECRET_HEADER, SyncRequest},
+    voter::{LeaderLease, VoterHandle},
+};
+
+/// Largest message that a peer may send, in MiB.
+const MAX_MESSAGE_MIB: u64 = 16;
+/// Longest time that a sync is held, whatever the entry asks.
+const MAX_HOLD: Duration = Duration::from_millis(400);
+
+/// Secret that the system's own processes share.
+pub struct SystemSecret(pub String);
+
+/// A request that carried the system secret.
+pub struct SystemPeer;
+
+#[rocket::async_trait]
+impl<'r> FromRequest<'r> for SystemPeer {
+    type Error = ();
+
+    async fn from_request(request: &'r Request<'_>) -> Outcome<Self, ()> {
+        let expected = request.rocket().state::<SystemSecret>();
+        let sent = request.headers().get_one(SECRET_HEADER);
+        match (expected, sent) {
+            (Some(secret), Some(sent))
+                if bool::from(secret.0.as_bytes().ct_eq(sent.as_bytes())) =>
+            {
+                Outcome::Success(Self)
+            }
+            _ => Outcome::Error((Status::Unauthorized, ())),
+        }
+    }
+}
+
+/// Answers an entry's sync at once when there is news, else after the hold time.
+#[post("/sync/v1", data = "<body>")]
+pub async fn sync_entry(
+    _peer: SystemPeer,
+    body: Data<'_>,
+    hub: &State<Arc<SyncHub>>,
+    voter: &State<VoterHandle>,
+) -> Result<Vec<u8>, Status> {
+    let bytes = body
+        .open(MAX_MESSAGE_MIB.mebibytes())
+        .into_bytes()
+        .await
+        .map_err(|_| Status::BadRequest)?;
+    let request: SyncRequest =
+        sync::decode("sync request", &bytes).map_err(|_| Status::BadRequest)?;
+    let deadline = Instant::now() + Duration::from_millis(request.hold_ms).min(MAX_HOLD);
+    let mut residency = hub.watch();
+    let mut applied = voter.watch();
+    while !hub.has_news(&request) {
+        let change = async {
+            tokio::select! {
+                _ = residency.changed() => {}
+                _ = applied.changed() => {}
+            }
+        };
+        if timeout_at(deadline, change).await.is_err() {
+            break;
+        }
+    }
+    let lease = voter
+        .lease()
+        .filter(LeaderLease::holds)
+        .ok_or(Status::MisdirectedRequest)?;
+    let reply =
+        sync::encode(&hub.reply(&request, lease)).map_err(|_| Status::InternalServerError)?;
+    // The reply may have taken long to build; what it proves must still hold when it leaves.
+    if lease.holds() {
+        Ok(reply)
+    } else {
+        Err(Status::MisdirectedRequest)
+    }
+}
--- /dev/null
+++ b/src/fake.rs
@@ -0,0 +1,7 @@
+//! Stand-ins for targets, for tests, the development fleet and the load program.
+
+mod engine;
+mod service;
+
+pub use engine::FakeEngine;
+pub use service::FakeService;
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,23 @@
+//! Serves many models to many teams on fewer accelerators.
+//!
+//! The design is in docs/design.md; the modules below follow its sections.
+
+pub mod allowance;
+#[rustfmt::skip] // Generated; a test compares it with the output of the generator.
+pub mod border;
+pub mod clap_app;
+pub mod client;
+pub mod code;
+pub mod config;
+pub mod control;
+pub mod entry;
+pub mod error;
+pub mod fake;
+pub mod fleet;
+pub mod ids;
+pub mod logger;
+pub mod order;
+pub mod server;
+pub mod state;
+pub mod sync;
+pub mod voter;
--- /dev/null
+++ b/src/sync.rs
@@ -0,0 +1,43 @@
+//! Messages between entry daemons and control daemons; see docs/design.md, section 7.
+
+mod reply;
+mod report;
+mod request;
+
+pub use reply::{ConfigSection, ResidencySection, ResidentModel, SyncReply};
+pub use report::{EngineReport, ResidentCopy};
+pub use request::{ModelDemand, SyncRequest, TargetObservation, TargetReport};
+
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::error::{Error, Result};
+
+/// Path of the sync call on the system port.
+pub const SYNC_PATH: &str = "/sync/v1";
+/// Header that carries the system secret between the system's own processes.
+pub const SECRET_HEADER: &str = "x-waxwing-secret";
+
+/// Encodes a message between the system's own processes.
+///
+/// Field names are part of the encoding, so that daemons of two releases understand each other
+/// while an upgrade is under way.
+///
+/// # Errors
+/// [`Error::Decode`] when the message cannot be encoded.
+pub fn encode<M: Serialize>(message: &M) -> Result<Vec<u8>> {
+    rmp_serde::to_vec_named(message).map_err(|error| Error::Decode {
+        what: "message",
+        reason: error.to_string(),
+    })
+}
+
+/// Decodes a message between the system's own processes.
+///
+/// # Errors
+/// [`Error::Decode`] when the bytes are not such a message.
+pub fn decode<M: DeserializeOwned>(what: &'static str, bytes: &[u8]) -> Result<M> {
+    rmp_serde::from_slice(bytes).map_err(|error| Error::Decode {
+        what,
+        reason: error.to_string(),
+    })
+}
--- /dev/null
+++ b/tests/harness/mod.rs
@@ -0,0 +1,145 @@
+//! Starts a small fleet of real processes on loopback ports for the tests.
+#![allow(dead_code)] // Each test program uses a part of the harness.
+
+use std::{
+    fs,
+    net::TcpListener,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    time::{Duration, Instant},
+};
+
+use serde_json::{Value, json};
+use tempfile::TempDir;
+use waxwinglatch::fleet::KeyHasher;
+
+/// Key of team `counter` in the harness's configuration.
+pub const CALLER_KEY: &str = "wl-test-key-1";
+/// Bearer token of operators.
+pub const ADMIN_TOKEN: &str = "operator-token";
+
+/// A started process that is killed when the test ends.
+pub struct TestProcess(Child);
+
+impl TestProcess {
+    /// Starts a program of this package.
+    pub fn start(program: &str, arguments: &[&str]) -> Self {
+        let path = match program {
+            "waxwing-entry" => env!("CARGO_BIN_EXE_waxwing-entry"),
+            "waxwing-control" => env!("CARGO_BIN_EXE_waxwing-control"),
+            "waxwing-fake" => env!("CARGO_BIN_EXE_waxwing-fake"),
+            other => panic!("{other} is not a program of this package"),
+        };
+        let child = Command::new(path)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("the program starts");
+        Self(child)
+    }
+
+    /// Kills the process as `kill -9` does.
+    pub fn kill(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.0.id()
+    }
+}
+
+impl Drop for TestProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Returns a loopback port that was free a moment ago.
+pub fn free_port() -> u16 {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    listener
+        .local_addr()
+        .expect("the listener has an address")
+        .port()
+}
+
+/// A folder with the secrets that the daemons' settings name.
+pub struct TestFolder(TempDir);
+
+impl TestFolder {
+    /// Creates the folder and the secret files.
+    pub fn new() -> Self {
+        let folder = Self(TempDir::new().expect("a temporary folder can be made"));
+        folder.write("system.secret", "system-secret");
+        folder.write("key.secret", "key-secret");
+        folder.write("admin.token", ADMIN_TOKEN);
+        folder
+    }
+
+    /// Writes a file and returns its path.
+    pub fn write(&self, name: &str, content: &str) -> PathBuf {
+        let path = self.path(name);
+        fs::write(&path, content).expect("the file is writable");
+        path
+    }
+
+    /// Returns the path of a file in the folder.
+    pub fn path(&self, name: &str) -> PathBuf {
+        self.0.path().join(name)
+    }
+}
+
+/// Hash of a key under the harness's secret.
+pub fn key_hash(key: &str) -> String {
+    KeyHasher::new("key-secret").hash(key).to_string()
+}
+
+/// Settings of the only control daemon.
+pub fn control_settings(folder: &TestFolder, system: u16, admin: u16) -> Value {
+    json!({
+        "vm": "vm-1", "data_centre": "dc-1", "data_folder": folder.path("data"),
+        "system_listen": { "address": "127.0.0.1", "port": system },
+        "admin_listen": { "address": "127.0.0.1", "port": admin },
+        "voters": [{
+            "vm": "vm-1", "data_centre": "dc-1",
+            "system": format!("127.0.0.1:{system}"), "admin": format!("127.0.0.1:{admin}"),
+        }],
+        "system_secret_file": folder.path("system.secret"),
+        "admin_token_file": folder.path("admin.token"),
+    })
+}
+
+/// Settings of an entry daemon.
+pub fn entry_settings(folder: &TestFolder, vm: &str, port: u16, system: u16) -> Value {
+    json!({
+        "vm": vm, "data_centre": "dc-1",
+        "listen": { "address": "127.0.0.1", "port": port },
+        "control": [format!("127.0.0.1:{system}")],
+        "system_secret_file": folder.path("system.secret"),
+        "key_hash_secret_file": folder.path("key.secret"),
+    })
+}
+
+/// Repeats `attempt` until it gives a value, and fails the test after `limit`.
+pub async fn wait_for<T>(
+    what: &str,
+    limit: Duration,
+    mut attempt: impl AsyncFnMut() -> Option<T>,
+) -> T {
+    let started = Instant::now();
+    loop {
+        match attempt().await {
+            Some(value) => return value,
+            None if started.elapsed() > limit => panic!("no {what} within {limit:?}"),
+            None => tokio::time::sleep(Duration::from_millis(20)).await,
+        }
+    }
+}
+
+/// Path as text, for arguments.
+pub fn text(path: &Path) -> &str {
+    path.to_str().expect("paths of tests are UTF-8")
+}
