Add waxwing dev, a whole fleet in one process

Cause: a newcomer had to start four processes and write three settings files. Change: the dev subcommand runs a control daemon, an entry, two stand-in engines and a stand-in service as tasks of one process, applies a first configuration and prints a working curl line. Before: no such command.

--- a/src/clap_app.rs
+++ b/src/clap_app.rs
@@ -68,3 +68,36 @@
         )
         .subcommand(Command::new("service").about("A plain service").arg(port))
 }
+
+/// Command line of `waxwing`.
+#[must_use]
+pub fn operator_app() -> Command {
+    Command::new("waxwing")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Operates a fleet")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(dev_command())
+}
+
+fn dev_command() -> Command {
+    let port = |name: &'static str, default: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .value_name("PORT")
+            .default_value(default)
+            .value_parser(value_parser!(u16))
+            .help(help)
+    };
+    Command::new("dev")
+        .about("Runs a whole fleet in one process, with stand-in engines and a team and key ready")
+        .arg(port("port", "8080", "Loopback port for callers"))
+        .arg(port("admin-port", "8081", "Loopback port for operators"))
+        .arg(
+            Arg::new("data-folder")
+                .long("data-folder")
+                .value_name("FOLDER")
+                .value_parser(value_parser!(PathBuf))
+                .help("Folder for durable state; without it, a new temporary folder is used"),
+        )
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod code;
 pub mod config;
 pub mod control;
+pub mod dev;
 pub mod entry;
 pub mod error;
 pub mod fake;
