Name the commands and outcomes of the replicated state

Cause: the other parts build on the names of the state's commands. Change: all commands of design section 5 with their fields and outcomes. Claims and turns carry their attempt in every later command, so that a late Release or EndTurn cannot end a newer attempt of the same entry. ConfirmReport carries the report's last fencing number, so that a report that was read before an order was settled cannot undo it. The tables follow; only Apply has an effect so far. Conclusion: names are stable from here on.

--- a/src/control/admin.rs
+++ b/src/control/admin.rs
@@ -110,7 +110,7 @@
         Ok(Outcome::Applied(ApplyOutcome::RequestIdReused)) => {
             refuse(ResultCode::RequestIdReused, 0)
         }
-        Ok(Outcome::Done) => refuse(ResultCode::Internal, 0),
+        Ok(_) => refuse(ResultCode::Internal, 0),
         Err(crate::error::Error::NotLeader { .. }) => refuse(ResultCode::NotLeader, 0),
         Err(_) => refuse(ResultCode::Unconfirmed, 0),
     }
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -1,6 +1,11 @@
 //! Type aliases for the ids that cross module borders.
 
+mod entry_key;
+
 use compact_str::CompactString;
+use serde_bytes::ByteArray;
+
+pub use entry_key::EntryKey;
 
 /// Names a VM, unique in the fleet.
 pub type VmId = CompactString;
@@ -33,3 +38,14 @@
 pub type LogIndex = u64;
 /// Grows with each order that any leader gives; see docs/design.md, section 12.
 pub type FencingNumber = u64;
+
+/// Idempotency key that a caller sent; a UUID version 7, whose timestamp tells its age.
+pub type IdempotencyKey = uuid::Uuid;
+/// BLAKE3 keyed hash of a request's method, path and body.
+pub type BodyHash = ByteArray<32>;
+/// First 16 bytes of the keyed hash of route, model and body of a request.
+pub type Fingerprint = ByteArray<16>;
+/// Numbers the attempts of one entry incarnation, so that a resent command is recognised.
+pub type Attempt = u64;
+/// Highest kind of command that every voter can apply.
+pub type CommandLevel = u32;
--- /dev/null
+++ b/src/ids/entry_key.rs
@@ -0,0 +1,20 @@
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use super::{Incarnation, VmId};
+
+/// Names one life of an entry process.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct EntryKey {
+    /// VM of the entry.
+    pub vm: VmId,
+    /// Life of the entry process.
+    pub incarnation: Incarnation,
+}
+
+impl fmt::Display for EntryKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}#{:x}", self.vm, self.incarnation)
+    }
+}
--- a/src/state/machine.rs
+++ b/src/state/machine.rs
@@ -26,8 +26,9 @@
         // A new leader's clock may be behind; time in the state never goes back.
         self.now_ms = self.now_ms.max(stamped.at_ms);
         match &stamped.command {
-            Command::Noop => Outcome::Done,
             Command::Apply(request) => Outcome::Applied(self.apply_config(request)),
+            // The tables behind these commands follow; nothing proposes them yet.
+            _ => Outcome::Done,
         }
     }
 
