Keep the leader's soft tables and exchange them by sync

Cause: every round the leader polled every engine, and a change of residency sent the whole table to every entry; at 860 replicas and 400 entries neither fits 5 KB/s for each daemon. Change: each engine has one reporter among the entries, chosen by rendezvous hashing; the residency table travels as deltas; loads only when they changed; demand, served tokens and entry liveness are summed by the leader per term.

--- a/src/control.rs
+++ b/src/control.rs
@@ -7,3 +7,4 @@
 mod system;
 
 pub use daemon::ControlDaemon;
+pub use hub::SyncHub;
--- a/src/control/hub.rs
+++ b/src/control/hub.rs
@@ -1,64 +1,95 @@
 use std::{
-    collections::BTreeMap,
-    sync::{Mutex, PoisonError},
+    collections::{BTreeMap, BTreeSet, HashMap},
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
 };
 
+use spdlog::prelude::*;
 use tokio::sync::watch;
 
 use crate::{
-    ids::TargetId,
+    border::{FleetConfig, TargetKind},
+    hub::{
+        DemandTable, EntryRegistry, ModelLoad, ReportTable, ResidencyLog, ServedTable,
+        TargetHealth, assign_reporter,
+    },
+    ids::{EntryKey, ModelId, TargetId, Term},
     state::ControlState,
-    sync::{ConfigSection, EngineReport, ResidencySection, ResidentModel, SyncReply, SyncRequest},
+    sync::{ConfigSection, EngineReport, ResidentModel, SyncReply, SyncRequest, TargetLoad},
     voter::{LeaderLease, VoterHandle},
 };
 
-/// Soft state that the leader keeps about entries and engines.
+/// Soft state that the leader keeps about entries and engines, and the replies made from it.
 pub struct SyncHub {
     voter: VoterHandle,
-    residency: Mutex<ResidencyTable>,
+    started: Instant,
+    tables: Mutex<HubTables>,
     changes: watch::Sender<u64>,
 }
 
-#[derive(Default)]
-struct ResidencyTable {
-    version: u64,
-    copies: Vec<ResidentModel>,
+/// Tables of one term; a new term starts with empty ones.
+struct HubTables {
+    term: Term,
+    registry: EntryRegistry,
+    demand: DemandTable,
+    reports: ReportTable,
+    residency: ResidencyLog,
+    served: ServedTable,
+    /// Loads that each entry was told last.
+    told: HashMap<EntryKey, HashMap<TargetId, (u32, u32)>>,
+}
+
+impl HubTables {
+    fn new(term: Term) -> Self {
+        Self {
+            term,
+            registry: EntryRegistry::default(),
+            demand: DemandTable::default(),
+            reports: ReportTable::default(),
+            residency: ResidencyLog::new(term),
+            served: ServedTable::default(),
+            told: HashMap::new(),
+        }
+    }
 }
 
 impl SyncHub {
+    /// Starts with empty tables.
+    #[must_use]
     pub fn new(voter: VoterHandle) -> Self {
         Self {
             voter,
-            residency: Mutex::default(),
+            started: Instant::now(),
+            tables: Mutex::new(HubTables::new(0)),
             changes: watch::channel(0).0,
         }
     }
 
-    /// Derives the residency table from the engines' reports.
-    pub fn record_reports(&self, reports: &BTreeMap<TargetId, EngineReport>) {
-        let ready = |target: &TargetId, report: &EngineReport| {
-            let copies = report.copies.iter().filter(|copy| copy.ready);
-            copies
-                .map(|copy| ResidentModel {
-                    target: target.clone(),
-                    model: copy.model.clone(),
-                    version: copy.version.clone(),
-                })
-                .collect::<Vec<_>>()
-        };
-        let copies: Vec<_> = reports
-            .iter()
-            .flat_map(|(target, report)| ready(target, report))
-            .collect();
-        let mut table = self
-            .residency
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        if table.copies != copies {
-            table.copies = copies;
-            table.version += 1;
-            self.changes.send_replace(table.version);
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// Locks the tables of the term; tables of an earlier term are dropped.
+    fn tables(&self, term: Term) -> MutexGuard<'_, HubTables> {
+        let mut tables = self.tables.lock().unwrap_or_else(PoisonError::into_inner);
+        if tables.term < term {
+            *tables = HubTables::new(term);
         }
+        tables
+    }
+
+    /// Records what an entry told, before its sync is held.
+    pub fn record(&self, request: &mut SyncRequest, lease: LeaderLease) {
+        let now = self.now();
+        let mut tables = self.tables(lease.term);
+        let entry = tables.registry.record(request, now);
+        tables.demand.record(&entry, &request.demand, now);
+        tables.reports.observe(&request.observations);
+        tables
+            .reports
+            .record(std::mem::take(&mut request.reports), now);
+        tables.served.record(&entry, &request.shares);
+        self.refresh_residency(&mut tables);
     }
 
     /// Builds the reply to an entry's sync; `lease` proves that this voter leads.
@@ -69,34 +100,95 @@
             }
             _ => ConfigSection::Current,
         };
-        let table = self
-            .residency
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        let residency = if table.version == request.residency {
-            ResidencySection::Current
-        } else {
-            ResidencySection::Snapshot(table.version, table.copies.clone())
+        let now = self.now();
+        let mut tables = self.tables(lease.term);
+        let key = EntryKey {
+            vm: request.vm.clone(),
+            incarnation: request.incarnation,
         };
         SyncReply {
             serial: request.serial,
             term: lease.term,
             config,
-            residency,
+            residency: tables.residency.since(request.residency),
+            avoided: Vec::new(),
+            loads: tables.changed_loads(&key, now),
+            crashes: None,
             grants: Vec::new(),
-            served_elsewhere: Vec::new(),
-            assigned: Vec::new(),
+            served_elsewhere: tables
+                .served
+                .elsewhere(&key, request.shares.iter().map(|share| &share.team)),
+            assigned: self.assigned(&tables, &key),
         }
     }
 
-    /// Tells whether a reply to `request` would bring news.
-    pub fn has_news(&self, request: &SyncRequest) -> bool {
+    fn assigned(&self, tables: &HubTables, entry: &EntryKey) -> Vec<TargetId> {
+        let Some(config) = self.voter.local(ControlState::config).1 else {
+            return Vec::new();
+        };
+        let engines = config
+            .targets
+            .iter()
+            .filter(|target| target.kind == TargetKind::Engine);
+        engines
+            .filter(|target| {
+                let reporters = tables.registry.reporters();
+                assign_reporter(&target.id, &target.data_centre, reporters) == Some(entry)
+            })
+            .map(|target| target.id.clone())
+            .collect()
+    }
+
+    /// Tells whether a reply to `request` would bring news that cannot wait.
+    pub fn has_news(&self, request: &SyncRequest, lease: LeaderLease) -> bool {
         let revision = self.voter.local(|state| state.config().0);
-        let table = self
-            .residency
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        revision != request.revision || table.version != request.residency
+        let tables = self.tables(lease.term);
+        revision != request.revision
+            || tables.residency.version() != request.residency
+            || request.shares.iter().any(|share| share.wanted > 0)
+    }
+
+    /// Removes entries and reports that are out of date, and returns the entries that are gone.
+    pub fn expire(&self, lease: LeaderLease) -> Vec<EntryKey> {
+        let now = self.now();
+        let mut tables = self.tables(lease.term);
+        let gone = tables.registry.expire(now);
+        for entry in &gone {
+            info!("sync: entry {} ({:x}) is gone", entry.vm, entry.incarnation);
+            tables.served.forget(entry);
+            tables.told.remove(entry);
+        }
+        self.refresh_residency(&mut tables);
+        gone
+    }
+
+    fn refresh_residency(&self, tables: &mut HubTables) {
+        let Some(config) = self.voter.local(ControlState::config).1 else {
+            return;
+        };
+        let copies = tables.serving_copies(&config, self.now());
+        if tables.residency.replace(copies) {
+            self.changes.send_replace(tables.residency.version());
+        }
+    }
+
+    /// Returns the latest report of each engine that is up.
+    pub fn reports(&self, lease: LeaderLease) -> BTreeMap<TargetId, EngineReport> {
+        let now = self.now();
+        let tables = self.tables(lease.term);
+        let is_up = |target: &TargetId| tables.reports.health(target, now) == TargetHealth::Up;
+        tables
+            .reports
+            .iter()
+            .filter(|(target, _, _)| is_up(target))
+            .map(|(target, report, _)| (target.clone(), report.clone()))
+            .collect()
+    }
+
+    /// Returns the demand since the last call.
+    pub fn take_demand(&self, lease: LeaderLease) -> BTreeMap<ModelId, ModelLoad> {
+        let now = self.now();
+        self.tables(lease.term).demand.take(now)
     }
 
     /// Returns a receiver that changes with the residency table.
@@ -104,3 +196,44 @@
         self.changes.subscribe()
     }
 }
+
+impl HubTables {
+    /// Copies that are ready on targets that are configured, up and not leaving.
+    fn serving_copies(&self, config: &FleetConfig, now: Duration) -> BTreeSet<ResidentModel> {
+        let usable = config.targets.iter().filter(|target| {
+            !target.draining && self.reports.health(&target.id, now) == TargetHealth::Up
+        });
+        usable
+            .filter_map(|target| Some((target, self.reports.get(&target.id)?)))
+            .flat_map(|(target, report)| {
+                let ready = report.copies.iter().filter(|copy| copy.ready);
+                ready.map(|copy| ResidentModel {
+                    target: target.id.clone(),
+                    model: copy.model.clone(),
+                    version: copy.version.clone(),
+                })
+            })
+            .collect()
+    }
+
+    /// Loads that differ from what the entry was told last.
+    fn changed_loads(&mut self, entry: &EntryKey, now: Duration) -> Vec<TargetLoad> {
+        let told = self.told.entry(entry.clone()).or_default();
+        let mut loads = Vec::new();
+        for (target, report, received_at) in self.reports.iter() {
+            let load = (report.running, report.queued);
+            if told.get(target) == Some(&load) {
+                continue;
+            }
+            told.insert(target.clone(), load);
+            let age = now.saturating_sub(received_at).as_millis();
+            loads.push(TargetLoad {
+                target: target.clone(),
+                running: report.running,
+                queued: report.queued,
+                age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+            });
+        }
+        loads
+    }
+}
--- a/src/control/placer.rs
+++ b/src/control/placer.rs
@@ -9,19 +9,19 @@
 
 use super::hub::SyncHub;
 use crate::{
-    border::{FleetConfig, TargetConfig, TargetKind},
+    border::{FleetConfig, TargetConfig},
     ids::{FencingNumber, TargetId, Term},
     order::{EngineOrder, OrderAction},
     sync::{EngineReport, ResidentCopy},
     voter::{LeaderLease, VoterHandle},
 };
 
-/// Time between two rounds of reading reports and giving orders.
+/// Time between two rounds of orders.
 const ROUND_PERIOD: Duration = Duration::from_millis(250);
-/// Time that an engine has to answer a report or order call.
+/// Time that an engine has to answer an order.
 const ENGINE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// Reads engine reports and orders loads for models without a copy, while this voter leads.
+/// Orders loads for models without a copy, while this voter leads.
 pub struct ModelPlacer {
     voter: VoterHandle,
     hub: Arc<SyncHub>,
@@ -50,8 +50,8 @@
                 continue;
             };
             let started = SystemTime::now();
-            let reports = self.read_reports(&config).await;
-            self.hub.record_reports(&reports);
+            self.hub.expire(lease);
+            let reports = self.hub.reports(lease);
             self.order_missing(&config, &reports, lease.term).await;
             trace!(
                 "place: round took {:?}",
@@ -60,29 +60,6 @@
         }
     }
 
-    async fn read_reports(&self, config: &FleetConfig) -> BTreeMap<TargetId, EngineReport> {
-        let engines = config
-            .targets
-            .iter()
-            .filter(|target| target.kind == TargetKind::Engine);
-        let reports = engines.map(|target| async {
-            let url = format!("http://{}/engine/v1/report", target.address);
-            let answer = self
-                .client
-                .get(url)
-                .timeout(ENGINE_TIMEOUT)
-                .send()
-                .await
-                .ok()?;
-            Some((target.id.clone(), answer.json::<EngineReport>().await.ok()?))
-        });
-        futures::future::join_all(reports)
-            .await
-            .into_iter()
-            .flatten()
-            .collect()
-    }
-
     async fn order_missing(
         &mut self,
         config: &FleetConfig,
--- a/src/control/system.rs
+++ b/src/control/system.rs
@@ -58,12 +58,19 @@
         .into_bytes()
         .await
         .map_err(|_| Status::BadRequest)?;
-    let request: SyncRequest =
+    let mut request: SyncRequest =
         sync::decode("sync request", &bytes).map_err(|_| Status::BadRequest)?;
+    let leads = || {
+        voter
+            .lease()
+            .filter(LeaderLease::holds)
+            .ok_or(Status::MisdirectedRequest)
+    };
+    hub.record(&mut request, leads()?);
     let deadline = Instant::now() + Duration::from_millis(request.hold_ms).min(MAX_HOLD);
     let mut residency = hub.watch();
     let mut applied = voter.watch();
-    while !hub.has_news(&request) {
+    while !hub.has_news(&request, leads()?) {
         let change = async {
             tokio::select! {
                 _ = residency.changed() => {}
@@ -74,10 +81,7 @@
             break;
         }
     }
-    let lease = voter
-        .lease()
-        .filter(LeaderLease::holds)
-        .ok_or(Status::MisdirectedRequest)?;
+    let lease = leads()?;
     let reply =
         sync::encode(&hub.reply(&request, lease)).map_err(|_| Status::InternalServerError)?;
     // The reply may have taken long to build; what it proves must still hold when it leaves.
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -2,7 +2,13 @@
 
 use spdlog::prelude::*;
 
-use super::{follow::SyncFollower, proxy::CallerProxy, view::SharedView};
+use super::{
+    demand::DemandCounter,
+    follow::SyncFollower,
+    poll::{PolledReports, ReportPoller},
+    proxy::CallerProxy,
+    view::SharedView,
+};
 use crate::{
     client,
     config::{self, EntryConfig},
@@ -32,10 +38,20 @@
         let client = client::http_client()?;
         let secret = config::read_secret(&self.config.system_secret_file)?;
         let hasher = KeyHasher::new(&config::read_secret(&self.config.key_hash_secret_file)?);
-        let follower = SyncFollower::new(self.config, secret, Arc::clone(&view), client.clone());
+        let demand = Arc::new(DemandCounter::default());
+        let polled = Arc::new(PolledReports::default());
+        let polling = tokio::spawn(ReportPoller::new(Arc::clone(&polled), client.clone()).run());
+        let follower = SyncFollower::new(
+            self.config,
+            secret,
+            Arc::clone(&view),
+            Arc::clone(&demand),
+            polled,
+            client.clone(),
+        );
         let following = tokio::spawn(follower.run());
         let bound = Duration::from_millis(self.config.freshness_bound_ms);
-        let proxy = CallerProxy::new(view, hasher, client, bound);
+        let proxy = CallerProxy::new(view, demand, hasher, client, bound);
         let rocket =
             rocket::custom(server::figment(&self.config.listen)).mount("/", proxy.routes());
         info!(
@@ -45,6 +61,7 @@
         );
         let served = server::launch(rocket).await;
         following.abort();
+        polling.abort();
         served
     }
 }
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -7,7 +7,11 @@
 use reqwest::Client;
 use spdlog::prelude::*;
 
-use super::view::{EntryView, SharedView};
+use super::{
+    demand::DemandCounter,
+    poll::PolledReports,
+    view::{EntryView, SharedView},
+};
 use crate::{
     config::EntryConfig,
     error::{Error, Result},
@@ -27,6 +31,8 @@
     config: EntryConfig,
     secret: String,
     view: Arc<SharedView>,
+    demand: Arc<DemandCounter>,
+    polled: Arc<PolledReports>,
     client: Client,
     incarnation: Incarnation,
     serial: u64,
@@ -37,13 +43,18 @@
         config: &EntryConfig,
         secret: String,
         view: Arc<SharedView>,
+        demand: Arc<DemandCounter>,
+        polled: Arc<PolledReports>,
         client: Client,
     ) -> Self {
         let incarnation = rand::random();
+        let config = config.clone();
         Self {
-            config: config.clone(),
+            config,
             secret,
             view,
+            demand,
+            polled,
             client,
             incarnation,
             serial: 0,
@@ -66,6 +77,7 @@
     async fn sync_once(&mut self, control: SocketAddr) -> Result<()> {
         self.serial += 1;
         let view = self.view.get();
+        let (reports, observations) = self.polled.take();
         let request = SyncRequest {
             vm: self.config.vm.clone(),
             data_centre: self.config.data_centre.clone(),
@@ -73,13 +85,16 @@
             serial: self.serial,
             revision: view.revision,
             residency: view.residency_version,
+            crashes: view.crashes.version,
             leaving: false,
             shares: Vec::new(),
-            demand: Vec::new(),
-            reports: Vec::new(),
-            observations: Vec::new(),
+            demand: self.demand.take(),
+            reports,
+            observations,
             hold_ms: u64::try_from(HOLD.as_millis()).unwrap_or(u64::MAX),
         };
+        // Demand of a lost sync is lost with it: the planner smooths it, and a doubled count would
+        // be worse than a missed one.
         let asked = Instant::now();
         let reply = self.send(control, &request).await?;
         if reply.serial != self.serial {
@@ -88,6 +103,7 @@
                 reason: "wrong serial".to_owned(),
             });
         }
+        self.polled.assign(&reply.assigned, &view.index);
         let next = EntryView::clone(&view).with_reply(reply, asked);
         if next.revision != view.revision {
             info!("sync: revision {} is in force", next.revision);
--- /dev/null
+++ b/src/entry/poll.rs
@@ -0,0 +1,123 @@
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use futures::future::join_all;
+use reqwest::Client;
+
+use crate::{
+    error::{Error, Result},
+    fleet::FleetIndex,
+    ids::TargetId,
+    sync::{EngineReport, TargetObservation, TargetReport},
+};
+
+/// Time between two polls of an engine.
+const POLL_PERIOD: Duration = Duration::from_millis(500);
+/// Time that an engine has to answer a poll.
+const POLL_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Polls that may fail in a row before the engine counts as unreachable.
+const FAILURE_LIMIT: u32 = 2;
+
+#[derive(Debug, Default)]
+struct PolledTables {
+    addresses: HashMap<TargetId, String>,
+    reports: HashMap<TargetId, (EngineReport, Instant)>,
+    failures: HashMap<TargetId, u32>,
+}
+
+/// Reports of the engines that the leader assigned to this entry, until the next sync.
+#[derive(Debug, Default)]
+pub struct PolledReports {
+    tables: Mutex<PolledTables>,
+}
+
+impl PolledReports {
+    fn tables(&self) -> MutexGuard<'_, PolledTables> {
+        self.tables.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Replaces the engines that this entry polls.
+    pub fn assign(&self, targets: &[TargetId], index: &FleetIndex) {
+        let address =
+            |target: &TargetId| Some((target.clone(), index.target(target)?.address.clone()));
+        let mut tables = self.tables();
+        tables.addresses = targets.iter().filter_map(address).collect();
+        let PolledTables {
+            addresses,
+            failures,
+            ..
+        } = &mut *tables;
+        failures.retain(|target, _| addresses.contains_key(target));
+    }
+
+    /// Takes the reports since the last sync, and the engines that do not answer.
+    pub fn take(&self) -> (Vec<TargetReport>, Vec<TargetObservation>) {
+        let mut tables = self.tables();
+        let reports = std::mem::take(&mut tables.reports)
+            .into_iter()
+            .map(|(target, (report, polled_at))| TargetReport {
+                target,
+                report,
+                age_ms: u32::try_from(polled_at.elapsed().as_millis()).unwrap_or(u32::MAX),
+            })
+            .collect();
+        let observations = tables
+            .failures
+            .iter()
+            .filter(|(_, failures)| **failures >= FAILURE_LIMIT)
+            .map(|(target, _)| TargetObservation::Unreachable(target.clone()))
+            .collect();
+        (reports, observations)
+    }
+
+    fn record(&self, target: TargetId, polled: Result<EngineReport>) {
+        let mut tables = self.tables();
+        match polled {
+            Ok(report) => {
+                tables.failures.remove(&target);
+                tables.reports.insert(target, (report, Instant::now()));
+            }
+            Err(_) => *tables.failures.entry(target).or_default() += 1,
+        }
+    }
+}
+
+/// Polls the assigned engines.
+pub struct ReportPoller {
+    polled: Arc<PolledReports>,
+    client: Client,
+}
+
+impl ReportPoller {
+    pub fn new(polled: Arc<PolledReports>, client: Client) -> Self {
+        Self { polled, client }
+    }
+
+    /// Polls until the task is dropped.
+    pub async fn run(self) {
+        let mut period = tokio::time::interval(POLL_PERIOD);
+        loop {
+            period.tick().await;
+            let addresses = self.polled.tables().addresses.clone();
+            let this = &self;
+            let polls = addresses.into_iter().map(|(target, address)| async move {
+                let polled = this.poll(&address).await;
+                this.polled.record(target, polled);
+            });
+            join_all(polls).await;
+        }
+    }
+
+    async fn poll(&self, address: &str) -> Result<EngineReport> {
+        let transport = |error: reqwest::Error| Error::Transport {
+            peer: address.to_owned(),
+            reason: error.to_string(),
+        };
+        let url = format!("http://{address}/engine/v1/report");
+        let call = self.client.get(url).timeout(POLL_TIMEOUT).send().await;
+        call.map_err(transport)?.json().await.map_err(transport)
+    }
+}
--- a/src/entry/proxy.rs
+++ b/src/entry/proxy.rs
@@ -14,6 +14,7 @@
 use tokio_util::io::StreamReader;
 
 use super::{
+    demand::DemandCounter,
     refusal::CallerError,
     request::ModelRequest,
     view::{EntryView, SharedView},
@@ -54,6 +55,7 @@
 #[derive(Clone)]
 pub struct CallerProxy {
     view: Arc<SharedView>,
+    demand: Arc<DemandCounter>,
     hasher: KeyHasher,
     client: Client,
     freshness_bound: Duration,
@@ -62,12 +64,14 @@
 impl CallerProxy {
     pub fn new(
         view: Arc<SharedView>,
+        demand: Arc<DemandCounter>,
         hasher: KeyHasher,
         client: Client,
         freshness_bound: Duration,
     ) -> Self {
         Self {
             view,
+            demand,
             hasher,
             client,
             freshness_bound,
@@ -110,7 +114,7 @@
             return Err(CallerError::not_run(ResultCode::BodyTooLarge, message, &id));
         }
         let body = body.into_inner();
-        let target = choose_target(&view, &route, &body, &id)?;
+        let target = choose_target(&view, &self.demand, &route, &body, &id)?;
         info!("route: {id} {} to {}", route.id, target.id);
         self.forward(request, &target, body, &id).await
     }
@@ -194,6 +198,7 @@
 
 fn choose_target(
     view: &EntryView,
+    demand: &DemandCounter,
     route: &RouteConfig,
     body: &[u8],
     id: &RequestId,
@@ -203,6 +208,7 @@
             let request: ModelRequest = serde_json::from_slice(body).map_err(|error| {
                 CallerError::not_run(ResultCode::MalformedRequest, error.to_string(), id)
             })?;
+            demand.record_arrival(&request.model, 0);
             let copies = view
                 .residency
                 .get(&request.model)
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -1,13 +1,14 @@
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     sync::{Arc, PoisonError, RwLock},
     time::{Duration, Instant},
 };
 
+use super::crashes::CrashTable;
 use crate::{
     fleet::FleetIndex,
     ids::{ModelId, Revision, TargetId, VersionId},
-    sync::{ConfigSection, ResidencySection, SyncReply},
+    sync::{ConfigSection, ResidencySection, ResidentModel, SyncReply},
 };
 
 /// Copies of each model that may receive requests.
@@ -24,12 +25,17 @@
     pub residency_version: u64,
     /// Copies of each model.
     pub residency: Arc<ResidencyTable>,
+    /// Targets that get no new requests.
+    pub avoided: Arc<HashSet<TargetId>>,
+    /// Requests that crashed targets.
+    pub crashes: Arc<CrashTable>,
     /// Moment at which the entry asked for the latest proof; `None` before the first one.
     pub proven_at: Option<Instant>,
 }
 
 impl EntryView {
     /// Tells whether the view was proved fresh within `bound`.
+    #[must_use]
     pub fn is_fresh(&self, bound: Duration) -> bool {
         self.proven_at.is_some_and(|asked| asked.elapsed() <= bound)
     }
@@ -45,22 +51,53 @@
             }
             _ => {}
         }
-        if let ResidencySection::Snapshot(version, copies) = reply.residency {
-            let mut table = ResidencyTable::new();
-            for copy in copies {
-                table
-                    .entry(copy.model)
-                    .or_default()
-                    .push((copy.target, copy.version));
+        match reply.residency {
+            ResidencySection::Snapshot(version, copies) => {
+                let mut table = ResidencyTable::new();
+                add_copies(&mut table, copies);
+                self.residency_version = version;
+                self.residency = Arc::new(table);
+            }
+            ResidencySection::Delta {
+                from,
+                to,
+                added,
+                removed,
+            } if from == self.residency_version => {
+                let table = Arc::make_mut(&mut self.residency);
+                remove_copies(table, &removed);
+                add_copies(table, added);
+                self.residency_version = to;
             }
-            self.residency_version = version;
-            self.residency = Arc::new(table);
+            _ => {}
+        }
+        self.avoided = Arc::new(reply.avoided.into_iter().collect());
+        if let Some(crashes) = reply.crashes {
+            self.crashes = Arc::new(CrashTable::new(crashes));
         }
         self.proven_at = self.proven_at.max(Some(asked));
         self
     }
 }
 
+fn add_copies(table: &mut ResidencyTable, copies: Vec<ResidentModel>) {
+    for copy in copies {
+        table
+            .entry(copy.model)
+            .or_default()
+            .push((copy.target, copy.version));
+    }
+}
+
+fn remove_copies(table: &mut ResidencyTable, copies: &[ResidentModel]) {
+    for copy in copies {
+        if let Some(held) = table.get_mut(&copy.model) {
+            held.retain(|(target, version)| *target != copy.target || *version != copy.version);
+        }
+    }
+    table.retain(|_, held| !held.is_empty());
+}
+
 /// The current view, shared by all requests.
 #[derive(Default)]
 pub struct SharedView {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod error;
 pub mod fake;
 pub mod fleet;
+pub mod hub;
 pub mod ids;
 pub mod logger;
 pub mod order;
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -4,7 +4,9 @@
 mod report;
 mod request;
 
-pub use reply::{ConfigSection, ResidencySection, ResidentModel, SyncReply};
+pub use reply::{
+    ConfigSection, CrashSection, ResidencySection, ResidentModel, SyncReply, TargetLoad,
+};
 pub use report::{EngineReport, ResidentCopy};
 pub use request::{ModelDemand, SyncRequest, TargetObservation, TargetReport};
 
--- a/src/sync/reply.rs
+++ b/src/sync/reply.rs
@@ -3,7 +3,7 @@
 use crate::{
     allowance::ShareGrant,
     border::FleetConfig,
-    ids::{ModelId, Revision, TargetId, TeamId, Term, VersionId},
+    ids::{Fingerprint, ModelId, Revision, TargetId, TeamId, Term, VersionId},
 };
 
 /// The leader's answer to a sync. The age of what it proves counts from the moment the entry asked.
@@ -17,14 +17,44 @@
     pub config: ConfigSection,
     /// Change of the residency table since the entry's version.
     pub residency: ResidencySection,
+    /// Targets that get no new requests, apart from missing in the residency table.
+    pub avoided: Vec<TargetId>,
+    /// Load of targets whose load changed since the last reply.
+    pub loads: Vec<TargetLoad>,
+    /// Requests that crashed targets, when the entry's version is not the current one.
+    pub crashes: Option<CrashSection>,
     /// Allowance granted.
     pub grants: Vec<ShareGrant>,
-    /// Tokens served to each active team by other entries since the last sync.
+    /// Cumulative tokens that other entries served to each active team in this term.
     pub served_elsewhere: Vec<(TeamId, u64)>,
     /// Engines whose reports this entry polls.
     pub assigned: Vec<TargetId>,
 }
 
+/// Load of a target, as its latest report has it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetLoad {
+    /// The target.
+    pub target: TargetId,
+    /// Requests that ran.
+    pub running: u32,
+    /// Requests that waited inside the target.
+    pub queued: u32,
+    /// Age of the report when the reply was written, in milliseconds.
+    pub age_ms: u32,
+}
+
+/// All requests that crashed targets lately.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct CrashSection {
+    /// Version of the table.
+    pub version: u64,
+    /// Requests that only one entry at a time may run.
+    pub suspects: Vec<Fingerprint>,
+    /// Requests that must not run.
+    pub blocked: Vec<Fingerprint>,
+}
+
 /// Part of a reply that brings the entry's configuration up to date.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum ConfigSection {
@@ -41,10 +71,21 @@
     Current,
     /// The whole table at a version.
     Snapshot(u64, Vec<ResidentModel>),
+    /// The difference between two versions.
+    Delta {
+        /// Version that the entry has.
+        from: u64,
+        /// Version after the change.
+        to: u64,
+        /// Copies that may receive requests now.
+        added: Vec<ResidentModel>,
+        /// Copies that may no longer receive requests.
+        removed: Vec<ResidentModel>,
+    },
 }
 
 /// One copy that may receive requests.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ResidentModel {
     /// Target that holds the copy.
     pub target: TargetId,
--- a/src/sync/request.rs
+++ b/src/sync/request.rs
@@ -21,6 +21,8 @@
     pub revision: Revision,
     /// Version of the residency table that the entry has.
     pub residency: u64,
+    /// Version of the crash table that the entry has.
+    pub crashes: u64,
     /// Whether the entry is shutting down and hands back its allowance.
     pub leaving: bool,
     /// Allowance used and wanted, for teams with activity.
@@ -55,6 +57,8 @@
     pub target: TargetId,
     /// The engine's own report.
     pub report: EngineReport,
+    /// Time between the poll and the sync that carries the report, in milliseconds.
+    pub age_ms: u32,
 }
 
 /// What an entry saw of a target besides its reports.
--- /dev/null
+++ b/tests/hub.rs
@@ -0,0 +1,262 @@
+//! Tables of the leader: assignment of reporters, residency deltas, health and demand.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use rstest::rstest;
+use waxwinglatch::{
+    hub::{
+        DemandTable, EntryRegistry, ReportTable, ResidencyLog, ServedTable, TargetHealth,
+        assign_reporter,
+    },
+    ids::EntryKey,
+    sync::{
+        EngineReport, ModelDemand, ResidencySection, ResidentModel, SyncRequest, TargetObservation,
+        TargetReport,
+    },
+};
+
+fn request(vm: &str, data_centre: &str, revision: u64) -> SyncRequest {
+    SyncRequest {
+        vm: vm.into(),
+        data_centre: data_centre.into(),
+        incarnation: 1,
+        serial: 1,
+        revision,
+        residency: 0,
+        crashes: 0,
+        leaving: false,
+        shares: Vec::new(),
+        demand: Vec::new(),
+        reports: Vec::new(),
+        observations: Vec::new(),
+        hold_ms: 400,
+    }
+}
+
+fn copy(target: &str, model: &str) -> ResidentModel {
+    ResidentModel {
+        target: target.into(),
+        model: model.into(),
+        version: "1".into(),
+    }
+}
+
+fn report(target: &str, running: u32, age_ms: u32) -> TargetReport {
+    let report = EngineReport {
+        running,
+        ..EngineReport::default()
+    };
+    TargetReport {
+        target: target.into(),
+        report,
+        age_ms,
+    }
+}
+
+const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Guards against targets without a reporter, and against reshuffling all of them when one entry
+/// restarts, which would make every report late at once.
+#[test]
+fn only_the_targets_of_a_lost_entry_change_their_reporter() {
+    let mut registry = EntryRegistry::default();
+    for entry in 0..9 {
+        registry.record(
+            &request(&format!("vm-{entry}"), &format!("dc-{}", entry % 3), 1),
+            ms(0),
+        );
+    }
+    let targets: Vec<_> = (0..60)
+        .map(|target| compact(&format!("engine-{target}")))
+        .collect();
+    let assign = |registry: &EntryRegistry| -> Vec<Option<EntryKey>> {
+        let reporter = |(number, target): (usize, &compact_str::CompactString)| {
+            let data_centre = compact(&format!("dc-{}", number % 3));
+            assign_reporter(target, &data_centre, registry.reporters()).cloned()
+        };
+        targets.iter().enumerate().map(reporter).collect()
+    };
+    let before = assign(&registry);
+    let lost = EntryKey {
+        vm: "vm-4".into(),
+        incarnation: 1,
+    };
+    let mut without = EntryRegistry::default();
+    for entry in (0..9).filter(|entry| *entry != 4) {
+        without.record(
+            &request(&format!("vm-{entry}"), &format!("dc-{}", entry % 3), 1),
+            ms(0),
+        );
+    }
+    let after = assign(&without);
+    for (number, (before, after)) in before.iter().zip(&after).enumerate() {
+        let before = before.as_ref().expect("each target has a reporter");
+        assert!(after.is_some());
+        assert!(before.vm.ends_with(char::is_numeric));
+        if *before != lost {
+            assert_eq!(
+                Some(before),
+                after.as_ref(),
+                "target {number} changed without need"
+            );
+        }
+    }
+}
+
+fn compact(text: &str) -> compact_str::CompactString {
+    text.into()
+}
+
+/// Guards against deltas that leave an entry with another table than a snapshot would.
+#[rstest]
+#[case::one_change(1)]
+#[case::several_changes(7)]
+#[case::more_changes_than_are_kept(400)]
+fn deltas_lead_to_the_same_table_as_a_snapshot(#[case] changes: u64) {
+    let mut log = ResidencyLog::new(3);
+    log.replace([copy("a", "m0")].into());
+    let from = log.version();
+    let mut held: BTreeSet<ResidentModel> = [copy("a", "m0")].into();
+    let mut table = held.clone();
+    for change in 0..changes {
+        let toggled = copy("a", &format!("m{}", change % 5));
+        if !table.remove(&toggled) {
+            table.insert(toggled);
+        }
+        assert!(log.replace(table.clone()));
+    }
+    match log.since(from) {
+        ResidencySection::Current => panic!("the version moved"),
+        ResidencySection::Snapshot(version, copies) => {
+            assert_eq!(version, log.version());
+            held = copies.into_iter().collect();
+        }
+        ResidencySection::Delta {
+            from: base,
+            to,
+            added,
+            removed,
+        } => {
+            assert_eq!((base, to), (from, log.version()));
+            held.retain(|copy| !removed.contains(copy));
+            held.extend(added);
+        }
+    }
+    assert_eq!(held, table);
+}
+
+/// Guards against a table of a former leader that passes for the new leader's.
+#[test]
+fn versions_of_a_new_term_are_unknown_to_entries_of_the_old_one() {
+    let mut old = ResidencyLog::new(4);
+    old.replace([copy("a", "m")].into());
+    let new = ResidencyLog::new(5);
+    assert!(
+        matches!(new.since(old.version()), ResidencySection::Snapshot(_, copies) if copies.is_empty())
+    );
+}
+
+/// Guards against routing to engines that died or leave.
+#[rstest]
+#[case::recent(0, 1_000, &[], TargetHealth::Up)]
+#[case::too_old(0, 3_500, &[], TargetHealth::Down)]
+#[case::polled_long_before_it_arrived(2_500, 1_000, &[], TargetHealth::Down)]
+#[case::unreachable(0, 1_000, &[TargetObservation::Unreachable("engine".into())], TargetHealth::Down)]
+fn health_follows_the_latest_report(
+    #[case] age_ms: u32,
+    #[case] later_ms: u64,
+    #[case] observations: &[TargetObservation],
+    #[case] expected: TargetHealth,
+) {
+    let mut reports = ReportTable::default();
+    reports.record(vec![report("engine", 1, age_ms)], ms(10_000));
+    reports.observe(observations);
+    assert_eq!(
+        reports.health(&"engine".into(), ms(10_000 + later_ms)),
+        expected
+    );
+}
+
+/// Guards against a late report of a former reporter that replaces a newer one.
+#[test]
+fn an_older_report_does_not_replace_a_newer_one() {
+    let mut reports = ReportTable::default();
+    reports.record(vec![report("engine", 7, 0)], ms(5_000));
+    reports.record(vec![report("engine", 1, 2_000)], ms(5_100));
+    assert_eq!(
+        reports.get(&"engine".into()).map(|report| report.running),
+        Some(7)
+    );
+}
+
+/// Guards against demand that is counted twice, or waits that outlive their entry.
+#[test]
+fn demand_is_read_once_and_waits_expire() {
+    let entry = EntryKey {
+        vm: "vm-1".into(),
+        incarnation: 1,
+    };
+    let mut table = DemandTable::default();
+    let demand = [ModelDemand {
+        model: "m".into(),
+        requests: 3,
+        tokens: 30,
+        waiting: 2,
+    }];
+    table.record(&entry, &demand, ms(0));
+    let first = table.take(ms(10));
+    assert_eq!(
+        (first["m"].requests, first["m"].tokens, first["m"].waiting),
+        (3, 30, 2)
+    );
+    let second = table.take(ms(20));
+    assert_eq!((second["m"].requests, second["m"].waiting), (0, 2));
+    assert!(table.take(ms(3_000)).is_empty());
+}
+
+/// Guards against an entry that charges a team for its own service as if others had served it.
+#[test]
+fn service_elsewhere_leaves_out_the_entry_itself() {
+    let [one, two] = [1, 2].map(|incarnation| EntryKey {
+        vm: "vm".into(),
+        incarnation,
+    });
+    let share = |used| waxwinglatch::allowance::ShareReport {
+        team: "t".into(),
+        granted: 100,
+        used,
+        returned: 0,
+        wanted: 0,
+    };
+    let mut served = ServedTable::default();
+    served.record(&one, &[share(40)]);
+    served.record(&two, &[share(25)]);
+    served.record(&two, &[share(10)]);
+    let team = compact("t");
+    assert_eq!(
+        served.elsewhere(&one, std::iter::once(&team)),
+        vec![(team.clone(), 25)]
+    );
+    assert_eq!(
+        served.elsewhere(&two, std::iter::once(&team)),
+        vec![(team.clone(), 40)]
+    );
+}
+
+/// Guards against `apply --wait` that waits for a dead entry, or forgets a live one.
+#[test]
+fn only_entries_that_may_still_serve_lack_a_revision() {
+    let mut registry = EntryRegistry::default();
+    registry.record(&request("old", "dc-1", 4), ms(0));
+    registry.record(&request("behind", "dc-1", 4), ms(1_500));
+    registry.record(&request("current", "dc-1", 5), ms(1_500));
+    assert_eq!(
+        registry.lacking(5, ms(2_000), ms(2_500)),
+        vec![compact("behind")]
+    );
+    let gone = registry.expire(ms(3_700));
+    assert_eq!(gone.len(), 1);
+    assert_eq!(registry.len(), 2);
+}
