Exchange allowance between the leader's ledger and the entries' shares

Cause: the ledger and the shares existed without a path between them. Change: each sync carries the share reports; the leader answers at once when tokens are granted, and else holds the sync until the ledger says that a grant is due. Served tokens are counted per epoch of a share.

--- a/src/control/hub.rs
+++ b/src/control/hub.rs
@@ -8,12 +8,13 @@
 use tokio::sync::watch;
 
 use crate::{
+    allowance::{AllowanceLedger, RateLimit, ShareGrant},
     border::{FleetConfig, TargetKind},
     hub::{
         DemandTable, EntryRegistry, ModelLoad, ReportTable, ResidencyLog, ServedTable,
         TargetHealth, assign_reporter,
     },
-    ids::{EntryKey, ModelId, TargetId, Term},
+    ids::{EntryKey, ModelId, Revision, TargetId, TeamId, Term},
     state::ControlState,
     sync::{ConfigSection, EngineReport, ResidentModel, SyncReply, SyncRequest, TargetLoad},
     voter::{LeaderLease, VoterHandle},
@@ -35,12 +36,17 @@
     reports: ReportTable,
     residency: ResidencyLog,
     served: ServedTable,
+    ledger: AllowanceLedger,
+    /// Revision whose limits the ledger has.
+    limits_of: Revision,
+    /// Teams that have a limit in the ledger.
+    limited: Vec<TeamId>,
     /// Loads that each entry was told last.
     told: HashMap<EntryKey, HashMap<TargetId, (u32, u32)>>,
 }
 
 impl HubTables {
-    fn new(term: Term) -> Self {
+    fn new(term: Term, now: Duration) -> Self {
         Self {
             term,
             registry: EntryRegistry::default(),
@@ -48,6 +54,9 @@
             reports: ReportTable::default(),
             residency: ResidencyLog::new(term),
             served: ServedTable::default(),
+            ledger: AllowanceLedger::new(term, now),
+            limits_of: 0,
+            limited: Vec::new(),
             told: HashMap::new(),
         }
     }
@@ -60,7 +69,7 @@
         Self {
             voter,
             started: Instant::now(),
-            tables: Mutex::new(HubTables::new(0)),
+            tables: Mutex::new(HubTables::new(0, Duration::ZERO)),
             changes: watch::channel(0).0,
         }
     }
@@ -73,13 +82,14 @@
     fn tables(&self, term: Term) -> MutexGuard<'_, HubTables> {
         let mut tables = self.tables.lock().unwrap_or_else(PoisonError::into_inner);
         if tables.term < term {
-            *tables = HubTables::new(term);
+            *tables = HubTables::new(term, self.now());
         }
         tables
     }
 
-    /// Records what an entry told, before its sync is held.
-    pub fn record(&self, request: &mut SyncRequest, lease: LeaderLease) {
+    /// Records what an entry told, before its sync is held, and tells whether there is allowance
+    /// that it waits for.
+    pub fn record(&self, request: &mut SyncRequest, lease: LeaderLease) -> bool {
         let now = self.now();
         let mut tables = self.tables(lease.term);
         let entry = tables.registry.record(request, now);
@@ -90,6 +100,55 @@
             .record(std::mem::take(&mut request.reports), now);
         tables.served.record(&entry, &request.shares);
         self.refresh_residency(&mut tables);
+        self.refresh_limits(&mut tables);
+        let grants = tables.ledger.exchange(&entry, &request.shares, now);
+        let held =
+            |grant: &ShareGrant| request.shares.iter().find(|share| share.team == grant.team);
+        grants
+            .iter()
+            .any(|grant| held(grant).is_some_and(|share| grant.granted > share.granted))
+    }
+
+    /// Gives the ledger the limits of the revision in force.
+    fn refresh_limits(&self, tables: &mut HubTables) {
+        let (revision, Some(config)) = self.voter.local(ControlState::config) else {
+            return;
+        };
+        if tables.limits_of == revision {
+            return;
+        }
+        let now = self.now();
+        let limits: HashMap<&TeamId, RateLimit> = config
+            .teams
+            .iter()
+            .map(|team| (&team.id, RateLimit::from(team)))
+            .collect();
+        let removed = tables
+            .limited
+            .iter()
+            .filter(|team| !limits.contains_key(team));
+        for team in removed {
+            tables.ledger.set_limit(team, RateLimit::default(), now);
+        }
+        for (team, limit) in &limits {
+            tables.ledger.set_limit(team, *limit, now);
+        }
+        tables.limited = limits.into_keys().cloned().collect();
+        tables.limits_of = revision;
+    }
+
+    /// Returns how long a sync may be held before it would bring allowance.
+    pub fn hold_limit(&self, request: &SyncRequest, lease: LeaderLease) -> Option<Duration> {
+        let now = self.now();
+        let key = EntryKey {
+            vm: request.vm.clone(),
+            incarnation: request.incarnation,
+        };
+        let due = self
+            .tables(lease.term)
+            .ledger
+            .due(&key, &request.shares, now)?;
+        Some(due.saturating_sub(now))
     }
 
     /// Builds the reply to an entry's sync; `lease` proves that this voter leads.
@@ -106,6 +165,7 @@
             vm: request.vm.clone(),
             incarnation: request.incarnation,
         };
+        self.refresh_limits(&mut tables);
         SyncReply {
             serial: request.serial,
             term: lease.term,
@@ -114,7 +174,7 @@
             avoided: Vec::new(),
             loads: tables.changed_loads(&key, now),
             crashes: None,
-            grants: Vec::new(),
+            grants: tables.ledger.exchange(&key, &request.shares, now).to_vec(),
             served_elsewhere: tables
                 .served
                 .elsewhere(&key, request.shares.iter().map(|share| &share.team)),
@@ -143,15 +203,15 @@
     pub fn has_news(&self, request: &SyncRequest, lease: LeaderLease) -> bool {
         let revision = self.voter.local(|state| state.config().0);
         let tables = self.tables(lease.term);
-        revision != request.revision
-            || tables.residency.version() != request.residency
-            || request.shares.iter().any(|share| share.wanted > 0)
+        revision != request.revision || tables.residency.version() != request.residency
     }
 
     /// Removes entries and reports that are out of date, and returns the entries that are gone.
     pub fn expire(&self, lease: LeaderLease) -> Vec<EntryKey> {
         let now = self.now();
         let mut tables = self.tables(lease.term);
+        self.refresh_limits(&mut tables);
+        tables.ledger.expire(now);
         let gone = tables.registry.expire(now);
         for entry in &gone {
             info!("sync: entry {} ({:x}) is gone", entry.vm, entry.incarnation);
--- a/src/control/system.rs
+++ b/src/control/system.rs
@@ -66,18 +66,20 @@
             .filter(LeaderLease::holds)
             .ok_or(Status::MisdirectedRequest)
     };
-    hub.record(&mut request, leads()?);
+    let brings_allowance = hub.record(&mut request, leads()?);
     let deadline = Instant::now() + Duration::from_millis(request.hold_ms).min(MAX_HOLD);
     let mut residency = hub.watch();
     let mut applied = voter.watch();
-    while !hub.has_news(&request, leads()?) {
+    while !brings_allowance && !hub.has_news(&request, leads()?) {
+        let allowance = hub.hold_limit(&request, leads()?);
+        let allowance = allowance.map_or(deadline, |limit| deadline.min(Instant::now() + limit));
         let change = async {
             tokio::select! {
                 _ = residency.changed() => {}
                 _ = applied.changed() => {}
             }
         };
-        if timeout_at(deadline, change).await.is_err() {
+        if timeout_at(allowance, change).await.is_err() {
             break;
         }
     }
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -3,8 +3,9 @@
 use spdlog::prelude::*;
 
 use super::{
+    allowance::SharedAllowance,
     demand::DemandCounter,
-    follow::SyncFollower,
+    follow::{SyncFollower, SyncParts},
     poll::{PolledReports, ReportPoller},
     proxy::CallerProxy,
     view::SharedView,
@@ -41,14 +42,18 @@
         let demand = Arc::new(DemandCounter::default());
         let polled = Arc::new(PolledReports::default());
         let polling = tokio::spawn(ReportPoller::new(Arc::clone(&polled), client.clone()).run());
-        let follower = SyncFollower::new(
+        let parts = SyncParts {
+            view: Arc::clone(&view),
+            demand: Arc::clone(&demand),
+            polled,
+            allowance: Arc::new(SharedAllowance::new()),
+        };
+        let follower = Arc::new(SyncFollower::new(
             self.config,
             secret,
-            Arc::clone(&view),
-            Arc::clone(&demand),
-            polled,
+            parts,
             client.clone(),
-        );
+        ));
         let following = tokio::spawn(follower.run());
         let bound = Duration::from_millis(self.config.freshness_bound_ms);
         let proxy = CallerProxy::new(view, demand, hasher, client, bound);
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -110,8 +110,12 @@
         Arc::clone(&self.current.read().unwrap_or_else(PoisonError::into_inner))
     }
 
-    /// Replaces the current view.
-    pub fn set(&self, view: EntryView) {
-        *self.current.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(view);
+    /// Applies a reply to a sync that was asked at `asked`, and returns the revision if it is new.
+    pub fn update(&self, reply: SyncReply, asked: Instant) -> Option<Revision> {
+        let mut current = self.current.write().unwrap_or_else(PoisonError::into_inner);
+        let before = current.revision;
+        let next = EntryView::clone(&current).with_reply(reply, asked);
+        *current = Arc::new(next);
+        (current.revision != before).then_some(current.revision)
     }
 }
--- a/src/hub/served.rs
+++ b/src/hub/served.rs
@@ -5,22 +5,40 @@
     ids::{EntryKey, TeamId},
 };
 
+/// What one entry served to one team.
+#[derive(Debug, Default)]
+struct EntryService {
+    epoch: u64,
+    /// Tokens used in the epoch.
+    used: u64,
+    /// Tokens used in all epochs.
+    total: u64,
+}
+
 /// Tokens served per team, in total and by each entry, for fair queuing over the whole fleet.
 #[derive(Debug, Default)]
 pub struct ServedTable {
     totals: HashMap<TeamId, u64>,
-    by_entry: HashMap<EntryKey, HashMap<TeamId, u64>>,
+    by_entry: HashMap<EntryKey, HashMap<TeamId, EntryService>>,
 }
 
 impl ServedTable {
-    /// Records an entry's cumulative counters. Counters only grow, so that a late report is
-    /// ignored.
+    /// Records an entry's cumulative counters. Counters only grow within an epoch, so that a late
+    /// report is ignored.
     pub fn record(&mut self, entry: &EntryKey, reports: &[ShareReport]) {
         let known = self.by_entry.entry(entry.clone()).or_default();
         for report in reports {
-            let before = known.entry(report.team.clone()).or_default();
-            let growth = report.used.saturating_sub(*before);
-            *before += growth;
+            let service = known.entry(report.team.clone()).or_default();
+            if report.epoch < service.epoch {
+                continue;
+            }
+            if report.epoch > service.epoch {
+                service.epoch = report.epoch;
+                service.used = 0;
+            }
+            let growth = report.used.saturating_sub(service.used);
+            service.used += growth;
+            service.total += growth;
             *self.totals.entry(report.team.clone()).or_default() += growth;
         }
     }
@@ -37,8 +55,7 @@
                 let total = self.totals.get(team).copied().unwrap_or_default();
                 let own = own
                     .and_then(|served| served.get(team))
-                    .copied()
-                    .unwrap_or_default();
+                    .map_or(0, |service| service.total);
                 (team.clone(), total.saturating_sub(own))
             })
             .collect()
--- a/tests/hub.rs
+++ b/tests/hub.rs
@@ -223,17 +223,21 @@
         vm: "vm".into(),
         incarnation,
     });
-    let share = |used| waxwinglatch::allowance::ShareReport {
+    let share = |epoch, used| waxwinglatch::allowance::ShareReport {
         team: "t".into(),
+        epoch,
+        urgent: 0,
         granted: 100,
         used,
         returned: 0,
         wanted: 0,
     };
     let mut served = ServedTable::default();
-    served.record(&one, &[share(40)]);
-    served.record(&two, &[share(25)]);
-    served.record(&two, &[share(10)]);
+    served.record(&one, &[share(1, 40)]);
+    served.record(&two, &[share(1, 20)]);
+    served.record(&two, &[share(1, 10)]);
+    served.record(&two, &[share(2, 5)]);
+    served.record(&two, &[share(1, 20)]);
     let team = compact("t");
     assert_eq!(
         served.elsewhere(&one, std::iter::once(&team)),
