Apply all commands of the replicated state

Cause: only configurations had an effect, and the request-id table kept whole configurations without a bound. Change: tables for configurations (the latest 256 revisions as backward differences), request ids (24 h, 10,000), claims (24 h by the key's timestamp, 2 million, 64 MiB of recorded responses), suspects and turns, engine memory, drains and the command level. Request ids keep a digest of the change. FleetDelta gives exact differences between configurations. A repeated unsettled load and unload of one copy count its memory once; the property test found the double count.

--- a/src/state.rs
+++ b/src/state.rs
@@ -5,18 +5,32 @@
 
 mod apply_request;
 mod claim;
+mod claim_table;
 mod command;
+mod config_history;
+mod crash_table;
 mod drain_request;
+mod drain_table;
 mod machine;
+mod memory_table;
 mod outcome;
 mod recorded_response;
+mod request_table;
+mod target_memory;
 
 pub use apply_request::ApplyRequest;
 pub use claim::{ClaimKey, ClaimOutcome, ClaimRequest, ClaimTicket};
+pub use claim_table::{ClaimLimits, ClaimTable};
 pub use command::{Command, StampedCommand};
+pub use config_history::{ConfigHistory, RevisionNote};
+pub use crash_table::CrashTable;
 pub use drain_request::{DrainOutcome, DrainRequest, DrainState, DrainSubject};
+pub use drain_table::DrainTable;
 pub use machine::ControlState;
+pub use memory_table::MemoryTable;
 pub use outcome::{
     ApplyOutcome, BlockState, CrashOutcome, Outcome, ReserveOutcome, SettleResult, TurnOutcome,
 };
 pub use recorded_response::RecordedResponse;
+pub use request_table::RequestTable;
+pub use target_memory::{TargetMemory, UnsettledOrder};
--- /dev/null
+++ b/src/state/config_history.rs
@@ -0,0 +1,113 @@
+use std::{collections::VecDeque, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    border::FleetConfig,
+    fleet::FleetDelta,
+    ids::{RequestId, Revision},
+};
+
+/// Most revisions that are kept.
+const MAX_REVISIONS: usize = 256;
+/// Most encoded bytes of the differences between kept revisions.
+const MAX_DELTA_BYTES: usize = 8 * 1024 * 1024;
+
+/// The configuration in force and the latest ones before it, as differences backwards.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ConfigHistory {
+    current: Option<Arc<FleetConfig>>,
+    revision: Revision,
+    past: VecDeque<PastRevision>,
+    delta_bytes: usize,
+}
+
+/// When and by which request a revision was accepted.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RevisionNote {
+    /// Number of the revision.
+    pub revision: Revision,
+    /// Time of acceptance in milliseconds since the Unix epoch.
+    pub at_ms: u64,
+    /// Request id of the change.
+    pub request_id: RequestId,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct PastRevision {
+    note: RevisionNote,
+    /// Leads back to the revision before; `None` when there was no configuration.
+    back: Option<Arc<FleetDelta>>,
+    bytes: usize,
+}
+
+impl ConfigHistory {
+    /// Puts a new configuration in force and returns its revision.
+    pub(super) fn accept(
+        &mut self,
+        now_ms: u64,
+        request_id: &RequestId,
+        config: &Arc<FleetConfig>,
+    ) -> Revision {
+        let old = self.current.replace(Arc::clone(config));
+        let back = old.map(|old| Arc::new(FleetDelta::between(config, &old)));
+        let encoded = back.as_ref().and_then(|back| rmp_serde::to_vec(back).ok());
+        let bytes = encoded.map_or(0, |encoded| encoded.len());
+        self.revision += 1;
+        let note = RevisionNote {
+            revision: self.revision,
+            at_ms: now_ms,
+            request_id: request_id.clone(),
+        };
+        self.past.push_back(PastRevision { note, back, bytes });
+        self.delta_bytes += bytes;
+        while self.past.len() > MAX_REVISIONS
+            || (self.delta_bytes > MAX_DELTA_BYTES && self.past.len() > 1)
+        {
+            let dropped = self.past.pop_front();
+            self.delta_bytes -= dropped.map_or(0, |past| past.bytes);
+        }
+        self.revision
+    }
+
+    /// Returns the revision in force; 0 before the first one.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Returns the configuration in force.
+    #[must_use]
+    pub fn current(&self) -> Option<&Arc<FleetConfig>> {
+        self.current.as_ref()
+    }
+
+    /// Returns the configuration of a kept revision.
+    #[must_use]
+    pub fn at(&self, revision: Revision) -> Option<Arc<FleetConfig>> {
+        if !self.notes().any(|note| note.revision == revision) {
+            return None;
+        }
+        let mut config = Arc::clone(self.current.as_ref()?);
+        for past in self.past.iter().rev() {
+            if past.note.revision == revision {
+                break;
+            }
+            config = Arc::new(past.back.as_ref()?.apply_to(&config).ok()?);
+        }
+        Some(config)
+    }
+
+    /// Returns the kept revisions, the oldest first.
+    #[must_use]
+    pub fn notes(&self) -> impl DoubleEndedIterator<Item = &RevisionNote> {
+        self.past.iter().map(|past| &past.note)
+    }
+
+    /// Returns the difference from a kept revision to the one in force.
+    #[must_use]
+    pub fn delta_since(&self, base: Revision) -> Option<FleetDelta> {
+        let base = self.at(base)?;
+        Some(FleetDelta::between(&base, self.current.as_ref()?))
+    }
+}
--- a/src/state/machine.rs
+++ b/src/state/machine.rs
@@ -1,22 +1,33 @@
-use std::{collections::BTreeMap, sync::Arc};
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
-use super::{ApplyOutcome, ApplyRequest, Command, Outcome, StampedCommand};
+use super::{
+    ApplyOutcome, ApplyRequest, ClaimTable, Command, ConfigHistory, CrashTable, DrainOutcome,
+    DrainRequest, DrainTable, MemoryTable, Outcome, RequestTable, StampedCommand,
+    request_table::{RequestLookup, change_digest},
+};
 use crate::{
     border::FleetConfig,
     error::{Error, Result},
-    ids::{LogIndex, RequestId, Revision},
+    ids::{CommandLevel, LogIndex, Revision},
 };
 
+/// Level of a new fleet, and the highest that this release can apply.
+const FIRST_LEVEL: CommandLevel = 1;
+
 /// State that every voter builds from the log.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ControlState {
     applied: LogIndex,
     now_ms: u64,
-    revision: Revision,
-    config: Option<Arc<FleetConfig>>,
-    requests: BTreeMap<RequestId, (Arc<FleetConfig>, ApplyOutcome)>,
+    level: CommandLevel,
+    configs: ConfigHistory,
+    requests: RequestTable,
+    claims: ClaimTable,
+    crashes: CrashTable,
+    memory: MemoryTable,
+    drains: DrainTable,
 }
 
 impl ControlState {
@@ -25,29 +36,106 @@
         self.applied = index;
         // A new leader's clock may be behind; time in the state never goes back.
         self.now_ms = self.now_ms.max(stamped.at_ms);
+        let now_ms = self.now_ms;
+        self.requests.expire(now_ms);
+        self.claims.expire(now_ms);
+        self.crashes.expire(now_ms);
         match &stamped.command {
-            Command::Apply(request) => Outcome::Applied(self.apply_config(request)),
-            // The tables behind these commands follow; nothing proposes them yet.
-            _ => Outcome::Done,
+            Command::Noop => return Outcome::Done,
+            Command::Apply(request) => return self.apply_config(request),
+            Command::Claim(request) => return Outcome::Claim(self.claims.claim(now_ms, request)),
+            Command::Complete { ticket, response } => self.claims.complete(ticket, response),
+            Command::Release(ticket) => self.claims.release(now_ms, ticket),
+            Command::Abandon(ticket) => self.claims.abandon(ticket),
+            Command::LoseClaimant { claimant } => {
+                self.claims.lose_claimant(claimant);
+                self.crashes.lose_holder(claimant);
+            }
+            Command::ReportCrash {
+                fingerprint,
+                target,
+            } => return Outcome::Crash(self.crashes.report(now_ms, fingerprint, target)),
+            Command::TakeTurn {
+                fingerprint,
+                holder,
+                attempt,
+            } => {
+                let turn = self
+                    .crashes
+                    .take_turn(now_ms, fingerprint, holder, *attempt);
+                return Outcome::Turn(turn);
+            }
+            Command::EndTurn {
+                fingerprint,
+                holder,
+                attempt,
+            } => self.crashes.end_turn(fingerprint, holder, *attempt),
+            Command::Reserve {
+                target,
+                fencing,
+                action,
+            } => {
+                let config = self.configs.current().map(AsRef::as_ref);
+                return Outcome::Reserve(self.memory.reserve(config, target, *fencing, action));
+            }
+            Command::Settle {
+                target,
+                fencing,
+                result,
+            } => self.memory.settle(target, *fencing, *result),
+            Command::ConfirmReport {
+                target,
+                incarnation,
+                last_fencing,
+                copies,
+            } => {
+                let config = self.configs.current().map(AsRef::as_ref);
+                self.memory
+                    .confirm(config, target, *incarnation, *last_fencing, copies);
+            }
+            Command::Drain(request) => return self.drain(request),
+            Command::RaiseLevel { level } => self.level = self.level.max(*level),
         }
+        Outcome::Done
     }
 
-    fn apply_config(&mut self, request: &ApplyRequest) -> ApplyOutcome {
-        match self.requests.get(&request.request_id) {
-            Some((config, outcome)) if **config == request.config => return outcome.clone(),
-            Some(_) => return ApplyOutcome::RequestIdReused,
-            None => {}
+    fn apply_config(&mut self, request: &ApplyRequest) -> Outcome {
+        let digest = change_digest(&(request.expected, &request.config));
+        match self.requests.find(&request.request_id, &digest) {
+            RequestLookup::New => {}
+            RequestLookup::Repeated(outcome) => return outcome,
+            RequestLookup::Reused => return Outcome::Applied(ApplyOutcome::RequestIdReused),
         }
-        let config = Arc::new(request.config.clone());
-        let outcome = if request.expected == self.revision {
-            self.revision += 1;
-            self.config = Some(Arc::clone(&config));
-            ApplyOutcome::Accepted(self.revision)
+        let current = self.configs.revision();
+        let outcome = if request.expected == current {
+            let config = Arc::new(request.config.clone());
+            let old = self.configs.current().cloned();
+            self.memory.follow(old.as_deref(), &config);
+            let revision = self
+                .configs
+                .accept(self.now_ms, &request.request_id, &config);
+            Outcome::Applied(ApplyOutcome::Accepted(revision))
         } else {
-            ApplyOutcome::Conflict(self.revision)
+            Outcome::Applied(ApplyOutcome::Conflict(current))
         };
         self.requests
-            .insert(request.request_id.clone(), (config, outcome.clone()));
+            .record(self.now_ms, &request.request_id, digest, outcome.clone());
+        outcome
+    }
+
+    fn drain(&mut self, request: &DrainRequest) -> Outcome {
+        let digest = change_digest(&(&request.subject, request.state));
+        match self.requests.find(&request.request_id, &digest) {
+            RequestLookup::New => {}
+            RequestLookup::Repeated(outcome) => return outcome,
+            RequestLookup::Reused => return Outcome::Drain(DrainOutcome::RequestIdReused),
+        }
+        let outcome = self
+            .drains
+            .set(self.now_ms, &request.subject, request.state);
+        let outcome = Outcome::Drain(outcome);
+        self.requests
+            .record(self.now_ms, &request.request_id, digest, outcome.clone());
         outcome
     }
 
@@ -57,10 +145,58 @@
         self.applied
     }
 
+    /// Returns the time of the last applied entry, in milliseconds since the Unix epoch.
+    #[must_use]
+    pub fn now_ms(&self) -> u64 {
+        self.now_ms
+    }
+
+    /// Returns the highest command level that may be proposed.
+    #[must_use]
+    pub fn level(&self) -> CommandLevel {
+        self.level.max(FIRST_LEVEL)
+    }
+
     /// Returns the revision in force and its configuration; `None` before the first one.
     #[must_use]
     pub fn config(&self) -> (Revision, Option<Arc<FleetConfig>>) {
-        (self.revision, self.config.clone())
+        (self.configs.revision(), self.configs.current().cloned())
+    }
+
+    /// Returns the configurations of the latest revisions.
+    #[must_use]
+    pub fn configs(&self) -> &ConfigHistory {
+        &self.configs
+    }
+
+    /// Returns the outcomes of operators' changes.
+    #[must_use]
+    pub fn requests(&self) -> &RequestTable {
+        &self.requests
+    }
+
+    /// Returns the claims.
+    #[must_use]
+    pub fn claims(&self) -> &ClaimTable {
+        &self.claims
+    }
+
+    /// Returns the suspects.
+    #[must_use]
+    pub fn crashes(&self) -> &CrashTable {
+        &self.crashes
+    }
+
+    /// Returns the engines' memory.
+    #[must_use]
+    pub fn memory(&self) -> &MemoryTable {
+        &self.memory
+    }
+
+    /// Returns the drains.
+    #[must_use]
+    pub fn drains(&self) -> &DrainTable {
+        &self.drains
     }
 
     /// Encodes the whole state.
--- /dev/null
+++ b/tests/state/claims.rs
@@ -0,0 +1,236 @@
+//! Guards against a second run of a request that may run at most once.
+
+use proptest::{collection::vec, prelude::*};
+use rstest::rstest;
+use serde_bytes::{ByteArray, ByteBuf};
+use uuid::Uuid;
+use waxwinglatch::state::{
+    ClaimKey, ClaimLimits, ClaimOutcome, ClaimRequest, ClaimTable, ClaimTicket, Command, Outcome,
+    RecordedResponse,
+};
+
+use super::{DAY_MS, HOUR_MS, START_MS, TimedState, entry};
+
+fn ticket(created_ms: u64, suffix: u8, claimant: u64, attempt: u64) -> ClaimTicket {
+    let builder = uuid::Builder::from_unix_timestamp_millis(created_ms, &[suffix; 10]);
+    let (team, route) = ("counter".into(), "orders".into());
+    ClaimTicket {
+        key: ClaimKey {
+            key: builder.into_uuid(),
+            team,
+            route,
+        },
+        claimant: entry(claimant),
+        attempt,
+    }
+}
+
+fn claim(ticket: &ClaimTicket, body: u8) -> ClaimRequest {
+    ClaimRequest {
+        ticket: ticket.clone(),
+        body_hash: ByteArray::new([body; 32]),
+    }
+}
+
+fn response(bytes: usize) -> RecordedResponse {
+    RecordedResponse {
+        status: 201,
+        headers: vec![("content-type".into(), "text/plain".to_owned())],
+        body: Some(ByteBuf::from(vec![7; bytes])),
+    }
+}
+
+fn outcome(state: &mut TimedState, ticket: &ClaimTicket, body: u8) -> ClaimOutcome {
+    match state.apply(Command::Claim(claim(ticket, body))) {
+        Outcome::Claim(outcome) => outcome,
+        other => panic!("a claim gave {other:?}"),
+    }
+}
+
+#[rstest]
+#[case::completed(|ticket| Command::Complete { ticket, response: response(3) }, ClaimOutcome::Recorded(response(3)))]
+#[case::running(|_| Command::Noop, ClaimOutcome::InProgress)]
+#[case::abandoned(Command::Abandon, ClaimOutcome::Unknown)]
+#[case::claimant_gone(|ticket: ClaimTicket| Command::LoseClaimant { claimant: ticket.claimant }, ClaimOutcome::Unknown)]
+#[case::released(Command::Release, ClaimOutcome::Granted)]
+fn a_resend_gets_the_outcome_of_the_first_run(
+    #[case] end: fn(ClaimTicket) -> Command,
+    #[case] expected: ClaimOutcome,
+) {
+    let mut state = TimedState::new();
+    let first = ticket(START_MS, 1, 1, 1);
+    assert_eq!(outcome(&mut state, &first, 1), ClaimOutcome::Granted);
+    assert_eq!(
+        outcome(&mut state, &first, 1),
+        ClaimOutcome::Granted,
+        "lost reply"
+    );
+    state.apply(end(first));
+    assert_eq!(outcome(&mut state, &ticket(START_MS, 1, 2, 1), 1), expected);
+}
+
+#[rstest]
+#[case::other_body(ticket(START_MS, 1, 2, 1), 2, ClaimOutcome::Reused)]
+#[case::old(ticket(START_MS - DAY_MS, 2, 1, 2), 1, ClaimOutcome::Expired)]
+#[case::nearly_old(ticket(START_MS - DAY_MS + 1, 2, 1, 2), 1, ClaimOutcome::Granted)]
+#[case::slightly_ahead(ticket(START_MS + 300_000, 2, 1, 2), 1, ClaimOutcome::Granted)]
+#[case::far_ahead(ticket(START_MS + 300_001, 2, 1, 2), 1, ClaimOutcome::Invalid)]
+fn keys_are_judged_by_body_and_age(
+    #[case] second: ClaimTicket,
+    #[case] body: u8,
+    #[case] expected: ClaimOutcome,
+) {
+    let mut state = TimedState::new();
+    let first = ticket(START_MS, 1, 1, 1);
+    assert_eq!(outcome(&mut state, &first, 1), ClaimOutcome::Granted);
+    assert_eq!(outcome(&mut state, &second, body), expected);
+}
+
+#[test]
+fn a_key_of_another_uuid_version_is_invalid() {
+    let mut state = TimedState::new();
+    let mut first = ticket(START_MS, 1, 1, 1);
+    first.key.key = Uuid::from_u128(0x1234_5678_1234_4678_8234_5678_1234_5678);
+    assert_eq!(outcome(&mut state, &first, 1), ClaimOutcome::Invalid);
+}
+
+#[test]
+fn a_key_stays_expired_after_its_record_was_dropped() {
+    let mut state = TimedState::new();
+    let first = ticket(START_MS, 1, 1, 1);
+    outcome(&mut state, &first, 1);
+    state.at_ms += DAY_MS;
+    assert_eq!(outcome(&mut state, &first, 1), ClaimOutcome::Expired);
+    assert!(
+        state.state.claims().is_empty(),
+        "the record was not dropped"
+    );
+    state.at_ms -= 2 * HOUR_MS;
+    assert_eq!(
+        outcome(&mut state, &first, 1),
+        ClaimOutcome::Expired,
+        "clock went back"
+    );
+}
+
+#[test]
+fn late_commands_of_an_older_attempt_change_nothing() {
+    let mut state = TimedState::new();
+    let [first, second] = [ticket(START_MS, 1, 1, 1), ticket(START_MS, 1, 1, 2)];
+    outcome(&mut state, &first, 1);
+    state.apply(Command::Release(first.clone()));
+    assert_eq!(outcome(&mut state, &second, 1), ClaimOutcome::Granted);
+    state.apply(Command::Release(first.clone()));
+    state.apply(Command::Complete {
+        ticket: first.clone(),
+        response: response(1),
+    });
+    assert_eq!(outcome(&mut state, &first, 1), ClaimOutcome::InProgress);
+}
+
+#[test]
+fn a_claim_that_arrives_after_its_release_is_not_granted() {
+    let mut state = TimedState::new();
+    let first = ticket(START_MS, 1, 1, 1);
+    state.apply(Command::Release(first.clone()));
+    assert_eq!(outcome(&mut state, &first, 1), ClaimOutcome::InProgress);
+    assert_eq!(
+        outcome(&mut state, &ticket(START_MS, 1, 2, 1), 1),
+        ClaimOutcome::Granted
+    );
+}
+
+#[test]
+fn the_table_refuses_claims_beyond_its_bound_and_gives_up_old_bodies() {
+    let mut table = ClaimTable::with_limits(ClaimLimits {
+        claims: 3,
+        recorded_bytes: 100,
+    });
+    for number in 0..3 {
+        let ticket = ticket(START_MS, number, 1, 1);
+        assert_eq!(
+            table.claim(START_MS, &claim(&ticket, 1)),
+            ClaimOutcome::Granted
+        );
+        table.complete(&ticket, &response(20));
+        assert!(table.recorded_bytes() <= 100);
+    }
+    let fourth = claim(&ticket(START_MS, 3, 1, 1), 1);
+    assert_eq!(table.claim(START_MS, &fourth), ClaimOutcome::TableFull);
+    let bodies =
+        (0..3).map(|number| table.claim(START_MS, &claim(&ticket(START_MS, number, 2, 1), 1)));
+    let kept: Vec<bool> = bodies
+        .map(|outcome| matches!(outcome, ClaimOutcome::Recorded(response) if response.body.is_some()))
+        .collect();
+    assert_eq!(kept, [false, true, true]);
+    table.expire(START_MS + DAY_MS);
+    assert_eq!((table.len(), table.recorded_bytes()), (0, 0));
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Claim(u8, u64, u64),
+    Complete(u8, u64, u64),
+    Release(u8, u64, u64),
+    Abandon(u8, u64, u64),
+    Lose(u64),
+    Advance(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let ids = || (0..3_u8, 0..3_u64, 0..3_u64);
+    prop_oneof![
+        4 => ids().prop_map(|(key, claimant, attempt)| Step::Claim(key, claimant, attempt)),
+        1 => ids().prop_map(|(key, claimant, attempt)| Step::Complete(key, claimant, attempt)),
+        1 => ids().prop_map(|(key, claimant, attempt)| Step::Release(key, claimant, attempt)),
+        1 => ids().prop_map(|(key, claimant, attempt)| Step::Abandon(key, claimant, attempt)),
+        1 => (0..3_u64).prop_map(Step::Lose),
+        1 => (0..30 * HOUR_MS).prop_map(Step::Advance),
+    ]
+}
+
+proptest! {
+    #![proptest_config(super::seeded())]
+
+    /// Among the grants that were not released, each key has one attempt at most, for ever.
+    #[test]
+    fn a_key_has_one_unreleased_grant_at_most(steps in vec(step(), 1..200)) {
+        let mut state = TimedState::new();
+        let mut running = std::collections::HashMap::new();
+        for step in steps {
+            match step {
+                Step::Claim(key, claimant, attempt) => {
+                    let ticket = ticket(START_MS, key, claimant, attempt);
+                    if outcome(&mut state, &ticket, 1) == ClaimOutcome::Granted {
+                        let holder = running.entry(key).or_insert((claimant, attempt));
+                        prop_assert_eq!(*holder, (claimant, attempt));
+                    }
+                }
+                Step::Complete(key, claimant, attempt) => {
+                    let ticket = ticket(START_MS, key, claimant, attempt);
+                    state.apply(Command::Complete { ticket, response: response(1) });
+                }
+                // An entry releases only what it did not send.
+                Step::Release(key, claimant, attempt) => {
+                    let claimed = ticket(START_MS, key, claimant, attempt);
+                    state.apply(Command::Release(claimed));
+                    if running.get(&key) == Some(&(claimant, attempt)) {
+                        let other = ticket(START_MS, key, 9, 9);
+                        let free = outcome(&mut state, &other, 1) == ClaimOutcome::Granted;
+                        if free {
+                            running.remove(&key);
+                            state.apply(Command::Release(other));
+                        }
+                    }
+                }
+                Step::Abandon(key, claimant, attempt) => {
+                    state.apply(Command::Abandon(ticket(START_MS, key, claimant, attempt)));
+                }
+                Step::Lose(claimant) => {
+                    state.apply(Command::LoseClaimant { claimant: entry(claimant) });
+                }
+                Step::Advance(by) => state.at_ms += by,
+            }
+        }
+    }
+}
