Define the types of the consensus core

Cause: the durable log and the driver of the voter need the interface of the core before its protocol is written. Conclusion: the types are meant to stay; the protocol follows.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod ids;
 pub mod logger;
 pub mod order;
+pub mod raft;
 pub mod server;
 pub mod state;
 pub mod sync;
--- /dev/null
+++ b/src/raft/member.rs
@@ -0,0 +1,96 @@
+use std::collections::BTreeSet;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{Incarnation, VmId};
+
+/// Identity of a member of the log. A data directory that is created anew gets a new incarnation,
+/// so a member that lost its disk never counts as its former self.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct VoterId {
+    /// VM that the member runs on.
+    pub vm: VmId,
+    /// Random number of the data directory.
+    pub incarnation: Incarnation,
+}
+
+impl VoterId {
+    /// Creates the identity of one data directory on a VM.
+    pub fn new(vm: impl Into<VmId>, incarnation: Incarnation) -> Self {
+        Self {
+            vm: vm.into(),
+            incarnation,
+        }
+    }
+}
+
+/// The voters and learners of the log.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Membership {
+    /// Members that vote and count towards a quorum.
+    pub voters: BTreeSet<VoterId>,
+    /// Members that only receive the log.
+    pub learners: BTreeSet<VoterId>,
+}
+
+impl Membership {
+    /// Creates a membership of voters alone.
+    pub fn of_voters(voters: impl IntoIterator<Item = VoterId>) -> Self {
+        Self {
+            voters: voters.into_iter().collect(),
+            learners: BTreeSet::new(),
+        }
+    }
+
+    /// Returns the number of voters that form a quorum.
+    #[must_use]
+    pub fn quorum(&self) -> usize {
+        self.voters.len() / 2 + 1
+    }
+
+    /// Tells whether the member is a voter or a learner.
+    #[must_use]
+    pub fn contains(&self, member: &VoterId) -> bool {
+        self.voters.contains(member) || self.learners.contains(member)
+    }
+
+    /// Iterates over voters and learners.
+    pub fn members(&self) -> impl Iterator<Item = &VoterId> {
+        self.voters.iter().chain(&self.learners)
+    }
+
+    /// Returns the membership after a change; `None` when the change does not apply: the learner is
+    /// already a member, the member to promote is no learner, the member to remove is unknown or is
+    /// the last voter.
+    #[must_use]
+    pub fn with_change(&self, change: &MemberChange) -> Option<Self> {
+        let mut next = self.clone();
+        let applies = match change {
+            MemberChange::AddLearner(member) => {
+                !self.voters.contains(member) && next.learners.insert(member.clone())
+            }
+            MemberChange::Promote(member) => {
+                next.learners.remove(member) && next.voters.insert(member.clone())
+            }
+            MemberChange::Remove(member) => {
+                next.voters.remove(member) || next.learners.remove(member)
+            }
+        };
+        (applies && !next.voters.is_empty()).then_some(next)
+    }
+
+    pub(super) fn size(&self) -> usize {
+        self.members().map(|member| member.vm.len() + 16).sum()
+    }
+}
+
+/// A change of the membership by one member.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum MemberChange {
+    /// Starts to replicate the log to a new member.
+    AddLearner(VoterId),
+    /// Makes a learner that holds every committed entry a voter.
+    Promote(VoterId),
+    /// Removes a voter or a learner.
+    Remove(VoterId),
+}
