Implement the consensus core with a simulated fleet that checks it

Cause: the control daemons need one order of configuration, reservations and claims that survives the loss of voters.

Before: no protocol.

--- a/src/raft.rs
+++ b/src/raft.rs
@@ -5,8 +5,8 @@
 //!
 //! # Contract between core and driver
 //! - `now` is the time on the monotonic clock since the process started. The driver reads it after
-//!   it has received the input and before it calls [`RaftCore::step`]; an older value is safe, a
-//!   newer one is not.
+//!   it has received the input and before it calls [`RaftCore::step`]. A value from before the
+//!   receipt would shorten the time for which a voter refuses votes, and break the lease.
 //! - The driver carries out effects in the order in which they are returned, across steps too.
 //!   [`RaftEffect::SaveVote`], [`RaftEffect::Append`], [`RaftEffect::Truncate`] and
 //!   [`RaftEffect::InstallSnapshot`] are *persist effects* ([`RaftEffect::is_persistent`]). Before
@@ -22,13 +22,21 @@
 
 mod core;
 mod effect;
+mod election;
 mod entry;
+mod follower;
 mod input;
+mod leader;
+mod leader_state;
 mod limits;
+mod log;
 mod member;
 mod message;
+mod progress;
 mod restored;
 mod role;
+mod rounds;
+mod timer;
 mod timing;
 
 pub use core::RaftCore;
--- /dev/null
+++ b/src/raft/election.rs
@@ -0,0 +1,190 @@
+//! Elections: pre-vote, campaign and the refusal of votes while a leader may hold a lease.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use super::{
+    EntryPayload, LogEntry, MessageBody, RaftCore, RaftEffect, RefuseReason, VoteKind, VoterId,
+    leader_state::LeaderState, role::RoleState,
+};
+use crate::ids::{LogIndex, Term};
+
+impl RaftCore {
+    /// Asks the voters whether a campaign could succeed. A member that was cut off thus does not
+    /// depose a working leader with a higher term.
+    pub(super) fn start_pre_vote(&mut self, now: Duration, out: &mut Vec<RaftEffect>) {
+        self.leader = None;
+        self.timer.redraw(&self.timing, now);
+        let granted = BTreeSet::from([self.id.clone()]);
+        if self.is_quorum(&granted) {
+            return self.campaign(now, VoteKind::Campaign, out);
+        }
+        self.role = RoleState::PreCandidate { granted };
+        self.ask_votes(VoteKind::PreVote, self.term + 1, out);
+    }
+
+    pub(super) fn campaign(&mut self, now: Duration, kind: VoteKind, out: &mut Vec<RaftEffect>) {
+        self.leader = None;
+        self.timer.redraw(&self.timing, now);
+        self.term += 1;
+        self.voted_for = Some(self.id.clone());
+        self.save_vote(out);
+        let granted = BTreeSet::from([self.id.clone()]);
+        if self.is_quorum(&granted) {
+            return self.become_leader(now, out);
+        }
+        self.role = RoleState::Candidate { kind, granted };
+        self.ask_votes(kind, self.term, out);
+    }
+
+    fn ask_votes(&self, kind: VoteKind, term: Term, out: &mut Vec<RaftEffect>) {
+        let voters = &self.log.membership().voters;
+        for voter in voters.iter().filter(|voter| **voter != self.id) {
+            let body = MessageBody::VoteRequest {
+                kind,
+                last_index: self.log.last_index(),
+                last_term: self.log.last_term(),
+            };
+            self.send_in(term, voter, body, out);
+        }
+    }
+
+    pub(super) fn on_vote_request(
+        &mut self,
+        now: Duration,
+        from: &VoterId,
+        term: Term,
+        kind: VoteKind,
+        (last_term, last_index): (Term, LogIndex),
+        out: &mut Vec<RaftEffect>,
+    ) {
+        let up_to_date = (last_term, last_index) >= (self.log.last_term(), self.log.last_index());
+        // A leader counts itself in the quorum of its lease, so it refuses as its followers do.
+        // Only the leader of the preceding term, which gave up its lease, causes a transfer.
+        let bound = kind != VoteKind::Transfer
+            && (now < self.refuse_until || matches!(self.role, RoleState::Leader(_)));
+        let granted = match kind {
+            VoteKind::PreVote => term > self.term && up_to_date && !bound,
+            _ if bound || term < self.term => false,
+            _ => {
+                if term > self.term {
+                    self.become_follower(now, term, out);
+                }
+                let free = match &self.voted_for {
+                    Some(voted_for) => voted_for == from,
+                    // A member that heard a leader in this term gives no vote in it.
+                    None => self.leader.is_none(),
+                };
+                free && up_to_date
+            }
+        };
+        if granted && kind != VoteKind::PreVote {
+            if self.voted_for.is_none() {
+                self.voted_for = Some(from.clone());
+                self.save_vote(out);
+            }
+            self.timer.restart(now);
+        }
+        let reply_term = match (kind, granted) {
+            (VoteKind::PreVote, true) => term,
+            _ => self.term,
+        };
+        self.send_in(
+            reply_term,
+            from,
+            MessageBody::VoteReply { kind, granted },
+            out,
+        );
+    }
+
+    pub(super) fn on_vote_reply(
+        &mut self,
+        now: Duration,
+        from: &VoterId,
+        term: Term,
+        kind: VoteKind,
+        granted: bool,
+        out: &mut Vec<RaftEffect>,
+    ) {
+        if !self.log.membership().voters.contains(from) {
+            return;
+        }
+        let is_pre_vote_grant = kind == VoteKind::PreVote && granted;
+        if term > self.term && !is_pre_vote_grant {
+            return self.become_follower(now, term, out);
+        }
+        let granted_by = match &mut self.role {
+            RoleState::PreCandidate { granted } if is_pre_vote_grant && term == self.term + 1 => {
+                granted
+            }
+            RoleState::Candidate {
+                kind: own,
+                granted: by,
+            } if granted && *own == kind && term == self.term => by,
+            _ => return,
+        };
+        granted_by.insert(from.clone());
+        let granted_by = granted_by.clone();
+        if !self.is_quorum(&granted_by) {
+            return;
+        }
+        match kind {
+            VoteKind::PreVote => self.campaign(now, VoteKind::Campaign, out),
+            VoteKind::Campaign | VoteKind::Transfer => self.become_leader(now, out),
+        }
+    }
+
+    fn become_leader(&mut self, now: Duration, out: &mut Vec<RaftEffect>) {
+        let first_index = self.log.last_index() + 1;
+        self.role = RoleState::Leader(Box::new(LeaderState::new(first_index, now)));
+        self.leader = Some(self.id.clone());
+        // Entries of earlier terms are committed only together with one of this term.
+        self.append_own(EntryPayload::Noop, out);
+        self.start_round(now, out);
+    }
+
+    /// Follows no leader yet in a term that is not lower than the current one.
+    pub(super) fn become_follower(&mut self, now: Duration, term: Term, out: &mut Vec<RaftEffect>) {
+        if term > self.term {
+            self.term = term;
+            self.voted_for = None;
+            self.save_vote(out);
+        }
+        self.leader = None;
+        let previous = std::mem::replace(&mut self.role, RoleState::Follower);
+        if let RoleState::Leader(state) = previous {
+            // Copies of the lease may be in use, and this member counts in the quorum behind it.
+            self.refuse_until = now + self.timing.election_timeout_min;
+            for read in state.reads {
+                self.refuse(read.token, RefuseReason::NotLeader, out);
+            }
+        }
+        self.timer.redraw(&self.timing, now);
+    }
+
+    pub(super) fn append_own(&mut self, payload: EntryPayload, out: &mut Vec<RaftEffect>) {
+        let entry = LogEntry {
+            term: self.term,
+            index: self.log.last_index() + 1,
+            payload,
+        };
+        let entries = vec![entry];
+        self.log.append(&entries);
+        if let RoleState::Leader(state) = &mut self.role {
+            state.follow_membership(&self.id, &self.log);
+        }
+        out.push(RaftEffect::Append { entries });
+    }
+
+    fn save_vote(&self, out: &mut Vec<RaftEffect>) {
+        out.push(RaftEffect::SaveVote {
+            term: self.term,
+            voted_for: self.voted_for.clone(),
+        });
+    }
+
+    fn is_quorum(&self, granted: &BTreeSet<VoterId>) -> bool {
+        let membership = self.log.membership();
+        let votes = granted.intersection(&membership.voters).count();
+        votes >= membership.quorum()
+    }
+}
--- /dev/null
+++ b/src/raft/log.rs
@@ -0,0 +1,153 @@
+use std::collections::VecDeque;
+
+use super::{EntryPayload, LogEntry, Membership, SnapshotMeta};
+use crate::ids::{LogIndex, Term};
+
+/// The log since the last compaction, in memory.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(super) struct LogTail {
+    base: SnapshotMeta,
+    entries: VecDeque<LogEntry>,
+    /// Memberships after the base with the index of their entry, in order.
+    memberships: Vec<(LogIndex, Membership)>,
+    bytes: usize,
+}
+
+impl LogTail {
+    pub(super) fn new(base: SnapshotMeta, entries: Vec<LogEntry>) -> Self {
+        let mut log = Self {
+            base,
+            entries: VecDeque::new(),
+            memberships: Vec::new(),
+            bytes: 0,
+        };
+        log.append(&entries);
+        log
+    }
+
+    pub(super) fn base_index(&self) -> LogIndex {
+        self.base.index
+    }
+
+    pub(super) fn last_index(&self) -> LogIndex {
+        self.base.index + self.entries.len() as LogIndex
+    }
+
+    pub(super) fn last_term(&self) -> Term {
+        self.entries
+            .back()
+            .map_or(self.base.term, |entry| entry.term)
+    }
+
+    /// Size of the entries in memory.
+    pub(super) fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Returns the term of an entry; `None` when it was compacted or does not exist.
+    pub(super) fn term_at(&self, index: LogIndex) -> Option<Term> {
+        match index {
+            index if index == self.base.index => Some(self.base.term),
+            index => self.entry(index).map(|entry| entry.term),
+        }
+    }
+
+    fn entry(&self, index: LogIndex) -> Option<&LogEntry> {
+        let position = index.checked_sub(self.base.index + 1)?;
+        self.entries.get(usize::try_from(position).ok()?)
+    }
+
+    /// Returns entries from an index on, as many as fit in `limit` bytes but at least one.
+    pub(super) fn entries_from(&self, from: LogIndex, limit: usize) -> Vec<LogEntry> {
+        let mut room = limit;
+        let mut batch = Vec::new();
+        for index in from..=self.last_index() {
+            let Some(entry) = self.entry(index) else {
+                break;
+            };
+            let size = entry.size();
+            if size > room && !batch.is_empty() {
+                break;
+            }
+            room = room.saturating_sub(size);
+            batch.push(entry.clone());
+        }
+        batch
+    }
+
+    /// Returns the last entry up to `index` whose term is at most `term`; the base at the earliest.
+    /// Both sides skip whole terms with it, so a conflict costs one round trip per term.
+    pub(super) fn last_with_term_up_to(&self, index: LogIndex, term: Term) -> (LogIndex, Term) {
+        let with_term = self.entries.partition_point(|entry| entry.term <= term) as LogIndex;
+        let found = (self.base.index + with_term).min(index.max(self.base.index));
+        (found, self.term_at(found).unwrap_or(self.base.term))
+    }
+
+    /// Appends entries that follow the last one.
+    pub(super) fn append(&mut self, entries: &[LogEntry]) {
+        for entry in entries {
+            assert_eq!(entry.index, self.last_index() + 1, "the log has no gaps");
+            if let EntryPayload::Membership(membership) = &entry.payload {
+                self.memberships.push((entry.index, membership.clone()));
+            }
+            self.bytes += entry.size();
+            self.entries.push_back(entry.clone());
+        }
+    }
+
+    /// Removes the entries from an index on.
+    pub(super) fn truncate(&mut self, from: LogIndex) {
+        while self.last_index() >= from {
+            let Some(entry) = self.entries.pop_back() else {
+                break;
+            };
+            self.bytes -= entry.size();
+        }
+        self.memberships.retain(|(index, _)| *index < from);
+    }
+
+    /// Drops the entries up to a committed index.
+    pub(super) fn compact(&mut self, up_to: LogIndex) {
+        let Some(meta) = self.meta_at(up_to) else {
+            return;
+        };
+        while self.base.index < up_to {
+            let Some(entry) = self.entries.pop_front() else {
+                break;
+            };
+            self.bytes -= entry.size();
+            self.base.index = entry.index;
+        }
+        self.base = meta;
+        self.memberships.retain(|(index, _)| *index > up_to);
+    }
+
+    /// Describes the log up to an index; `None` when it was compacted or does not exist.
+    pub(super) fn meta_at(&self, index: LogIndex) -> Option<SnapshotMeta> {
+        let membership = self
+            .memberships
+            .iter()
+            .rev()
+            .find(|(from, _)| *from <= index)
+            .map_or(&self.base.membership, |(_, membership)| membership);
+        Some(SnapshotMeta {
+            index,
+            term: self.term_at(index)?,
+            membership: membership.clone(),
+        })
+    }
+
+    /// Returns the latest membership, committed or not.
+    pub(super) fn membership(&self) -> &Membership {
+        self.memberships
+            .last()
+            .map_or(&self.base.membership, |(_, membership)| membership)
+    }
+
+    /// Returns the index from which the latest membership is in force.
+    pub(super) fn membership_index(&self) -> LogIndex {
+        self.memberships
+            .last()
+            .map_or(self.base.index, |(index, _)| *index)
+    }
+}
--- a/src/raft/role.rs
+++ b/src/raft/role.rs
@@ -1,3 +1,7 @@
+use std::collections::BTreeSet;
+
+use super::{VoteKind, VoterId, leader_state::LeaderState};
+
 /// Role of a member in the current term.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum RaftRole {
@@ -10,3 +14,28 @@
     /// Leads.
     Leader,
 }
+
+/// Role with what only it needs.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(super) enum RoleState {
+    Follower,
+    PreCandidate {
+        granted: BTreeSet<VoterId>,
+    },
+    Candidate {
+        kind: VoteKind,
+        granted: BTreeSet<VoterId>,
+    },
+    Leader(Box<LeaderState>),
+}
+
+impl RoleState {
+    pub(super) fn role(&self) -> RaftRole {
+        match self {
+            Self::Follower => RaftRole::Follower,
+            Self::PreCandidate { .. } => RaftRole::PreCandidate,
+            Self::Candidate { .. } => RaftRole::Candidate,
+            Self::Leader(_) => RaftRole::Leader,
+        }
+    }
+}
--- /dev/null
+++ b/tests/raft_sim/mod.rs
@@ -0,0 +1,477 @@
+//! A simulated fleet of voters that carries out the effects of the core as the driver's contract
+//! demands, and checks the safety properties after every step.
+#![allow(dead_code)] // Each test program uses its own part.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use waxwinglatch::{
+    ids::{LogIndex, Term},
+    raft::{
+        EntryPayload, LogEntry, MemberChange, Membership, RaftCore, RaftEffect, RaftInput,
+        RaftLimits, RaftMessage, RaftRole, RaftTiming, RefuseReason, RestoredState, SnapshotMeta,
+        VoterId,
+    },
+};
+
+pub const MS: Duration = Duration::from_millis(1);
+
+/// What survives a crash of one voter.
+#[derive(Clone, Default)]
+pub struct Disk {
+    pub restored: RestoredState,
+    state: Vec<u8>,
+    partial: Vec<u8>,
+}
+
+pub struct Node {
+    pub id: VoterId,
+    pub core: Option<RaftCore>,
+    pub disk: Disk,
+    /// Speed of the node's clock, and its value at a moment.
+    rate: f64,
+    clock_at: (Duration, Duration),
+    pub frozen_until: Duration,
+    /// The longest lease that was handed out in this life of the process.
+    pub lease: Option<(Term, Duration)>,
+    pub applied: Vec<u8>,
+    applied_index: LogIndex,
+}
+
+impl Node {
+    fn clock(&self, now: Duration) -> Duration {
+        let (since, value) = self.clock_at;
+        value + now.saturating_sub(since).mul_f64(self.rate)
+    }
+}
+
+/// Faults of the network, as probabilities.
+#[derive(Clone, Copy, Default)]
+pub struct Network {
+    pub loss: f64,
+    pub repeat: f64,
+    pub late: f64,
+}
+
+pub struct Fleet {
+    pub now: Duration,
+    pub nodes: Vec<Node>,
+    pub network: Network,
+    pub cut: BTreeSet<(usize, usize)>,
+    /// Chance that a node crashes in the middle of a step's effects.
+    pub crash: f64,
+    /// Fault for the checker's own test: a lost disk does not change the identity.
+    pub reuses_incarnations: bool,
+    pub rng: ChaCha8Rng,
+    pub limits: RaftLimits,
+    pub ready: BTreeMap<u64, LogIndex>,
+    pub refused: BTreeMap<u64, RefuseReason>,
+    pub proposed: BTreeMap<u64, (Term, LogIndex)>,
+    pub committed: BTreeMap<LogIndex, LogEntry>,
+    pub snapshots_installed: usize,
+    queue: BTreeMap<(Duration, u64), RaftMessage>,
+    serial: u64,
+    read_floor: BTreeMap<u64, LogIndex>,
+    leaders: BTreeMap<Term, VoterId>,
+    seen: HashMap<(LogIndex, Term), (EntryPayload, Term)>,
+}
+
+pub fn voter(vm: usize, incarnation: u64) -> VoterId {
+    VoterId::new(format!("vm{vm}"), incarnation)
+}
+
+impl Fleet {
+    pub fn new(voters: usize, seed: u64) -> Self {
+        let founding = Membership::of_voters((0..voters).map(|vm| voter(vm, 1)));
+        let nodes = (0..voters).map(|vm| Node {
+            id: voter(vm, 1),
+            core: None,
+            disk: Disk {
+                restored: RestoredState {
+                    snapshot: SnapshotMeta::founding(founding.clone()),
+                    ..RestoredState::default()
+                },
+                ..Disk::default()
+            },
+            rate: 1.0,
+            clock_at: (Duration::ZERO, Duration::ZERO),
+            frozen_until: Duration::ZERO,
+            lease: None,
+            applied: Vec::new(),
+            applied_index: 0,
+        });
+        let mut fleet = Self {
+            now: Duration::from_secs(1),
+            nodes: nodes.collect(),
+            network: Network::default(),
+            cut: BTreeSet::new(),
+            crash: 0.0,
+            reuses_incarnations: false,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            limits: RaftLimits {
+                batch_bytes: 120,
+                in_flight_bytes: 400,
+                chunk_bytes: 1_000,
+                ..RaftLimits::default()
+            },
+            ready: BTreeMap::new(),
+            refused: BTreeMap::new(),
+            proposed: BTreeMap::new(),
+            committed: BTreeMap::new(),
+            snapshots_installed: 0,
+            queue: BTreeMap::new(),
+            serial: 0,
+            read_floor: BTreeMap::new(),
+            leaders: BTreeMap::new(),
+            seen: HashMap::new(),
+        };
+        (0..voters).for_each(|vm| fleet.start(vm));
+        fleet
+    }
+
+    pub fn start(&mut self, vm: usize) {
+        let seed = self.rng.random();
+        let node = &mut self.nodes[vm];
+        let restored = node.disk.restored.clone();
+        node.applied = node.disk.state.clone();
+        node.applied_index = restored.snapshot.index;
+        let now = node.clock(self.now);
+        let timing = RaftTiming::default();
+        let core = RaftCore::new(node.id.clone(), restored, timing, self.limits, seed, now);
+        node.core = Some(core);
+    }
+
+    /// Changes the speed of a node's clock.
+    pub fn set_rate(&mut self, vm: usize, rate: f64) {
+        let value = self.nodes[vm].clock(self.now);
+        self.nodes[vm].clock_at = (self.now, value);
+        self.nodes[vm].rate = rate;
+    }
+
+    pub fn crash(&mut self, vm: usize) {
+        self.nodes[vm].core = None;
+        self.nodes[vm].lease = None;
+    }
+
+    /// Replaces the disk by an empty one, which has a new incarnation.
+    pub fn lose_disk(&mut self, vm: usize) {
+        self.crash(vm);
+        let incarnation = self.nodes[vm].id.incarnation + 1;
+        self.nodes[vm].disk = Disk::default();
+        if self.reuses_incarnations {
+            let founding = Membership::of_voters((0..self.nodes.len()).map(|vm| voter(vm, 1)));
+            self.nodes[vm].disk.restored.snapshot = SnapshotMeta::founding(founding);
+            return;
+        }
+        self.nodes[vm].id = voter(vm, incarnation);
+    }
+
+    pub fn leader(&self) -> Option<usize> {
+        let leads = |node: &Node| {
+            let core = node.core.as_ref()?;
+            (core.role() == RaftRole::Leader).then_some(core.term())
+        };
+        (0..self.nodes.len())
+            .filter(|vm| leads(&self.nodes[*vm]).is_some())
+            .max_by_key(|vm| leads(&self.nodes[*vm]))
+    }
+
+    pub fn core(&self, vm: usize) -> &RaftCore {
+        self.nodes[vm].core.as_ref().expect("the node runs")
+    }
+
+    /// Passes an input to a node and carries out the effects.
+    pub fn input(&mut self, vm: usize, input: RaftInput) {
+        let now = self.nodes[vm].clock(self.now);
+        let Some(core) = &mut self.nodes[vm].core else {
+            return;
+        };
+        let mut effects = core.step(now, input);
+        let crashes = self.crash > 0.0 && self.rng.random_bool(self.crash);
+        if crashes {
+            effects.truncate(self.rng.random_range(0..=effects.len()));
+        }
+        let mut appended = None;
+        for effect in effects {
+            if let RaftEffect::Append { entries } = &effect {
+                appended = entries.last().map(|entry| (entry.index, entry.term));
+            }
+            self.carry_out(vm, effect);
+        }
+        if crashes {
+            return self.crash(vm);
+        }
+        self.check_lease(vm);
+        if let Some((index, term)) = appended {
+            self.input(vm, RaftInput::Persisted { index, term });
+        }
+    }
+
+    fn carry_out(&mut self, vm: usize, effect: RaftEffect) {
+        let disk = &mut self.nodes[vm].disk;
+        let log = &mut disk.restored;
+        match effect {
+            RaftEffect::SaveVote { term, voted_for } => {
+                assert!(term >= log.term, "the term went back");
+                (log.term, log.voted_for) = (term, voted_for);
+            }
+            RaftEffect::Append { entries } => {
+                for entry in entries {
+                    let last = log.entries.last();
+                    let (index, term) = last.map_or((log.snapshot.index, log.snapshot.term), |e| {
+                        (e.index, e.term)
+                    });
+                    assert_eq!(entry.index, index + 1, "the log has a gap");
+                    let known = self.seen.entry((entry.index, entry.term));
+                    let value = (entry.payload.clone(), term);
+                    assert_eq!(*known.or_insert(value.clone()), value, "log matching");
+                    log.entries.push(entry);
+                }
+            }
+            RaftEffect::Truncate { from } => log.entries.retain(|entry| entry.index < from),
+            RaftEffect::InstallSnapshot {
+                meta,
+                offset,
+                bytes,
+                last,
+            } => {
+                disk.partial.truncate(usize::try_from(offset).unwrap());
+                disk.partial.extend_from_slice(&bytes);
+                if last {
+                    let expected: Vec<u8> = (1..=meta.index)
+                        .flat_map(|index| command(&self.committed[&index]).to_vec())
+                        .collect();
+                    assert_eq!(disk.partial, expected, "a snapshot differs from the log");
+                    self.snapshots_installed += 1;
+                    disk.state = std::mem::take(&mut disk.partial);
+                    log.entries.clear();
+                    let state = disk.state.clone();
+                    self.nodes[vm].applied_index = meta.index;
+                    self.nodes[vm].disk.restored.snapshot = meta;
+                    self.nodes[vm].applied = state;
+                }
+            }
+            RaftEffect::Send { message } => self.transmit(message),
+            RaftEffect::Commit { up_to } => self.apply(vm, up_to),
+            RaftEffect::Proposed { token, term, index } => {
+                self.proposed.insert(token, (term, index));
+            }
+            RaftEffect::ReadReady { token, index } => {
+                let floor = self.read_floor.get(&token).copied().unwrap_or(0);
+                assert!(index >= floor, "read {token} misses entry {floor}: {index}");
+                self.ready.insert(token, index);
+            }
+            RaftEffect::Refuse { token, reason, .. } => {
+                self.refused.insert(token, reason);
+            }
+            RaftEffect::ReadSnapshot {
+                to,
+                index,
+                offset,
+                limit,
+            } => {
+                let meta = log.snapshot.clone();
+                let offset = if index == Some(meta.index) { offset } else { 0 };
+                let rest = &disk.state[usize::try_from(offset).unwrap()..];
+                let bytes = Bytes::copy_from_slice(&rest[..limit.min(rest.len())]);
+                let last = bytes.len() == rest.len();
+                self.input(
+                    vm,
+                    RaftInput::SnapshotChunk {
+                        to,
+                        meta,
+                        offset,
+                        bytes,
+                        last,
+                    },
+                );
+            }
+            RaftEffect::RoleChanged {
+                role: RaftRole::Leader,
+                term,
+                ..
+            } => {
+                let id = self.nodes[vm].id.clone();
+                let known = self.leaders.entry(term).or_insert_with(|| id.clone());
+                assert_eq!(*known, id, "two leaders in term {term}");
+                let log = &self.nodes[vm].disk.restored;
+                for (index, entry) in self.committed.range(log.snapshot.index + 1..) {
+                    let own = log.entries.iter().find(|own| own.index == *index);
+                    assert_eq!(own, Some(entry), "the leader of term {term} lacks an entry");
+                }
+            }
+            RaftEffect::RoleChanged { .. } => {}
+        }
+    }
+
+    fn apply(&mut self, vm: usize, up_to: LogIndex) {
+        let node = &mut self.nodes[vm];
+        let log = &node.disk.restored;
+        let position = |index| usize::try_from(index - log.snapshot.index).unwrap();
+        let fresh = position(node.applied_index)..position(up_to);
+        for entry in &log.entries[fresh] {
+            let known = self.committed.entry(entry.index);
+            let agreed = known.or_insert_with(|| entry.clone());
+            assert_eq!(agreed, entry, "two entries are committed at one index");
+            node.applied.extend_from_slice(command(entry));
+            node.applied_index = entry.index;
+        }
+    }
+
+    /// Checks that no two copies of a lease hold at once, in processes that have stepped down too.
+    fn check_lease(&mut self, vm: usize) {
+        let node = &mut self.nodes[vm];
+        let now = node.clock(self.now);
+        let Some(core) = &node.core else { return };
+        let Some(until) = core.lease_until(now) else {
+            return;
+        };
+        node.lease = node.lease.max(Some((core.term(), until)));
+        for (other, node) in self.nodes.iter().enumerate() {
+            let held = node
+                .lease
+                .is_some_and(|(_, until)| node.clock(self.now) < until);
+            assert!(
+                other == vm || !held,
+                "{other} and {vm} hold a lease at {:?}",
+                self.now
+            );
+        }
+    }
+
+    fn transmit(&mut self, message: RaftMessage) {
+        if self.rng.random_bool(self.network.loss) {
+            return;
+        }
+        let copies = 1 + usize::from(self.rng.random_bool(self.network.repeat));
+        for _ in 0..copies {
+            let late = self.rng.random_bool(self.network.late);
+            let delay = self.rng.random_range(1..if late { 3_000 } else { 4 });
+            self.serial += 1;
+            self.queue
+                .insert((self.now + delay * MS, self.serial), message.clone());
+        }
+    }
+
+    fn deliver(&mut self, message: RaftMessage) {
+        let find = |id: &VoterId| self.nodes.iter().position(|node| node.id.vm == id.vm);
+        let (Some(from), Some(to)) = (find(&message.from), find(&message.to)) else {
+            return;
+        };
+        if self.cut.contains(&(from, to)) {
+            return;
+        }
+        if self.nodes[to].frozen_until > self.now {
+            self.serial += 1;
+            let at = self.nodes[to].frozen_until;
+            self.queue.insert((at, self.serial), message);
+            return;
+        }
+        self.input(to, RaftInput::Message(message));
+    }
+
+    /// Lets time pass; every node ticks each 50 ms.
+    pub fn run(&mut self, period: Duration) {
+        let end = self.now + period;
+        while self.now < end {
+            self.now += MS;
+            while let Some(next) = self.queue.first_entry().filter(|e| e.key().0 <= self.now) {
+                let message = next.remove();
+                self.deliver(message);
+            }
+            if self.now.as_millis().is_multiple_of(50) {
+                for vm in 0..self.nodes.len() {
+                    if self.nodes[vm].frozen_until <= self.now {
+                        self.input(vm, RaftInput::Tick);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Runs until a leader has a lease.
+    pub fn run_to_leader(&mut self) -> usize {
+        for _ in 0..600 {
+            self.run(20 * MS);
+            if let Some(vm) = self.leader()
+                && self
+                    .core(vm)
+                    .lease_until(self.nodes[vm].clock(self.now))
+                    .is_some()
+            {
+                return vm;
+            }
+        }
+        panic!("no leader within 12 s");
+    }
+
+    pub fn propose(&mut self, vm: usize, token: u64) {
+        let payload = Bytes::copy_from_slice(&token.to_be_bytes());
+        self.input(vm, RaftInput::Propose { token, payload });
+    }
+
+    pub fn read(&mut self, vm: usize, token: u64) {
+        let floor = self
+            .committed
+            .last_key_value()
+            .map_or(0, |(index, _)| *index);
+        self.read_floor.insert(token, floor);
+        self.input(vm, RaftInput::Read { token });
+    }
+
+    /// Writes a snapshot of what a node has applied and compacts its log.
+    pub fn snapshot(&mut self, vm: usize) {
+        let node = &mut self.nodes[vm];
+        let Some(core) = &node.core else { return };
+        let Some(meta) = core.snapshot_meta(node.applied_index) else {
+            return;
+        };
+        node.disk.state = node.applied.clone();
+        let index = meta.index;
+        node.disk
+            .restored
+            .entries
+            .retain(|entry| entry.index > index);
+        node.disk.restored.snapshot = meta;
+        self.input(vm, RaftInput::Compacted { index });
+    }
+
+    /// Does the operator's next step to replace a member whose disk was lost, if one is needed.
+    pub fn repair(&mut self, token: u64) {
+        let Some(leader) = self.leader() else { return };
+        let membership = self.core(leader).membership().clone();
+        let current = |id: &VoterId| self.nodes.iter().any(|node| node.id == *id);
+        let stale = membership.members().find(|id| !current(id)).cloned();
+        let missing = self.nodes.iter().map(|node| &node.id);
+        let missing = missing.filter(|id| !membership.voters.contains(*id)).min();
+        let change = match (missing, stale) {
+            (Some(id), _) if !membership.learners.contains(id) => {
+                MemberChange::AddLearner(id.clone())
+            }
+            (Some(id), _) => MemberChange::Promote(id.clone()),
+            (None, Some(id)) => MemberChange::Remove(id),
+            (None, None) => return,
+        };
+        self.input(leader, RaftInput::Change { token, change });
+    }
+
+    pub fn is_whole(&self) -> bool {
+        let ids: BTreeSet<VoterId> = self.nodes.iter().map(|node| node.id.clone()).collect();
+        self.leader().is_some_and(|vm| {
+            let core = self.core(vm);
+            core.membership().voters == ids && core.membership().learners.is_empty()
+        })
+    }
+}
+
+fn command(entry: &LogEntry) -> &[u8] {
+    match &entry.payload {
+        EntryPayload::Command(bytes) => bytes,
+        _ => &[],
+    }
+}
