Let a derived change be retried after a conflict

Cause: a key is added to whatever configuration is current, so a resend derives another configuration and would count as a reused request id. Change: an apply request may carry the digest of the operator's own change. It tells resends apart, and a conflict of such a request is not recorded.

--- a/src/state.rs
+++ b/src/state.rs
@@ -32,5 +32,5 @@
     ApplyOutcome, BlockState, CrashOutcome, Outcome, ReserveOutcome, SettleResult, TurnOutcome,
 };
 pub use recorded_response::RecordedResponse;
-pub use request_table::RequestTable;
+pub use request_table::{ChangeDigest, RequestLookup, RequestTable, change_digest};
 pub use target_memory::{TargetMemory, UnsettledOrder};
--- a/src/state/machine.rs
+++ b/src/state/machine.rs
@@ -100,7 +100,7 @@
     }
 
     fn apply_config(&mut self, request: &ApplyRequest) -> Outcome {
-        let digest = change_digest(&(request.expected, &request.config));
+        let digest = request.digest();
         match self.requests.find(&request.request_id, &digest) {
             RequestLookup::New => {}
             RequestLookup::Repeated(outcome) => return outcome,
@@ -118,6 +118,9 @@
         } else {
             Outcome::Applied(ApplyOutcome::Conflict(current))
         };
+        if request.change.is_some() && request.expected != current {
+            return outcome;
+        }
         self.requests
             .record(self.now_ms, &request.request_id, digest, outcome.clone());
         outcome
--- a/src/state/request_table.rs
+++ b/src/state/request_table.rs
@@ -12,7 +12,7 @@
 const MAX_REQUESTS: usize = 10_000;
 
 /// Digest of the whole change that a request id was used for.
-pub(super) type ChangeDigest = ByteArray<32>;
+pub type ChangeDigest = ByteArray<32>;
 
 /// Outcomes of operators' changes by request id, bounded in time and number.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -30,7 +30,8 @@
 }
 
 /// What the table knows of a request id.
-pub(super) enum RequestLookup {
+#[derive(Clone, Debug, PartialEq)]
+pub enum RequestLookup {
     /// The id is new, or was dropped.
     New,
     /// The same change was sent before and had this outcome.
@@ -41,7 +42,8 @@
 
 impl RequestTable {
     /// Looks up a change by its request id.
-    pub(super) fn find(&self, id: &RequestId, digest: &ChangeDigest) -> RequestLookup {
+    #[must_use]
+    pub fn find(&self, id: &RequestId, digest: &ChangeDigest) -> RequestLookup {
         match self.records.get(id) {
             None => RequestLookup::New,
             Some(record) if record.digest == *digest => {
@@ -104,7 +106,8 @@
 }
 
 /// Digest of a change. Field names are part of it, and all lists keep the operator's order.
-pub(super) fn change_digest<C: Serialize>(change: &C) -> ChangeDigest {
+#[must_use]
+pub fn change_digest<C: Serialize>(change: &C) -> ChangeDigest {
     let mut hasher = blake3::Hasher::new();
     let mut serializer = rmp_serde::Serializer::new(&mut hasher).with_struct_map();
     // Writing to a hasher cannot fail, and the types of changes have no unsupported parts.
--- a/tests/state/configs.rs
+++ b/tests/state/configs.rs
@@ -13,11 +13,7 @@
 
 fn apply(state: &mut TimedState, id: &str, expected: u64, config: FleetConfig) -> ApplyOutcome {
     let request_id = id.into();
-    let request = ApplyRequest {
-        request_id,
-        expected,
-        config,
-    };
+    let request = ApplyRequest::new(request_id, expected, config);
     match state.apply(Command::Apply(Box::new(request))) {
         Outcome::Applied(outcome) => outcome,
         other => panic!("an apply gave {other:?}"),
@@ -130,3 +126,21 @@
         assert_eq!(state.state.level(), expected);
     }
 }
+
+#[test]
+fn a_derived_change_can_be_retried_after_a_conflict_and_is_applied_once() {
+    let mut state = TimedState::new();
+    apply(&mut state, "one", 0, config(&["a"]));
+    let mut derived = |expected: u64, change: u8, teams: &[&str]| {
+        let mut request = ApplyRequest::new("two".into(), expected, config(teams));
+        request.change = Some([change; 32].into());
+        state.apply(Command::Apply(Box::new(request)))
+    };
+    let conflict = Outcome::Applied(ApplyOutcome::Conflict(1));
+    let accepted = Outcome::Applied(ApplyOutcome::Accepted(2));
+    let reused = Outcome::Applied(ApplyOutcome::RequestIdReused);
+    assert_eq!(derived(0, 1, &["b"]), conflict);
+    assert_eq!(derived(1, 1, &["a", "b"]), accepted);
+    assert_eq!(derived(2, 1, &["a", "b", "b"]), accepted, "resent");
+    assert_eq!(derived(2, 2, &["c"]), reused, "another change");
+}
--- a/tests/state/determinism.rs
+++ b/tests/state/determinism.rs
@@ -43,11 +43,11 @@
     };
     let target = "checking".into();
     match kind % 14 {
-        0 => Command::Apply(Box::new(ApplyRequest {
-            request_id: format!("r{number}").into(),
-            expected: u64::from(number % 4),
-            config: config(&[&format!("t{number}")]),
-        })),
+        0 => Command::Apply(Box::new(ApplyRequest::new(
+            format!("r{number}").into(),
+            u64::from(number % 4),
+            config(&[&format!("t{number}")]),
+        ))),
         1 => Command::Claim(ClaimRequest {
             ticket: ticket(number),
             body_hash: ByteArray::new([1; 32]),
--- a/tests/state/memory.rs
+++ b/tests/state/memory.rs
@@ -24,11 +24,7 @@
 
 fn fleet() -> TimedState {
     let mut state = TimedState::new();
-    let request = ApplyRequest {
-        request_id: "one".into(),
-        expected: 0,
-        config: config(&[]),
-    };
+    let request = ApplyRequest::new("one".into(), 0, config(&[]));
     state.apply(Command::Apply(Box::new(request)));
     state
 }
@@ -177,11 +173,7 @@
     report(&mut state, "checking", 7, 0, &[]);
     let mut moved = config(&[]);
     moved.targets[0].address = "127.0.0.1:9001".to_owned();
-    let request = ApplyRequest {
-        request_id: "two".into(),
-        expected: 1,
-        config: moved,
-    };
+    let request = ApplyRequest::new("two".into(), 1, moved);
     state.apply(Command::Apply(Box::new(request)));
     let load = OrderAction::Load(copy("a", 0, 1, 60));
     assert_eq!(
