Carry out placement orders with reservations and fencing numbers

Cause: orders went out without a reservation in the log, were never settled, and the configuration and drains reached entries only as whole tables. Change: the leader reserves the memory of an order in the log, delivers it, and settles it by the engine's own report. Configuration travels as the difference between revisions; draining targets and crashing requests reach the entries.

--- a/src/control.rs
+++ b/src/control.rs
@@ -3,8 +3,10 @@
 mod admin;
 mod daemon;
 mod hub;
+mod orders;
 mod placer;
 mod system;
 
 pub use daemon::ControlDaemon;
 pub use hub::SyncHub;
+pub use orders::OrderDesk;
--- a/src/control/daemon.rs
+++ b/src/control/daemon.rs
@@ -6,6 +6,7 @@
 use super::{
     admin::{self, AdminToken},
     hub::SyncHub,
+    orders::OrderDesk,
     placer::ModelPlacer,
     system::{self, SystemSecret},
 };
@@ -47,7 +48,8 @@
             .manage(token)
             .manage(voter.clone())
             .mount("/", routes![admin::get_config, admin::apply_config]);
-        let placer = ModelPlacer::new(voter, hub, client::http_client()?);
+        let desk = Arc::new(OrderDesk::new(voter.clone(), client::http_client()?));
+        let placer = ModelPlacer::new(voter, hub, desk);
         let placing = tokio::spawn(placer.run());
         info!(
             "control: {} serves entries at {}",
--- a/src/control/hub.rs
+++ b/src/control/hub.rs
@@ -9,14 +9,17 @@
 
 use crate::{
     allowance::{AllowanceLedger, RateLimit, ShareGrant},
-    border::{FleetConfig, TargetKind},
+    border::{FleetConfig, TargetConfig, TargetKind},
     hub::{
         DemandTable, EntryRegistry, ModelLoad, ReportTable, ResidencyLog, ServedTable,
         TargetHealth, assign_reporter,
     },
-    ids::{EntryKey, ModelId, Revision, TargetId, TeamId, Term},
-    state::ControlState,
-    sync::{ConfigSection, EngineReport, ResidentModel, SyncReply, SyncRequest, TargetLoad},
+    ids::{EntryKey, Fingerprint, ModelId, Revision, TargetId, TeamId, Term},
+    state::{BlockState, ControlState},
+    sync::{
+        ConfigSection, CrashSection, EngineReport, ResidentModel, SyncReply, SyncRequest,
+        TargetLoad,
+    },
     voter::{LeaderLease, VoterHandle},
 };
 
@@ -155,7 +158,7 @@
     pub fn reply(&self, request: &SyncRequest, lease: LeaderLease) -> SyncReply {
         let config = match self.voter.local(ControlState::config) {
             (revision, Some(config)) if revision != request.revision => {
-                ConfigSection::Snapshot(revision, Box::new((*config).clone()))
+                self.config_change(request.revision, revision, &config)
             }
             _ => ConfigSection::Current,
         };
@@ -171,9 +174,9 @@
             term: lease.term,
             config,
             residency: tables.residency.since(request.residency),
-            avoided: Vec::new(),
+            avoided: self.avoided(&tables),
             loads: tables.changed_loads(&key, now),
-            crashes: None,
+            crashes: self.crash_change(request.crashes),
             grants: tables.ledger.exchange(&key, &request.shares, now).to_vec(),
             served_elsewhere: tables
                 .served
@@ -182,6 +185,69 @@
         }
     }
 
+    /// Returns the difference from the entry's revision, or the whole configuration when the
+    /// entry's revision is no longer kept or the difference is not smaller.
+    fn config_change(&self, from: Revision, to: Revision, config: &FleetConfig) -> ConfigSection {
+        let delta = self.voter.local(|state| match state.config() {
+            (current, _) if current == to => state.configs().delta_since(from),
+            _ => None,
+        });
+        match delta {
+            Some(delta) => ConfigSection::Delta {
+                from,
+                to,
+                delta: Box::new(delta),
+            },
+            None => ConfigSection::Snapshot(to, Box::new(config.clone())),
+        }
+    }
+
+    /// Returns the table of crashing requests if the entry has another version.
+    fn crash_change(&self, version: u64) -> Option<CrashSection> {
+        self.voter.local(|state| {
+            let crashes = state.crashes();
+            if crashes.version() == version {
+                return None;
+            }
+            let (blocked, suspects): (Vec<_>, Vec<_>) = crashes
+                .suspects(state.now_ms())
+                .partition(|(_, block)| *block == BlockState::Blocked);
+            let fingerprints = |rows: Vec<(&Fingerprint, BlockState)>| {
+                rows.into_iter()
+                    .map(|(fingerprint, _)| *fingerprint)
+                    .collect()
+            };
+            Some(CrashSection {
+                version: crashes.version(),
+                suspects: fingerprints(suspects),
+                blocked: fingerprints(blocked),
+            })
+        })
+    }
+
+    /// Returns the targets that get no new requests: draining ones, and engines that are leaving
+    /// or down. Plain services have no reports; entries judge them by their own calls.
+    fn avoided(&self, tables: &HubTables) -> Vec<TargetId> {
+        let Some(config) = self.voter.local(ControlState::config).1 else {
+            return Vec::new();
+        };
+        let now = self.now();
+        self.voter.local(|state| {
+            let is_avoided = |target: &&TargetConfig| {
+                let health = tables.reports.health(&target.id, now);
+                target.draining
+                    || state.drains().covers(target)
+                    || matches!(health, TargetHealth::Leaving | TargetHealth::Down)
+            };
+            config
+                .targets
+                .iter()
+                .filter(is_avoided)
+                .map(|target| target.id.clone())
+                .collect()
+        })
+    }
+
     fn assigned(&self, tables: &HubTables, entry: &EntryKey) -> Vec<TargetId> {
         let Some(config) = self.voter.local(ControlState::config).1 else {
             return Vec::new();
@@ -203,7 +269,9 @@
     pub fn has_news(&self, request: &SyncRequest, lease: LeaderLease) -> bool {
         let revision = self.voter.local(|state| state.config().0);
         let tables = self.tables(lease.term);
-        revision != request.revision || tables.residency.version() != request.residency
+        revision != request.revision
+            || tables.residency.version() != request.residency
+            || self.voter.local(|state| state.crashes().version()) != request.crashes
     }
 
     /// Removes entries and reports that are out of date, and returns the entries that are gone.
@@ -245,6 +313,18 @@
             .collect()
     }
 
+    /// Returns the health of each engine that has reported.
+    pub fn health(&self, lease: LeaderLease) -> BTreeMap<TargetId, TargetHealth> {
+        let now = self.now();
+        let tables = self.tables(lease.term);
+        let health = |target: &TargetId| (target.clone(), tables.reports.health(target, now));
+        tables
+            .reports
+            .iter()
+            .map(|(target, _, _)| health(target))
+            .collect()
+    }
+
     /// Returns the demand since the last call.
     pub fn take_demand(&self, lease: LeaderLease) -> BTreeMap<ModelId, ModelLoad> {
         let now = self.now();
--- a/src/control/placer.rs
+++ b/src/control/placer.rs
@@ -1,115 +1,251 @@
 use std::{
-    collections::BTreeMap,
     sync::Arc,
-    time::{Duration, SystemTime},
+    time::{Duration, Instant},
 };
 
-use reqwest::Client;
 use spdlog::prelude::*;
 
-use super::hub::SyncHub;
+use super::{
+    hub::SyncHub,
+    orders::{OrderDesk, report_command},
+};
 use crate::{
-    border::{FleetConfig, TargetConfig},
-    ids::{FencingNumber, TargetId, Term},
-    order::{EngineOrder, OrderAction},
-    sync::{EngineReport, ResidentCopy},
+    border::{FleetConfig, TargetConfig, TargetKind},
+    fleet::FleetIndex,
+    hub::TargetHealth,
+    ids::{Revision, Term},
+    order::OrderAction,
+    place::{
+        EngineRoom, EngineState, LoadKind, PlacementPlanner, PlacementRules, PlacementStep,
+        PlanInput, StoreSchedule,
+    },
+    state::{Command, ControlState, TargetMemory},
     voter::{LeaderLease, VoterHandle},
 };
 
-/// Time between two rounds of orders.
-const ROUND_PERIOD: Duration = Duration::from_millis(250);
-/// Time that an engine has to answer an order.
-const ENGINE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time between two plans when no order is settled in between.
+const PLAN_PERIOD: Duration = Duration::from_millis(500);
+/// Shortest time between two plans, so that many settled orders lead to one plan.
+const MIN_PLAN_PERIOD: Duration = Duration::from_millis(20);
 
-/// Orders loads for models without a copy, while this voter leads.
+/// Plans placement and gives orders, while this voter leads.
 pub struct ModelPlacer {
     voter: VoterHandle,
     hub: Arc<SyncHub>,
-    client: Client,
-    sequence: u32,
+    desk: Arc<OrderDesk>,
+    started: Instant,
+    term: Option<TermPlans>,
+}
+
+/// What the leader of one term plans with.
+struct TermPlans {
+    term: Term,
+    planner: PlacementPlanner,
+    schedule: Option<StoreSchedule>,
+    index: Arc<FleetIndex>,
+    index_of: Revision,
 }
 
 impl ModelPlacer {
-    pub fn new(voter: VoterHandle, hub: Arc<SyncHub>, client: Client) -> Self {
+    pub fn new(voter: VoterHandle, hub: Arc<SyncHub>, desk: Arc<OrderDesk>) -> Self {
         Self {
             voter,
             hub,
-            client,
-            sequence: 0,
+            desk,
+            started: Instant::now(),
+            term: None,
         }
     }
 
     /// Runs until the task is dropped.
     pub async fn run(mut self) {
         loop {
-            tokio::time::sleep(ROUND_PERIOD).await;
+            let _ = tokio::time::timeout(PLAN_PERIOD, self.desk.settled()).await;
+            tokio::time::sleep(MIN_PLAN_PERIOD).await;
             let Some(lease) = self.voter.lease().filter(LeaderLease::holds) else {
+                self.term = None;
                 continue;
             };
-            let Some(config) = self.voter.local(|state| state.config().1) else {
-                continue;
-            };
-            let started = SystemTime::now();
-            self.hub.expire(lease);
-            let reports = self.hub.reports(lease);
-            self.order_missing(&config, &reports, lease.term).await;
-            trace!(
-                "place: round took {:?}",
-                started.elapsed().unwrap_or_default()
-            );
+            if self.round(lease).await.is_none() {
+                self.term = None;
+            }
         }
     }
 
-    async fn order_missing(
-        &mut self,
-        config: &FleetConfig,
-        reports: &BTreeMap<TargetId, EngineReport>,
-        term: Term,
-    ) {
-        for model in &config.models {
-            let placed = reports.values().flat_map(|report| &report.copies);
-            if placed.into_iter().any(|copy| copy.model == model.id) {
-                continue;
+    /// One plan; `None` when this voter turned out not to lead.
+    async fn round(&mut self, lease: LeaderLease) -> Option<()> {
+        self.drop_lost_entries(lease).await?;
+        let (revision, config) = self.voter.local(ControlState::config);
+        let Some(config) = config else {
+            return Some(());
+        };
+        self.begin_term(lease, &config).await?;
+        self.record_reports(lease, &config).await?;
+        let loads = self.hub.take_demand(lease);
+        let engines = self.engines(lease, &config);
+        let now = self.started.elapsed();
+        let term = self.term.as_mut()?;
+        if term.index_of != revision {
+            term.index = Arc::new(FleetIndex::new(&config));
+            term.index_of = revision;
+        }
+        let schedule = term
+            .schedule
+            .get_or_insert_with(|| StoreSchedule::new(&config.weight_store, now));
+        schedule.set_limits(&config.weight_store);
+        for kind in self.desk.take_ended_loads() {
+            schedule.finish(kind);
+        }
+        let input = PlanInput {
+            index: &term.index,
+            engines: &engines,
+            loads: &loads,
+        };
+        let plan = term.planner.plan(&input, now);
+        trace!(
+            "place: plan of {} steps in {:?}",
+            plan.steps.len(),
+            self.started.elapsed().saturating_sub(now)
+        );
+        for step in plan.steps {
+            start_step(&self.desk, &config, &term.index, schedule, step, lease, now);
+        }
+        Some(())
+    }
+
+    async fn drop_lost_entries(&self, lease: LeaderLease) -> Option<()> {
+        for claimant in self.hub.expire(lease) {
+            self.voter
+                .propose(Command::LoseClaimant { claimant })
+                .await
+                .ok()?;
+        }
+        Some(())
+    }
+
+    /// A leader that has just come in reads the whole log before it orders anything.
+    async fn begin_term(&mut self, lease: LeaderLease, config: &FleetConfig) -> Option<()> {
+        if self
+            .term
+            .as_ref()
+            .is_some_and(|plans| plans.term == lease.term)
+        {
+            return Some(());
+        }
+        self.voter.read(|_| ()).await.ok()?;
+        info!("place: term {} begins", lease.term);
+        self.desk.inherit(config);
+        self.term = Some(TermPlans {
+            term: lease.term,
+            planner: PlacementPlanner::new(PlacementRules::default()),
+            schedule: None,
+            index: Arc::default(),
+            index_of: 0,
+        });
+        Some(())
+    }
+
+    /// Records in the log what engines report, when it differs from what the state has.
+    async fn record_reports(&self, lease: LeaderLease, config: &FleetConfig) -> Option<()> {
+        for (target, report) in self.hub.reports(lease) {
+            let is_configured = config.targets.iter().any(|known| known.id == target);
+            let news = self
+                .voter
+                .local(|state| report_command(state, &target, &report));
+            if let Some(command) = news.filter(|_| is_configured) {
+                self.voter.propose(command).await.ok()?;
             }
-            let fits = |target: &&TargetConfig| {
-                reports.get(&target.id).is_some_and(|report| {
-                    let used: u64 = report.copies.iter().map(|copy| copy.memory_mib).sum();
-                    report.in_progress.is_none()
-                        && used + model.memory_mib <= target.accelerator_memory_mib
+        }
+        Some(())
+    }
+
+    fn engines(&self, lease: LeaderLease, config: &FleetConfig) -> Vec<EngineRoom> {
+        let health = self.hub.health(lease);
+        let engines = config
+            .targets
+            .iter()
+            .filter(|target| target.kind == TargetKind::Engine);
+        self.voter.local(|state| {
+            engines
+                .map(|target| {
+                    let health = health.get(&target.id).copied();
+                    let is_draining = target.draining || state.drains().covers(target);
+                    engine_room(
+                        target,
+                        state.memory().target(&target.id),
+                        health,
+                        is_draining,
+                    )
                 })
-            };
-            let Some(target) = config.targets.iter().find(fits) else {
-                continue;
-            };
-            let copy = ResidentCopy {
-                model: model.id.clone(),
-                version: model.version.clone(),
-                first_accelerator: 0,
-                span: model.span,
-                memory_mib: model.memory_mib,
-                ready: false,
-            };
-            self.send_order(target, OrderAction::Load(copy), term).await;
-            // One order a round, so that the next report shows the memory that it takes.
-            return;
+                .collect()
+        })
+    }
+}
+
+fn engine_room(
+    target: &TargetConfig,
+    memory: Option<&TargetMemory>,
+    health: Option<TargetHealth>,
+    is_draining: bool,
+) -> EngineRoom {
+    let Some(memory) = memory else {
+        return EngineRoom::new(target, EngineState::Closed, Vec::new(), &[]);
+    };
+    let state = match health {
+        Some(TargetHealth::Up) if is_draining => EngineState::Closed,
+        Some(TargetHealth::Up) if memory.is_settled() => EngineState::Open,
+        Some(TargetHealth::Up) => EngineState::Busy,
+        _ => EngineState::Closed,
+    };
+    let mut copies = memory.confirmed().to_vec();
+    for (_, order) in memory.orders() {
+        match &order.action {
+            OrderAction::Load(copy) => copies.push(copy.clone()),
+            OrderAction::Unload(_) => {}
         }
     }
+    EngineRoom::new(target, state, copies, &[])
+}
 
-    async fn send_order(&mut self, target: &TargetConfig, action: OrderAction, term: Term) {
-        self.sequence += 1;
-        let fencing: FencingNumber = (term << 32) | u64::from(self.sequence);
-        info!("order: {fencing} to {}: {action:?}", target.id);
-        let url = format!("http://{}/engine/v1/order", target.address);
-        let order = EngineOrder { fencing, action };
-        let answer = self
-            .client
-            .post(url)
-            .timeout(ENGINE_TIMEOUT)
-            .json(&order)
-            .send()
-            .await;
-        if let Err(error) = answer {
-            warn!("order: {fencing} to {} has no answer: {error}", target.id);
+fn start_step(
+    desk: &Arc<OrderDesk>,
+    config: &FleetConfig,
+    index: &FleetIndex,
+    schedule: &mut StoreSchedule,
+    step: PlacementStep,
+    lease: LeaderLease,
+    now: Duration,
+) {
+    let Some(target) = config
+        .targets
+        .iter()
+        .find(|target| target.id == step.target)
+    else {
+        return;
+    };
+    let kind = match &step.action {
+        OrderAction::Load(copy) if index.adapter(&copy.model).is_some() => Some(LoadKind::Adapter),
+        OrderAction::Load(_) => Some(LoadKind::Model),
+        OrderAction::Unload(_) => None,
+    };
+    // A load that the weight store has no room for comes up again with the next plan.
+    if kind.is_some_and(|kind| !schedule.admit(kind, now)) {
+        return;
+    }
+    match &step.action {
+        OrderAction::Load(copy) => {
+            info!(
+                "place: load {} {} on {}: {}",
+                copy.model, copy.version, step.target, step.reason
+            );
+        }
+        OrderAction::Unload(copy) => {
+            let (model, version) = (&copy.model, &copy.version);
+            info!(
+                "place: unload {model} {version} from {}: {}",
+                step.target, step.reason
+            );
         }
     }
+    desk.start(target, step.action, kind, lease);
 }
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -6,6 +6,7 @@
 
 use super::crashes::CrashTable;
 use crate::{
+    border::FleetConfig,
     fleet::FleetIndex,
     ids::{ModelId, Revision, TargetId, VersionId},
     sync::{ConfigSection, ResidencySection, ResidentModel, SyncReply},
@@ -19,6 +20,8 @@
 pub struct EntryView {
     /// Revision in force.
     pub revision: Revision,
+    /// Configuration of the revision; `None` before the first one.
+    pub config: Option<Arc<FleetConfig>>,
     /// Lookup tables of the revision.
     pub index: Arc<FleetIndex>,
     /// Version of the residency table.
@@ -40,14 +43,29 @@
         self.proven_at.is_some_and(|asked| asked.elapsed() <= bound)
     }
 
+    fn set_config(&mut self, revision: Revision, config: FleetConfig) {
+        self.revision = revision;
+        self.index = Arc::new(FleetIndex::new(&config));
+        self.config = Some(Arc::new(config));
+    }
+
     /// Returns the view after a reply to a sync that was asked at `asked`.
     #[must_use]
     pub fn with_reply(mut self, reply: SyncReply, asked: Instant) -> Self {
         match reply.config {
             // Revisions only move forward, also when replies overtake each other.
             ConfigSection::Snapshot(revision, config) if revision > self.revision => {
-                self.revision = revision;
-                self.index = Arc::new(FleetIndex::new(&config));
+                self.set_config(revision, *config);
+            }
+            ConfigSection::Delta { from, to, delta } if from == self.revision && to > from => {
+                let changed = self.config.as_ref().map(|config| delta.apply_to(config));
+                // A difference that does not fit leaves the revision as it is, and the next sync
+                // brings the configuration anew; the proof must not cover the old one.
+                let Some(Ok(config)) = changed else {
+                    self.revision = 0;
+                    return self;
+                };
+                self.set_config(to, config);
             }
             _ => {}
         }
--- a/src/sync/reply.rs
+++ b/src/sync/reply.rs
@@ -3,6 +3,7 @@
 use crate::{
     allowance::ShareGrant,
     border::FleetConfig,
+    fleet::FleetDelta,
     ids::{Fingerprint, ModelId, Revision, TargetId, TeamId, Term, VersionId},
 };
 
@@ -60,6 +61,15 @@
 pub enum ConfigSection {
     /// The entry has the revision in force.
     Current,
+    /// The difference between two revisions.
+    Delta {
+        /// Revision that the entry has.
+        from: Revision,
+        /// Revision after the change.
+        to: Revision,
+        /// What changed.
+        delta: Box<FleetDelta>,
+    },
     /// The whole configuration of a revision.
     Snapshot(Revision, Box<FleetConfig>),
 }
