--- a/src/error.rs
+++ b/src/error.rs
@@ -21,6 +21,10 @@
             source(source)
             display("{}: {}", path.display(), source)
         }
+        /// A file of the journal holds something else than what was synced to it.
+        Corrupt { path: PathBuf, offset: u64, reason: String } {
+            display("{}: offset {}: {}", path.display(), offset, reason)
+        }
         /// A peer, target or control daemon could not be reached or sent an unusable answer.
         Transport { peer: String, reason: String } {
             display("{}: {}", peer, reason)
--- /dev/null
+++ b/src/journal/identity.rs
@@ -0,0 +1,34 @@
+use super::storage::{Storage, replace_file};
+use crate::{
+    error::{Error, Result},
+    raft::VoterId,
+};
+
+/// Name of the file that says which voter the folder belongs to.
+pub const NAME: &str = "identity.json";
+
+/// Reads the identity file; `None` when there is none.
+pub fn load(storage: &dyn Storage) -> Result<Option<VoterId>> {
+    let path = storage.path(NAME);
+    let content = match storage.read(NAME) {
+        Ok(content) => content,
+        Err(error) if error.kind() == std::io::ErrorKind::NotFound => return Ok(None),
+        Err(source) => return Err(Error::file(path, source)),
+    };
+    let identity = serde_json::from_slice(&content);
+    identity.map(Some).map_err(|error| Error::Corrupt {
+        path,
+        offset: 0,
+        reason: error.to_string(),
+    })
+}
+
+/// Writes the identity file durably.
+pub fn save(identity: &VoterId, storage: &mut dyn Storage) -> Result<()> {
+    let content = serde_json::to_vec(identity).map_err(|error| Error::Decode {
+        what: "identity",
+        reason: error.to_string(),
+    })?;
+    replace_file(storage, NAME, &[&content])
+        .map_err(|source| Error::file(storage.path(NAME), source))
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod fake;
 pub mod fleet;
 pub mod ids;
+pub mod journal;
 pub mod logger;
 pub mod order;
 pub mod raft;
