--- a/src/code.rs
+++ b/src/code.rs
@@ -96,6 +96,8 @@
     NotInForce = 2006, "not_in_force", 504;
     /// The request id was used for another change.
     RequestIdReused = 2007, "request_id_reused", 422;
+    /// The membership change does not apply or would put the quorum at risk.
+    ChangeRefused = 2008, "change_refused", 409;
     /// An unexpected condition; the log has the details.
     Internal = 3001, "internal", 500;
 }
--- a/src/config/control.rs
+++ b/src/config/control.rs
@@ -22,8 +22,12 @@
     pub system_listen: ListenAddress,
     /// Port for operators.
     pub admin_listen: ListenAddress,
-    /// The control daemons that found a new fleet, this one among them.
+    /// The control daemons that found a new fleet, this one among them; when this daemon joins an
+    /// existing fleet, some of its members.
     pub voters: Vec<VoterAddress>,
+    /// Whether a new data folder joins an existing fleet as a learner and never founds one.
+    #[serde(default)]
+    pub join: bool,
     /// File with the secret that the system's own processes share.
     pub system_secret_file: PathBuf,
     /// File with the bearer token of operators.
@@ -35,6 +39,10 @@
         let error = |field: &str, reason: &str| Err((field.to_owned(), reason.to_owned()));
         match self {
             config if config.vm.is_empty() => error("vm", "must not be empty"),
+            config if config.voters.is_empty() => {
+                error("voters", "must name at least one control daemon")
+            }
+            config if config.join => Ok(()),
             config if config.voters.len().is_multiple_of(2) => {
                 error("voters", "must name an odd number of control daemons")
             }
--- a/src/control.rs
+++ b/src/control.rs
@@ -2,9 +2,15 @@
 
 mod admin;
 mod daemon;
+mod founder;
+mod health;
 mod hub;
+mod members;
+mod peer_sender;
 mod placer;
+mod raft_api;
 mod system;
 
-pub use daemon::ControlDaemon;
+pub use daemon::{ControlDaemon, ServingControl};
 pub use hub::SyncHub;
+pub use members::{AddMember, MemberAnswer, MemberView, MembersView, NamedMember};
--- /dev/null
+++ b/src/control/members.rs
@@ -0,0 +1,200 @@
+use std::net::SocketAddr;
+
+use reqwest::Client;
+use rocket::{State, get, http::Status, post, serde::json::Json};
+use serde::{Deserialize, Serialize};
+
+use super::{admin::Operator, founder, system::SystemSecret};
+use crate::{
+    code::ResultCode,
+    error::Error,
+    ids::{LogIndex, Term},
+    raft::{MemberChange, RaftRole, VoterId},
+    state::ControlState,
+    voter::{VoterHandle, VoterPhase, member_name, parse_member},
+};
+
+/// Members of the replicated log as this daemon knows them.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct MembersView {
+    /// Name of this daemon's member.
+    pub this: String,
+    /// Stage of this daemon's voter: `undecided`, `catching_up`, `ready` or `stopped`.
+    pub phase: String,
+    /// Whether this daemon's voter leads.
+    pub leads: bool,
+    /// Current term.
+    pub term: Term,
+    /// Name of the leader, when known.
+    pub leader: Option<String>,
+    /// Last committed entry that this daemon knows of.
+    pub commit: LogIndex,
+    /// Last entry that this daemon has applied.
+    pub applied: LogIndex,
+    /// All members.
+    pub members: Vec<MemberView>,
+}
+
+/// One member.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct MemberView {
+    /// VM and incarnation; names the member in promotions and removals.
+    pub id: String,
+    /// `voter` or `learner`.
+    pub kind: String,
+    /// System address, when known.
+    pub system: Option<SocketAddr>,
+    /// Administration address, when known.
+    pub admin: Option<SocketAddr>,
+}
+
+/// A control daemon to add as a learner.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct AddMember {
+    /// Its system address.
+    pub system: SocketAddr,
+}
+
+/// A member to promote or remove.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct NamedMember {
+    /// Name of the member, as in [`MemberView::id`].
+    pub id: String,
+}
+
+/// Result of a membership change.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct MemberAnswer {
+    /// Number of the result code; 0 when the change is committed.
+    pub code: u16,
+    /// Name of the result code.
+    pub name: String,
+    /// What was done, or why not.
+    pub message: String,
+    /// Administration address of the leader, when another daemon leads.
+    pub leader: Option<String>,
+}
+
+type Answer = (Status, Json<MemberAnswer>);
+
+/// Lists the members.
+#[get("/admin/v1/members")]
+pub fn list_members(_operator: Operator, voter: &State<VoterHandle>) -> Json<MembersView> {
+    let status = voter.status();
+    let view = |kind: &str, id: &VoterId| {
+        let address = voter.addresses().find(&id.vm);
+        MemberView {
+            id: member_name(id),
+            kind: kind.to_owned(),
+            system: address.as_ref().map(|address| address.system),
+            admin: address.as_ref().map(|address| address.admin),
+        }
+    };
+    let voters = status.membership.voters.iter().map(|id| view("voter", id));
+    let learners = status
+        .membership
+        .learners
+        .iter()
+        .map(|id| view("learner", id));
+    let phase = match status.phase {
+        VoterPhase::Undecided => "undecided",
+        VoterPhase::CatchingUp => "catching_up",
+        VoterPhase::Ready => "ready",
+        VoterPhase::Stopped => "stopped",
+    };
+    Json(MembersView {
+        this: member_name(&status.id),
+        phase: phase.to_owned(),
+        leads: status.role == RaftRole::Leader,
+        term: status.term,
+        leader: status.leader.as_ref().map(member_name),
+        commit: status.commit,
+        applied: voter.local(ControlState::applied),
+        members: voters.chain(learners).collect(),
+    })
+}
+
+/// Adds a control daemon as a learner. Its identity is asked at the address.
+#[post("/admin/v1/members/add", data = "<member>")]
+pub async fn add_member(
+    _operator: Operator,
+    member: Json<AddMember>,
+    voter: &State<VoterHandle>,
+    client: &State<Client>,
+    secret: &State<SystemSecret>,
+) -> Answer {
+    match founder::ask_member(client, &secret.0, member.system).await {
+        Ok(reply) => {
+            voter.addresses().learn(&reply.address);
+            change(voter, MemberChange::AddLearner(reply.id)).await
+        }
+        Err(error) => refuse(ResultCode::TargetUnreachable, &error, None),
+    }
+}
+
+/// Makes a learner that has caught up a voter.
+#[post("/admin/v1/members/promote", data = "<member>")]
+pub async fn promote_member(
+    _operator: Operator,
+    member: Json<NamedMember>,
+    voter: &State<VoterHandle>,
+) -> Answer {
+    change_named(voter, &member.id, MemberChange::Promote).await
+}
+
+/// Removes a voter or learner, for example one whose disk was lost.
+#[post("/admin/v1/members/remove", data = "<member>")]
+pub async fn remove_member(
+    _operator: Operator,
+    member: Json<NamedMember>,
+    voter: &State<VoterHandle>,
+) -> Answer {
+    change_named(voter, &member.id, MemberChange::Remove).await
+}
+
+async fn change_named(
+    voter: &VoterHandle,
+    name: &str,
+    kind: impl FnOnce(VoterId) -> MemberChange,
+) -> Answer {
+    match parse_member(name) {
+        Some(id) => change(voter, kind(id)).await,
+        None => refuse(
+            ResultCode::MalformedRequest,
+            &"the id is not of the form vm@incarnation",
+            None,
+        ),
+    }
+}
+
+async fn change(voter: &VoterHandle, change: MemberChange) -> Answer {
+    let (MemberChange::AddLearner(id) | MemberChange::Promote(id) | MemberChange::Remove(id)) =
+        &change;
+    let message = member_name(id);
+    match voter.change(change).await {
+        Ok(()) => {
+            let answer = MemberAnswer {
+                code: 0,
+                name: "committed".to_owned(),
+                message,
+                leader: None,
+            };
+            (Status::Ok, Json(answer))
+        }
+        Err(error) => match &error {
+            Error::NotLeader { leader } => refuse(ResultCode::NotLeader, &error, leader.clone()),
+            Error::Refused { .. } => refuse(ResultCode::ChangeRefused, &error, None),
+            _ => refuse(ResultCode::Unconfirmed, &error, None),
+        },
+    }
+}
+
+fn refuse(code: ResultCode, message: &dyn std::fmt::Display, leader: Option<String>) -> Answer {
+    let answer = MemberAnswer {
+        code: code.number(),
+        name: code.name().to_owned(),
+        message: message.to_string(),
+        leader,
+    };
+    (Status::new(code.status()), Json(answer))
+}
--- /dev/null
+++ b/src/control/peer_sender.rs
@@ -0,0 +1,170 @@
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use reqwest::Client;
+use spdlog::prelude::*;
+use tokio::{runtime::Handle, sync::mpsc};
+
+use super::raft_api::MESSAGE_PATH;
+use crate::{
+    client,
+    error::{Error, Result},
+    ids::{CommandLevel, VmId},
+    raft::{LogEntry, MessageBody, RaftMessage},
+    sync::{self, SECRET_HEADER},
+    voter::{AddressBook, PeerMessages, PeerSender},
+};
+
+/// Messages that may wait for one peer; more are dropped, which the core repairs.
+const QUEUE_LENGTH: usize = 1_024;
+/// Bytes of entries and snapshots after which a batch is sent.
+const BATCH_BYTES: usize = 2 << 20;
+/// Time after which a batch counts as lost. It is below the shortest election timeout, so that one
+/// lost connection does not cost an election.
+const SEND_TIMEOUT: Duration = Duration::from_millis(500);
+/// Wait after a failed batch, so that a peer that refuses connections is not flooded.
+const RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Time between two batches that carry the addresses of other members.
+const ADDRESS_PERIOD: Duration = Duration::from_secs(1);
+
+/// Sends messages to the other members, each over its own connection and from its own queue, so
+/// that a slow or silent one holds up no other.
+pub struct HttpPeerSender {
+    context: Arc<SenderContext>,
+    runtime: Handle,
+    queues: HashMap<VmId, mpsc::Sender<RaftMessage>>,
+}
+
+struct SenderContext {
+    addresses: Arc<AddressBook>,
+    secret: String,
+    level: CommandLevel,
+}
+
+impl HttpPeerSender {
+    /// Sends from tasks of the current runtime.
+    ///
+    /// # Panics
+    /// Outside a runtime.
+    #[must_use]
+    pub fn new(addresses: Arc<AddressBook>, secret: String, level: CommandLevel) -> Self {
+        Self {
+            context: Arc::new(SenderContext {
+                addresses,
+                secret,
+                level,
+            }),
+            runtime: Handle::current(),
+            queues: HashMap::new(),
+        }
+    }
+
+    fn queue(&mut self, vm: &VmId) -> Result<&mpsc::Sender<RaftMessage>> {
+        if !self.queues.contains_key(vm) {
+            let (sender, receiver) = mpsc::channel(QUEUE_LENGTH);
+            let connection = PeerConnection {
+                context: Arc::clone(&self.context),
+                vm: vm.clone(),
+                // Its own client, whose pool then holds a single connection.
+                client: client::http_client()?,
+                addresses_sent: None,
+                reachable: true,
+            };
+            self.runtime.spawn(connection.run(receiver));
+            self.queues.insert(vm.clone(), sender);
+        }
+        Ok(&self.queues[vm])
+    }
+}
+
+impl PeerSender for HttpPeerSender {
+    fn send(&mut self, message: RaftMessage) {
+        let vm = message.to.vm.clone();
+        match self.queue(&vm) {
+            // A full queue drops the message, as a lossy network would.
+            Ok(queue) => drop(queue.try_send(message)),
+            Err(error) => error!("raft: no client for {vm}: {error}"),
+        }
+    }
+}
+
+struct PeerConnection {
+    context: Arc<SenderContext>,
+    vm: VmId,
+    client: Client,
+    addresses_sent: Option<Instant>,
+    reachable: bool,
+}
+
+impl PeerConnection {
+    async fn run(mut self, mut queue: mpsc::Receiver<RaftMessage>) {
+        while let Some(first) = queue.recv().await {
+            let mut size = message_size(&first);
+            let mut messages = vec![first];
+            while size < BATCH_BYTES
+                && let Ok(message) = queue.try_recv()
+            {
+                size += message_size(&message);
+                messages.push(message);
+            }
+            let Some(address) = self.context.addresses.system(&self.vm) else {
+                continue;
+            };
+            let sent = self.send(address, messages).await;
+            if sent.is_ok() != self.reachable {
+                self.reachable = sent.is_ok();
+                match &sent {
+                    Ok(()) => info!("raft: {} is reachable", self.vm),
+                    Err(error) => warn!("raft: {} is not reachable: {error}", self.vm),
+                }
+            }
+            if sent.is_err() {
+                // What waited meanwhile is outdated; the core sends again what matters.
+                while queue.try_recv().is_ok() {}
+                tokio::time::sleep(RETRY_DELAY).await;
+            }
+        }
+    }
+
+    async fn send(&mut self, address: SocketAddr, messages: Vec<RaftMessage>) -> Result<()> {
+        let due = self
+            .addresses_sent
+            .is_none_or(|at| at.elapsed() > ADDRESS_PERIOD);
+        let addresses = &self.context.addresses;
+        let batch = PeerMessages {
+            sender: addresses.own().clone(),
+            id: messages[0].from.clone(),
+            level: self.context.level,
+            others: if due { addresses.others() } else { Vec::new() },
+            messages,
+        };
+        self.client
+            .post(format!("http://{address}{MESSAGE_PATH}"))
+            .header(SECRET_HEADER, &self.context.secret)
+            .timeout(SEND_TIMEOUT)
+            .body(sync::encode(&batch)?)
+            .send()
+            .await
+            .and_then(reqwest::Response::error_for_status)
+            .map_err(|error| Error::Transport {
+                peer: address.to_string(),
+                reason: error.to_string(),
+            })?;
+        if due {
+            self.addresses_sent = Some(Instant::now());
+        }
+        Ok(())
+    }
+}
+
+fn message_size(message: &RaftMessage) -> usize {
+    match &message.body {
+        MessageBody::AppendRequest { entries, .. } => entries.iter().map(LogEntry::size).sum(),
+        MessageBody::SnapshotRequest { bytes, .. } => bytes.len(),
+        _ => 0,
+    }
+}
--- a/src/dev/fleet.rs
+++ b/src/dev/fleet.rs
@@ -58,7 +58,7 @@
         };
         let daemons = async {
             tokio::try_join!(
-                Box::pin(ControlDaemon::new(&control).run()),
+                Box::pin(ControlDaemon::new(&control).run_until(std::future::pending())),
                 Box::pin(EntryDaemon::new(&entry).run()),
                 Box::pin(first),
                 Box::pin(second),
--- a/src/error.rs
+++ b/src/error.rs
@@ -37,6 +37,10 @@
         NotLeader { leader: Option<String> } {
             display("not the leader; leader: {}", leader.as_deref().unwrap_or("unknown"))
         }
+        /// The command or membership change has no effect.
+        Refused { reason: String } {
+            display("refused: {}", reason)
+        }
         /// The command may or may not be committed later.
         Unconfirmed { reason: String } {
             display("outcome unknown: {}", reason)
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -12,7 +12,7 @@
 mod snapshot;
 mod storage;
 
-pub use data_folder::DataFolder;
+pub use data_folder::{DataFolder, OpenedJournal};
 pub use folder_storage::FolderStorage;
 pub use log::{Journal, JournalLimits};
 pub use record::{JournalEntry, VoteRecord};
--- a/src/journal/data_folder.rs
+++ b/src/journal/data_folder.rs
@@ -16,6 +16,16 @@
 const JOURNAL_NAME: &str = "journal";
 const DAMAGED_PREFIX: &str = "damaged-";
 
+/// A journal with what it held when it was opened.
+pub struct OpenedJournal {
+    /// The journal.
+    pub journal: Journal,
+    /// What it held.
+    pub recovered: Recovered,
+    /// Keeps the folder locked; `None` when the journal is not in a folder.
+    pub lock: Option<DataFolder>,
+}
+
 /// The data folder of a control daemon, locked for this process.
 pub struct DataFolder {
     path: PathBuf,
@@ -52,7 +62,7 @@
     ///
     /// # Errors
     /// [`Error::File`] when a file operation fails.
-    pub fn open_journal(&self, vm: &VmId, limits: JournalLimits) -> Result<(Journal, Recovered)> {
+    pub fn open_journal(self, vm: &VmId, limits: JournalLimits) -> Result<OpenedJournal> {
         let folder = self.path.join(JOURNAL_NAME);
         let open = || {
             fs::create_dir_all(&folder)
@@ -60,7 +70,7 @@
                 .map_err(|source| Error::file(&folder, source))?;
             Journal::open(Box::new(FolderStorage::new(&folder)), vm, limits)
         };
-        match open() {
+        let (journal, recovered) = match open() {
             Err(error @ Error::Corrupt { .. }) => {
                 error!("journal: {error}");
                 let aside = self.free_name()?;
@@ -69,10 +79,15 @@
                     "journal: moved the damaged log to {}; this voter starts anew as a learner",
                     aside.display()
                 );
-                open()
+                open()?
             }
-            opened => opened,
-        }
+            opened => opened?,
+        };
+        Ok(OpenedJournal {
+            journal,
+            recovered,
+            lock: Some(self),
+        })
     }
 
     fn free_name(&self) -> Result<PathBuf> {
--- a/src/journal/log.rs
+++ b/src/journal/log.rs
@@ -18,14 +18,14 @@
 /// Sizes at which the journal starts new files.
 #[derive(Clone, Copy, Debug)]
 pub struct JournalLimits {
-    /// Bytes after which a new segment is started.
+    /// Bytes after which a new segment is started. The newest segment is copied at each start.
     pub segment_bytes: u64,
 }
 
 impl Default for JournalLimits {
     fn default() -> Self {
         Self {
-            segment_bytes: 16 << 20,
+            segment_bytes: 4 << 20,
         }
     }
 }
--- a/src/server.rs
+++ b/src/server.rs
@@ -1,5 +1,7 @@
 //! Settings that every HTTP server of the system shares.
 
+use std::pin::pin;
+
 use rocket::{Build, Rocket, config::LogLevel, figment::Figment};
 
 use crate::{
@@ -32,3 +34,25 @@
         reason: error.to_string(),
     })
 }
+
+/// Serves until `stop` is ready, then completes the requests that run.
+///
+/// # Errors
+/// [`Error::Server`] when the port cannot be used or the server fails.
+pub async fn launch_until(rocket: Rocket<Build>, stop: impl Future<Output = ()>) -> Result<()> {
+    let failed = |error: rocket::Error| Error::Server {
+        reason: error.to_string(),
+    };
+    let rocket = rocket.ignite().await.map_err(failed)?;
+    let shutdown = rocket.shutdown();
+    let mut serving = pin!(rocket.launch());
+    let mut stop = pin!(stop);
+    let served = tokio::select! {
+        served = &mut serving => served,
+        () = &mut stop => {
+            shutdown.notify();
+            serving.await
+        }
+    };
+    served.map(|_| ()).map_err(failed)
+}
--- /dev/null
+++ b/src/voter/address_book.rs
@@ -0,0 +1,85 @@
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{PoisonError, RwLock},
+};
+
+use crate::{config::VoterAddress, ids::VmId};
+
+/// Where the members of the log are reached. A daemon's own word about its address counts more than
+/// what others or the settings say.
+pub struct AddressBook {
+    own: VoterAddress,
+    addresses: RwLock<BTreeMap<VmId, VoterAddress>>,
+}
+
+impl AddressBook {
+    /// Starts with this daemon's address and those in the settings.
+    pub fn new(own: VoterAddress, known: impl IntoIterator<Item = VoterAddress>) -> Self {
+        let known = known
+            .into_iter()
+            .map(|address| (address.vm.clone(), address));
+        Self {
+            addresses: RwLock::new(known.collect()),
+            own,
+        }
+    }
+
+    /// Returns this daemon's address.
+    #[must_use]
+    pub fn own(&self) -> &VoterAddress {
+        &self.own
+    }
+
+    /// Records what a daemon says about itself.
+    pub fn learn(&self, address: &VoterAddress) {
+        if address.vm != self.own.vm && self.find(&address.vm).as_ref() != Some(address) {
+            let mut addresses = self
+                .addresses
+                .write()
+                .unwrap_or_else(PoisonError::into_inner);
+            addresses.insert(address.vm.clone(), address.clone());
+        }
+    }
+
+    /// Records what a daemon says about others, for VMs that are not known yet.
+    pub fn fill(&self, others: &[VoterAddress]) {
+        for address in others {
+            if self.find(&address.vm).is_none() {
+                self.learn(address);
+            }
+        }
+    }
+
+    /// Returns the address of a VM's control daemon.
+    #[must_use]
+    pub fn find(&self, vm: &VmId) -> Option<VoterAddress> {
+        if *vm == self.own.vm {
+            return Some(self.own.clone());
+        }
+        let addresses = self
+            .addresses
+            .read()
+            .unwrap_or_else(PoisonError::into_inner);
+        addresses.get(vm).cloned()
+    }
+
+    /// Returns the system address of a VM's control daemon.
+    #[must_use]
+    pub fn system(&self, vm: &VmId) -> Option<SocketAddr> {
+        self.find(vm).map(|address| address.system)
+    }
+
+    /// Returns the known addresses of other daemons.
+    #[must_use]
+    pub fn others(&self) -> Vec<VoterAddress> {
+        let addresses = self
+            .addresses
+            .read()
+            .unwrap_or_else(PoisonError::into_inner);
+        let others = addresses
+            .values()
+            .filter(|address| address.vm != self.own.vm);
+        others.cloned().collect()
+    }
+}
--- /dev/null
+++ b/src/voter/driver.rs
@@ -0,0 +1,294 @@
+use std::{
+    sync::Arc,
+    time::{Instant, SystemTime, UNIX_EPOCH},
+};
+
+use spdlog::prelude::*;
+
+use super::{
+    AddressBook, LeaderLease, PeerMessages, PeerSender, VoterPhase, VoterSettings,
+    applier::StateApplier,
+    level_reports::LevelReports,
+    pending::{PendingTable, answer},
+    request::{Answer, VoterRequest},
+    shared::SharedVoter,
+    snapshots::SnapshotDesk,
+};
+use crate::{
+    error::{Error, Result},
+    ids::{CommandLevel, LogIndex, Term},
+    journal::{Journal, Snapshot},
+    raft::{
+        Membership, RaftCore, RaftEffect, RaftInput, RaftRole, RefuseReason, RestoredState,
+        SnapshotMeta, VoterId,
+    },
+    state::{Command, StampedCommand},
+    sync,
+};
+
+/// Longest encoded command. It must fit a message between peers with room to spare.
+const MAX_COMMAND_BYTES: usize = 8 << 20;
+
+/// Owns the consensus core, the journal and the writes to the state.
+pub struct VoterDriver {
+    pub settings: VoterSettings,
+    pub id: VoterId,
+    pub shared: Arc<SharedVoter>,
+    pub addresses: Arc<AddressBook>,
+    pub peers: Box<dyn PeerSender>,
+    /// Start of the core's clock.
+    pub started: Instant,
+    pub core: RaftCore,
+    pub journal: Journal,
+    pub applier: StateApplier,
+    pub pending: PendingTable,
+    pub snapshots: SnapshotDesk,
+    pub levels: LevelReports,
+    /// Index of the latest snapshot; `None` before this voter takes part.
+    pub snapshot: Option<LogIndex>,
+    /// Bytes of entries that were appended since the latest snapshot was begun.
+    pub appended_bytes: usize,
+    /// Last entry that was in the log at the start of the process.
+    pub restored_last: LogIndex,
+    /// Last entry of the batch that is not yet reported to the core as durable.
+    pub appended: Option<(LogIndex, Term)>,
+    pub effects: Vec<RaftEffect>,
+    /// Term and level of the last proposal to raise the command level.
+    pub raised: Option<(Term, CommandLevel)>,
+}
+
+impl VoterDriver {
+    /// Handles a batch of requests with one sync, unless a snapshot is installed in between.
+    ///
+    /// # Errors
+    /// When a file operation fails or a committed entry cannot be applied. The voter must stop.
+    pub fn turn(&mut self, requests: impl Iterator<Item = VoterRequest>, tick: bool) -> Result<()> {
+        for request in requests {
+            self.accept(request)?;
+        }
+        if tick {
+            self.tick()?;
+        }
+        self.carry_out()?;
+        self.publish();
+        Ok(())
+    }
+
+    fn accept(&mut self, request: VoterRequest) -> Result<()> {
+        match request {
+            VoterRequest::Propose {
+                deadline, answer, ..
+            }
+            | VoterRequest::Read { deadline, answer }
+                if deadline <= Instant::now() =>
+            {
+                self.refuse(answer);
+            }
+            VoterRequest::Propose {
+                command,
+                deadline,
+                answer,
+            } => self.propose(*command, deadline, answer)?,
+            VoterRequest::Read { deadline, answer } => {
+                let token = self.pending.add(answer, deadline);
+                self.step(RaftInput::Read { token });
+            }
+            VoterRequest::Change {
+                change,
+                deadline,
+                answer,
+            } => {
+                let token = self.pending.add(answer, deadline);
+                self.step(RaftInput::Change { token, change });
+            }
+            VoterRequest::Messages(batch) => self.receive(*batch),
+            VoterRequest::Begin { membership, answer } => {
+                let begun = self.begin(membership);
+                // A failed file operation stops the voter, so the asker needs no details.
+                let _ = answer.send(Ok(()));
+                begun?;
+            }
+            VoterRequest::Transfer => self.step(RaftInput::Transfer),
+            VoterRequest::Stop => {}
+        }
+        Ok(())
+    }
+
+    fn propose(&mut self, command: Command, deadline: Instant, waiting: Answer) -> Result<()> {
+        let permitted = self.shared.state().level();
+        let refuse = |reason: String| Err(Error::Refused { reason });
+        if command.level() > permitted && self.core.role() == RaftRole::Leader {
+            let reason = format!("command level {} is not permitted yet", command.level());
+            answer(waiting, refuse(reason));
+            return Ok(());
+        }
+        let at_ms = wall_ms();
+        let payload = sync::encode(&StampedCommand { at_ms, command })?;
+        if payload.len() > MAX_COMMAND_BYTES {
+            let reason = format!("a command of {} bytes is too long", payload.len());
+            answer(waiting, refuse(reason));
+            return Ok(());
+        }
+        let token = self.pending.add(waiting, deadline);
+        let payload = payload.into();
+        self.step(RaftInput::Propose { token, payload });
+        Ok(())
+    }
+
+    fn receive(&mut self, batch: PeerMessages) {
+        self.levels.record(batch.id, batch.level, Instant::now());
+        if self.snapshot.is_none() {
+            // A vote or entry taken now could contradict the founding membership.
+            return;
+        }
+        for message in batch.messages {
+            self.step(RaftInput::Message(message));
+        }
+    }
+
+    /// Begins to take part in the log.
+    fn begin(&mut self, membership: Membership) -> Result<()> {
+        if self.snapshot.is_some() {
+            return Ok(());
+        }
+        let meta = SnapshotMeta::founding(membership);
+        let snapshot = Snapshot {
+            index: meta.index,
+            term: meta.term,
+            members: sync::encode(&meta.membership)?.into(),
+            state: bytes::Bytes::new(),
+        };
+        self.journal.save_snapshot(&snapshot, meta.index)?;
+        self.snapshot = Some(meta.index);
+        let founding = Some(meta.membership.clone()).filter(|found| !found.voters.is_empty());
+        self.shared.update_status(|status| {
+            status.founding = founding;
+            status.phase = VoterPhase::CatchingUp;
+        });
+        let restored = RestoredState {
+            snapshot: meta,
+            ..RestoredState::default()
+        };
+        self.core = RaftCore::new(
+            self.id.clone(),
+            restored,
+            self.settings.timing,
+            self.settings.limits,
+            rand::random(),
+            self.started.elapsed(),
+        );
+        Ok(())
+    }
+
+    fn tick(&mut self) -> Result<()> {
+        let now = Instant::now();
+        self.pending.expire(now);
+        self.snapshots.expire();
+        self.step(RaftInput::Tick);
+        if let Some((index, state)) = self.snapshots.encoded()? {
+            self.save_snapshot(index, state)?;
+        }
+        self.raise_level(now);
+        let membership = self.core.membership();
+        self.shared.update_status(|status| {
+            if status.membership != *membership {
+                status.membership = membership.clone();
+            }
+        });
+        Ok(())
+    }
+
+    /// Permits the commands that all members have reported they can apply.
+    fn raise_level(&mut self, now: Instant) {
+        if self.core.lease_until(self.started.elapsed()).is_none() {
+            return;
+        }
+        let own = self.settings.applicable_level;
+        self.levels.record(self.id.clone(), own, now);
+        let common = self.levels.common_level(self.core.membership(), now);
+        let permitted = self.shared.state().level();
+        let Some(level) = common.filter(|common| *common > permitted) else {
+            return;
+        };
+        // The entry of this term is still on its way.
+        if self.raised == Some((self.core.term(), level)) {
+            return;
+        }
+        self.raised = Some((self.core.term(), level));
+        let command = Command::RaiseLevel { level };
+        let at_ms = wall_ms();
+        if let Ok(payload) = sync::encode(&StampedCommand { at_ms, command }) {
+            info!("raft: all members can apply command level {level}");
+            // Token 0 is never waited for.
+            let payload = payload.into();
+            self.step(RaftInput::Propose { token: 0, payload });
+        }
+    }
+
+    pub fn step(&mut self, input: RaftInput) {
+        // Read after the input was taken from the queue, as the core demands.
+        let now = self.started.elapsed();
+        self.effects.extend(self.core.step(now, input));
+    }
+
+    fn refuse(&self, waiting: Answer) {
+        let leader = self.leader_address(self.core.leader());
+        answer(waiting, Err(Error::NotLeader { leader }));
+    }
+
+    pub fn refusal(&self, reason: RefuseReason, leader: Option<VoterId>) -> Error {
+        let reason = match reason {
+            RefuseReason::NotLeader | RefuseReason::Transferring => {
+                let leader = self.leader_address(leader.as_ref());
+                return Error::NotLeader { leader };
+            }
+            RefuseReason::LogFull => "the log in memory is full until the next snapshot",
+            RefuseReason::ChangePending => "another membership change is not committed yet",
+            RefuseReason::ChangeInvalid => "the change does not apply to the membership",
+            RefuseReason::NotCaughtUp => "the learner has not caught up",
+            RefuseReason::QuorumAtRisk => "too few of the remaining voters have answered lately",
+        };
+        Error::Refused {
+            reason: reason.to_owned(),
+        }
+    }
+
+    fn leader_address(&self, leader: Option<&VoterId>) -> Option<String> {
+        let address = self.addresses.find(&leader?.vm)?;
+        Some(address.admin.to_string())
+    }
+
+    /// Makes lease and status visible to the handles.
+    fn publish(&mut self) {
+        let now = self.started.elapsed();
+        let until = self.core.lease_until(now);
+        let term = self.core.term();
+        self.shared.set_lease(until.map(|until| LeaderLease {
+            term,
+            until: self.started + until,
+        }));
+        // An entry of the current term tells that everything committed in earlier terms is applied.
+        let applied = self.shared.state().applied();
+        let shown = applied >= self.restored_last || self.applier.last_term() == term;
+        let known = self.core.leader().is_some();
+        self.shared.update_status(|status| {
+            if status.phase == VoterPhase::CatchingUp && shown && known {
+                status.phase = VoterPhase::Ready;
+            }
+            status.role = self.core.role();
+            status.term = term;
+            if status.leader.as_ref() != self.core.leader() {
+                status.leader = self.core.leader().cloned();
+            }
+            status.commit = self.core.commit_index();
+            status.last = self.core.last_index();
+        });
+    }
+}
+
+fn wall_ms() -> u64 {
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+}
--- a/src/voter/handle.rs
+++ b/src/voter/handle.rs
@@ -1,135 +1,225 @@
 use std::{
-    sync::{Arc, Mutex, PoisonError, RwLock, mpsc},
+    sync::{Arc, atomic::Ordering, mpsc},
     thread,
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant},
 };
 
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{Semaphore, oneshot, watch};
 
+use super::{
+    AddressBook, LeaderLease, PeerMessages, PeerSender, VoterPhase, VoterSettings, VoterStatus,
+    request::{Answer, VoterRequest},
+    shared::SharedVoter,
+    thread::VoterThread,
+};
 use crate::{
     error::{Error, Result},
-    ids::{LogIndex, Term},
-    state::{Command, ControlState, Outcome, StampedCommand},
+    ids::LogIndex,
+    journal::OpenedJournal,
+    raft::{MemberChange, Membership, RaftRole},
+    state::{Command, ControlState, Outcome},
 };
 
-/// Proof of leadership, good until an instant of this process's monotonic clock.
-#[derive(Clone, Copy, Debug)]
-pub struct LeaderLease {
-    /// Term in which this voter leads.
-    pub term: Term,
-    /// Instant at which the proof lapses; no effect may happen later on its strength.
-    pub until: Instant,
-}
-
-impl LeaderLease {
-    /// Tells whether the proof still holds.
-    #[must_use]
-    pub fn holds(&self) -> bool {
-        Instant::now() < self.until
-    }
-}
-
-type Proposal = (Command, oneshot::Sender<Result<Outcome>>);
+/// Proposals and reads that may wait at once; more are refused at their deadline.
+const MAX_WAITING: usize = 4_096;
+/// Batches of peers' messages that may wait at once; more are dropped, as on a lossy network.
+const MAX_QUEUED_MESSAGES: usize = 1_024;
+/// Extra time for an answer when the thread is held up by the disk.
+const ANSWER_MARGIN: Duration = Duration::from_millis(200);
 
 /// Handle of the thread that owns the log and the state.
 #[derive(Clone)]
 pub struct VoterHandle {
-    proposals: Arc<Mutex<mpsc::Sender<Proposal>>>,
-    state: Arc<RwLock<ControlState>>,
-    applied: watch::Receiver<LogIndex>,
+    queue: mpsc::Sender<VoterRequest>,
+    shared: Arc<SharedVoter>,
+    addresses: Arc<AddressBook>,
+    waiting: Arc<Semaphore>,
+    timeout: Duration,
 }
 
 impl VoterHandle {
-    /// Starts a voter that is alone and keeps its log in memory.
+    /// Restores the voter from its journal and starts its thread.
     ///
-    /// # Panics
-    /// When the operating system refuses to start a thread.
-    #[must_use]
-    pub fn new() -> Self {
-        let (sender, receiver) = mpsc::channel::<Proposal>();
-        let state = Arc::new(RwLock::new(ControlState::default()));
-        let (applied_sender, applied) = watch::channel(0);
-        let shared = Arc::clone(&state);
+    /// # Errors
+    /// [`Error::File`] when no thread can be started, [`Error::Decode`] when the log is of a later
+    /// release.
+    pub fn start(
+        journal: OpenedJournal,
+        settings: VoterSettings,
+        addresses: Arc<AddressBook>,
+        peers: Box<dyn PeerSender>,
+    ) -> Result<Self> {
+        let (sender, receiver) = mpsc::channel();
+        let timeout = settings.proposal_timeout;
+        let book = Arc::clone(&addresses);
+        let (voter, shared) = VoterThread::restore(journal, settings, book, peers, receiver)?;
         thread::Builder::new()
             .name("voter".to_owned())
-            .spawn(move || {
-                for (command, answer) in receiver {
-                    let mut state = shared.write().unwrap_or_else(PoisonError::into_inner);
-                    let index = state.applied() + 1;
-                    let outcome = state.apply(
-                        index,
-                        &StampedCommand {
-                            at_ms: wall_ms(),
-                            command,
-                        },
-                    );
-                    drop(state);
-                    applied_sender.send_replace(index);
-                    let _ = answer.send(Ok(outcome));
-                }
-            })
-            .expect("a thread can be started");
-        Self {
-            proposals: Arc::new(Mutex::new(sender)),
-            state,
-            applied,
-        }
+            .spawn(move || voter.run())
+            .map_err(|source| Error::file("voter thread", source))?;
+        Ok(Self {
+            queue: sender,
+            shared,
+            addresses,
+            waiting: Arc::new(Semaphore::new(MAX_WAITING)),
+            timeout,
+        })
     }
 
     /// Proposes a command and waits until it is committed and applied.
     ///
     /// # Errors
-    /// [`Error::NotLeader`] when the command is certainly not committed,
+    /// [`Error::NotLeader`] and [`Error::Refused`] when the command is certainly not committed,
     /// [`Error::Unconfirmed`] when it may be committed later.
     pub async fn propose(&self, command: Command) -> Result<Outcome> {
-        let (sender, answer) = oneshot::channel();
-        self.proposals
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .send((command, sender))
-            .map_err(|_| Error::Stopped { part: "voter" })?;
-        answer.await.map_err(|_| Error::Stopped { part: "voter" })?
+        self.propose_within(command, self.timeout).await
     }
 
-    /// Reads what this voter has applied, which may be behind the leader.
-    pub fn local<T>(&self, query: impl FnOnce(&ControlState) -> T) -> T {
-        query(&self.state.read().unwrap_or_else(PoisonError::into_inner))
+    /// Proposes a command and waits for at most `timeout`.
+    ///
+    /// # Errors
+    /// As [`VoterHandle::propose`].
+    pub async fn propose_within(&self, command: Command, timeout: Duration) -> Result<Outcome> {
+        let command = Box::new(command);
+        let ask = |deadline, answer| VoterRequest::Propose {
+            command,
+            deadline,
+            answer,
+        };
+        self.ask(timeout, ask).await
+    }
+
+    /// Changes the membership and waits until the change is committed.
+    ///
+    /// # Errors
+    /// As [`VoterHandle::propose`].
+    pub async fn change(&self, change: MemberChange) -> Result<()> {
+        let ask = |deadline, answer| VoterRequest::Change {
+            change,
+            deadline,
+            answer,
+        };
+        self.ask(self.timeout, ask).await.map(|_| ())
     }
 
     /// Reads a state that includes every entry committed before the call.
     ///
     /// # Errors
-    /// [`Error::NotLeader`] when this voter does not lead.
+    /// [`Error::NotLeader`] when this voter does not lead or cannot prove it in time.
     pub async fn read<T>(&self, query: impl FnOnce(&ControlState) -> T + Send) -> Result<T> {
-        self.propose(Command::Noop).await?;
-        Ok(self.local(query))
+        let ask = |deadline, answer| VoterRequest::Read { deadline, answer };
+        match self.ask(self.timeout, ask).await {
+            Ok(_) => Ok(self.local(query)),
+            // A read has no effect, so its outcome is never in doubt.
+            Err(Error::Unconfirmed { .. }) => Err(Error::NotLeader { leader: None }),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Reads what this voter has applied, which may be behind the leader. After a restart it may
+    /// even be behind what this voter showed before, until [`VoterPhase::Ready`].
+    pub fn local<T>(&self, query: impl FnOnce(&ControlState) -> T) -> T {
+        query(&self.shared.state())
     }
 
     /// Returns the current proof of leadership.
     #[must_use]
     pub fn lease(&self) -> Option<LeaderLease> {
-        Some(LeaderLease {
-            term: 1,
-            until: Instant::now() + Duration::from_millis(640),
-        })
+        self.shared.lease().filter(LeaderLease::holds)
     }
 
     /// Returns a receiver of the last applied index.
     #[must_use]
     pub fn watch(&self) -> watch::Receiver<LogIndex> {
-        self.applied.clone()
+        self.shared.applied.subscribe()
     }
-}
 
-impl Default for VoterHandle {
-    fn default() -> Self {
-        Self::new()
+    /// Returns what this voter knows about itself and the log.
+    #[must_use]
+    pub fn status(&self) -> VoterStatus {
+        self.shared.status()
     }
-}
 
-fn wall_ms() -> u64 {
-    let since_epoch = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+    /// Returns a receiver of the voter's phase.
+    #[must_use]
+    pub fn phase(&self) -> watch::Receiver<VoterPhase> {
+        self.shared.phase.subscribe()
+    }
+
+    /// Returns the addresses of the members.
+    #[must_use]
+    pub fn addresses(&self) -> &Arc<AddressBook> {
+        &self.addresses
+    }
+
+    /// Hands messages of a peer to the voter. They are dropped when the voter is behind.
+    pub fn receive(&self, messages: PeerMessages) {
+        self.addresses.learn(&messages.sender);
+        self.addresses.fill(&messages.others);
+        if self.shared.queued_messages.fetch_add(1, Ordering::Relaxed) >= MAX_QUEUED_MESSAGES
+            || self
+                .queue
+                .send(VoterRequest::Messages(Box::new(messages)))
+                .is_err()
+        {
+            self.shared.queued_messages.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Begins to take part, with the founding membership or, when joining, an empty one. Does
+    /// nothing when the voter already takes part.
+    ///
+    /// # Errors
+    /// [`Error::Stopped`] when the voter has stopped.
+    pub async fn begin(&self, membership: Membership) -> Result<()> {
+        let (answer, begun) = oneshot::channel();
+        let stopped = || Error::Stopped { part: "voter" };
+        self.queue
+            .send(VoterRequest::Begin { membership, answer })
+            .map_err(|_| stopped())?;
+        begun.await.map_err(|_| stopped())?
+    }
+
+    /// Hands leadership over, if this voter leads, and waits for at most `limit`.
+    pub async fn transfer(&self, limit: Duration) {
+        let deadline = Instant::now() + limit;
+        let leads = || self.status().role == RaftRole::Leader;
+        if leads() && self.queue.send(VoterRequest::Transfer).is_ok() {
+            while leads() && Instant::now() < deadline {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        }
+    }
+
+    /// Stops the voter and waits until its folder is free.
+    pub async fn stop(&self) {
+        let mut phase = self.phase();
+        if self.queue.send(VoterRequest::Stop).is_ok() {
+            // Fails only when the sender is gone, and this handle keeps it.
+            let _ = phase.wait_for(|phase| *phase == VoterPhase::Stopped).await;
+        }
+    }
+
+    async fn ask(
+        &self,
+        timeout: Duration,
+        request: impl FnOnce(Instant, Answer) -> VoterRequest,
+    ) -> Result<Outcome> {
+        let deadline = Instant::now() + timeout;
+        let not_leader = || Error::NotLeader { leader: None };
+        let permit = tokio::time::timeout(timeout, self.waiting.acquire()).await;
+        let _permit = permit.ok().and_then(Result::ok).ok_or_else(not_leader)?;
+        let (sender, answer) = oneshot::channel();
+        self.queue
+            .send(request(deadline, sender))
+            .map_err(|_| Error::Stopped { part: "voter" })?;
+        let unconfirmed = |reason: &str| Error::Unconfirmed {
+            reason: reason.to_owned(),
+        };
+        match tokio::time::timeout_at((deadline + ANSWER_MARGIN).into(), answer).await {
+            Ok(Ok(result)) => result,
+            Ok(Err(_)) => Err(unconfirmed("the voter stopped")),
+            Err(_) => Err(unconfirmed("the voter is held up by its disk")),
+        }
+    }
 }
--- /dev/null
+++ b/src/voter/make_snapshot.rs
@@ -0,0 +1,79 @@
+use std::time::Instant;
+
+use bytes::Bytes;
+use spdlog::prelude::*;
+
+use super::driver::VoterDriver;
+use crate::{
+    error::Result,
+    ids::LogIndex,
+    journal::Snapshot,
+    raft::{RaftInput, SnapshotMeta},
+    state::ControlState,
+    sync,
+};
+
+impl VoterDriver {
+    /// Starts to make a snapshot when the log has grown by the set size.
+    pub fn begin_snapshot(&mut self) -> Result<()> {
+        let applied = self.shared.state().applied();
+        let wanted = self.appended_bytes > self.settings.snapshot_bytes;
+        if wanted && !self.snapshots.is_encoding() && self.snapshot.is_some_and(|at| at < applied) {
+            self.appended_bytes = 0;
+            self.applier.set_paused(true);
+            self.snapshots.encode(&self.shared)?;
+        }
+        Ok(())
+    }
+
+    pub fn save_snapshot(&mut self, index: LogIndex, state: Bytes) -> Result<()> {
+        self.applier.set_paused(false);
+        let Some(meta) = self.core.snapshot_meta(index) else {
+            // A snapshot of the leader has replaced the log meanwhile.
+            return Ok(());
+        };
+        let begun = Instant::now();
+        let bytes = state.len();
+        let snapshot = Snapshot {
+            index: meta.index,
+            term: meta.term,
+            members: sync::encode(&meta.membership)?.into(),
+            state,
+        };
+        self.journal.save_snapshot(&snapshot, index)?;
+        info!(
+            "journal: saved a snapshot of {bytes} bytes up to entry {index} in {:?}",
+            begun.elapsed()
+        );
+        // The entries since the previous snapshot stay in memory for members that lag a little.
+        let index = self.snapshot.replace(index).unwrap_or_default();
+        self.step(RaftInput::Compacted { index });
+        self.shared.update_status(|status| status.founding = None);
+        Ok(())
+    }
+
+    pub fn install(&mut self, meta: &SnapshotMeta, state: Bytes) -> Result<()> {
+        let restored = if state.is_empty() {
+            ControlState::default()
+        } else {
+            ControlState::restore(&state)?
+        };
+        let snapshot = Snapshot {
+            index: meta.index,
+            term: meta.term,
+            members: sync::encode(&meta.membership)?.into(),
+            state,
+        };
+        self.journal.install_snapshot(&snapshot)?;
+        info!(
+            "journal: installed the leader's snapshot up to entry {}",
+            meta.index
+        );
+        self.snapshot = Some(meta.index);
+        self.appended_bytes = 0;
+        self.applier.replace(meta.index, restored);
+        self.pending.replaced_by_snapshot(meta.index);
+        self.shared.update_status(|status| status.founding = None);
+        Ok(())
+    }
+}
--- a/tests/journal_damage.rs
+++ b/tests/journal_damage.rs
@@ -176,18 +176,21 @@
 #[test]
 fn a_damaged_log_is_moved_aside_and_the_voter_gets_a_new_identity() {
     let folder = TempDir::new().unwrap();
-    let data = DataFolder::open(folder.path()).unwrap();
-    let open = || data.open_journal(&"vm-1".into(), LIMITS).unwrap();
-    let (mut journal, first) = open();
+    let open = || {
+        let data = DataFolder::open(folder.path()).unwrap();
+        data.open_journal(&"vm-1".into(), LIMITS).unwrap()
+    };
+    let mut first = open();
     for index in 1..=5 {
-        append(&mut journal, index).unwrap();
+        append(&mut first.journal, index).unwrap();
     }
-    drop(journal);
-    assert_eq!(open().1.identity, first.identity);
+    let identity = first.recovered.identity.clone();
+    drop(first);
+    assert_eq!(open().recovered.identity, identity);
     let path = folder.path().join("journal/segment-00000000000000000001");
     flip_byte(&path, 100);
-    let (_, second) = open();
-    assert_ne!(second.identity.incarnation, first.identity.incarnation);
+    let second = open().recovered;
+    assert_ne!(second.identity.incarnation, identity.incarnation);
     assert!(second.entries.is_empty());
     assert!(folder.path().join("damaged-1/identity.json").exists());
 }
