--- a/src/place/demand.rs
+++ b/src/place/demand.rs
@@ -16,6 +16,8 @@
     pub rate: f64,
     /// Requests that wait now because no copy is resident.
     pub waiting: u64,
+    /// Time for which requests have waited without a break.
+    pub waited: Duration,
 }
 
 /// Smooths demand: fast on the way up, so that a burst finds copies, and slowly on the way down,
@@ -54,6 +56,10 @@
             let weight = if rate > demand.rate { rise } else { fall };
             demand.rate += (rate - demand.rate) * weight;
             demand.waiting = load.waiting;
+            demand.waited = match load.waiting {
+                0 => Duration::ZERO,
+                _ => demand.waited + elapsed,
+            };
             demand.rate > FORGOTTEN_RATE || demand.waiting > 0
         });
     }
@@ -62,8 +68,8 @@
     fn start(&mut self, loads: &BTreeMap<ModelId, ModelLoad>) {
         for (model, load) in loads {
             let demand = SmoothedDemand {
-                rate: 0.0,
                 waiting: load.waiting,
+                ..SmoothedDemand::default()
             };
             self.models.insert(model.clone(), demand);
         }
--- a/src/place/evict.rs
+++ b/src/place/evict.rs
@@ -15,6 +15,16 @@
 /// Time for which a copy takes no adapters while those that it carries are unloaded.
 const EVICTION_LIMIT: Duration = Duration::from_secs(10);
 
+/// Demand in tokens a second below which a copy counts as idle.
+const IDLE_RATE: f64 = 0.1;
+
+/// What room for a model may cost.
+#[derive(Clone, Copy, PartialEq)]
+enum Urgency {
+    IfItPays,
+    AtAnyCost,
+}
+
 /// A copy that could go, and what would be lost.
 struct EvictionCandidate {
     loss: f64,
@@ -32,16 +42,17 @@
     ) {
         self.evicting
             .retain(|_, since| now.saturating_sub(*since) < EVICTION_LIMIT);
-        let budget = match need.reason {
-            StepReason::Pinned => f64::MAX,
-            _ => (need.worth - self.rules.move_cost) / self.rules.hysteresis,
+        let urgency = self.urgency(need, now);
+        let budget = match urgency {
+            Urgency::AtAnyCost => f64::MAX,
+            Urgency::IfItPays => (need.worth - self.rules.move_cost) / self.rules.hysteresis,
         };
         let model = &need.model;
         let slots = mean_slots(&board.engines);
         let best = (0..board.engines.len())
             .filter(|engine| board.is_open(*engine) && !board.holds(*engine, &model.id))
             .filter_map(|engine| {
-                let candidates = self.candidates(need.reason, engine, index, board, slots, now);
+                let candidates = self.candidates(need, engine, index, board, slots, now);
                 cheapest_room(model, engine, &candidates, board)
             })
             .min_by(|a, b| a.loss.total_cmp(&b.loss));
@@ -51,6 +62,9 @@
         if loss > budget {
             return;
         }
+        if urgency == Urgency::AtAnyCost && need.reason == StepReason::Waiting {
+            self.forced_at = Some(now);
+        }
         let engine = board.engines[place.0].id.clone();
         self.evicting
             .insert((engine, board.copy(place).model.clone()), now);
@@ -59,6 +73,31 @@
         board.unload(adapter.unwrap_or(place), StepReason::Evicted);
     }
 
+    /// A fleet without memory for all its busy models would spend its time loading if each of them
+    /// could force its way in. One at a time may, the longest waiting first, so that all get a turn.
+    fn urgency(&self, need: &CopyNeed, now: Duration) -> Urgency {
+        let waited = self.demand.get(&need.model.id).waited;
+        let is_turn = self
+            .forced_at
+            .is_none_or(|at| now >= at + self.rules.patience);
+        match need.reason {
+            StepReason::Pinned => Urgency::AtAnyCost,
+            StepReason::Waiting if waited >= self.rules.patience && is_turn => Urgency::AtAnyCost,
+            _ => Urgency::IfItPays,
+        }
+    }
+
+    /// Time after its load for which a copy does not go for this need.
+    fn protected_for(&self, need: &CopyNeed, victim: &ModelId, now: Duration) -> Duration {
+        let is_idle = self.demand.get(victim).rate < IDLE_RATE;
+        match (need.reason, self.urgency(need, now)) {
+            (StepReason::Pinned, _) => Duration::ZERO,
+            (_, Urgency::AtAnyCost) => self.rules.min_idle_residency,
+            (_, Urgency::IfItPays) if is_idle => self.rules.min_idle_residency,
+            (_, Urgency::IfItPays) => self.rules.min_residency,
+        }
+    }
+
     /// Tells whether a copy is about to go.
     pub(super) fn is_evicting(&self, engine: &TargetId, model: &ModelId) -> bool {
         self.evicting.contains_key(&(engine.clone(), model.clone()))
@@ -67,7 +106,7 @@
     /// Lists the copies on an engine that may go, least loss first.
     fn candidates(
         &self,
-        reason: StepReason,
+        need: &CopyNeed,
         engine: usize,
         index: &FleetIndex,
         board: &PlacementBoard,
@@ -82,7 +121,7 @@
             };
             let first_seen = self.since.get(&(room.id.clone(), copy.model.clone()));
             let age = first_seen.map_or(Duration::ZERO, |first| now.saturating_sub(*first));
-            if age < self.rules.min_residency && reason != StepReason::Pinned {
+            if age < self.protected_for(need, &copy.model, now) {
                 continue;
             }
             let place = (engine, number);
@@ -97,7 +136,7 @@
             });
             let copies = board.lasting(&copy.model).count();
             // An extra copy of one model never makes another one cold.
-            if copies == 1 && reason == StepReason::Demand {
+            if copies == 1 && need.reason == StepReason::Demand {
                 continue;
             }
             let loss = self.worth_of_last(model, copies, slots) + adapter_rates.sum::<f64>();
--- a/src/place/planner.rs
+++ b/src/place/planner.rs
@@ -36,6 +36,8 @@
     pub(super) demand: DemandSmoother,
     /// When each copy was first seen.
     pub(super) since: HashMap<(TargetId, ModelId), Duration>,
+    /// When a waiting model last got room whatever it cost.
+    pub(super) forced_at: Option<Duration>,
     /// Copies whose adapters are being unloaded so that they can go, and when that was decided.
     pub(super) evicting: HashMap<(TargetId, ModelId), Duration>,
 }
@@ -55,6 +57,7 @@
             rules,
             demand: DemandSmoother::default(),
             since: HashMap::new(),
+            forced_at: None,
             evicting: HashMap::new(),
         }
     }
@@ -102,7 +105,9 @@
             .filter_map(|model| self.need(model, board, slots))
             .collect();
         needs.sort_by(|a, b| {
-            let rank = |need: &CopyNeed| (need.reason, Reverse(need.worth.to_bits()));
+            let waited = |need: &CopyNeed| self.demand.get(&need.model.id).waited;
+            let rank =
+                |need: &CopyNeed| (need.reason, Reverse((waited(need), need.worth.to_bits())));
             rank(a)
                 .cmp(&rank(b))
                 .then_with(|| a.model.id.cmp(&b.model.id))
--- a/src/place/rules.rs
+++ b/src/place/rules.rs
@@ -11,14 +11,20 @@
     pub hysteresis: f64,
     /// Worth, in tokens a second, that a copy must add to justify reading weights from the store.
     pub move_cost: f64,
-    /// Time for which a copy is not replaced after it was loaded.
+    /// Time for which a copy with demand is not replaced after it was loaded.
     pub min_residency: Duration,
+    /// The same for a copy without demand, and where a caller's patience is at its end. It is
+    /// about the time of a load, so that a copy serves at least as long as it took to load.
+    pub min_idle_residency: Duration,
     /// Time constant with which the demand estimate rises.
     pub rise: Duration,
     /// Time constant with which the demand estimate falls.
     pub fall: Duration,
     /// Worth of one request that waits for a cold model, in tokens a second.
     pub waiting_worth: f64,
+    /// Time after which a cold model that callers wait for gets room whatever it costs, so that
+    /// every model stays reachable. It leaves half of the default request timeout for the load.
+    pub patience: Duration,
     /// Steps in one plan, so that a plan is carried out before the demand it saw is history.
     pub max_steps: usize,
 }
@@ -28,12 +34,14 @@
         Self {
             seconds_per_token: 0.036,
             slot_utilisation: 0.6,
-            hysteresis: 1.5,
+            hysteresis: 2.0,
             move_cost: 5.0,
-            min_residency: Duration::from_secs(20),
+            min_residency: Duration::from_secs(60),
+            min_idle_residency: Duration::from_secs(20),
             rise: Duration::from_secs(2),
             fall: Duration::from_secs(300),
-            waiting_worth: 100.0,
+            waiting_worth: 5.0,
+            patience: Duration::from_secs(15),
             max_steps: 32,
         }
     }
