Let a waiting caller's model replace an idle one at once

Change: the cost of a move does not count when callers wait. Measurement: tests/place.rs passes, 10 tests; before, 9 of 10.

--- a/src/place/evict.rs
+++ b/src/place/evict.rs
@@ -45,6 +45,10 @@
         let urgency = self.urgency(need, now);
         let budget = match urgency {
             Urgency::AtAnyCost => f64::MAX,
+            // A caller who waits is worth a load in any case.
+            Urgency::IfItPays if need.reason == StepReason::Waiting => {
+                need.worth / self.rules.hysteresis
+            }
             Urgency::IfItPays => (need.worth - self.rules.move_cost) / self.rules.hysteresis,
         };
         let model = &need.model;
