Check the bound of the allowance in every window

Cause: P6 has to hold under lost, late, repeated and reordered messages, pauses, restarts, leader changes and limits that change under traffic. Change: a fleet with fake clocks and a faulty network; a checker that counts every admission on a global clock and checks every window. The checker finds a restart under the old incarnation, a new leader that grants at once, and an expiry that is checked before a pause.

--- a/src/allowance/granted_share.rs
+++ b/src/allowance/granted_share.rs
@@ -39,18 +39,18 @@
     }
 
     /// Takes over the counters of a report and returns how many tokens more were used and returned
-    /// than known. Reports of another epoch and older reports change nothing.
+    /// than known. Reports of another epoch and older reports change nothing, nor do counters that
+    /// no correct entry sends.
     pub fn absorb(&mut self, report: &ShareReport) -> (u64, u64) {
-        let is_sound = report.used.saturating_add(report.returned) <= self.granted;
-        if report.epoch != self.epoch || !is_sound {
+        let used = report.used.max(self.used);
+        let returned = report.returned.max(self.returned);
+        if report.epoch != self.epoch || used.saturating_add(returned) > self.granted {
             return (0, 0);
         }
-        let used = report.used.saturating_sub(self.used);
-        let returned = report.returned.saturating_sub(self.returned);
-        // An older report never has a greater counter, so the sum stays within `granted`.
-        self.used += used;
-        self.returned += returned;
-        (used, returned)
+        let change = (used - self.used, returned - self.returned);
+        self.used = used;
+        self.returned = returned;
+        change
     }
 
     /// Tokens granted that the entry had not seen when it reported.
--- /dev/null
+++ b/tests/allowance.rs
@@ -0,0 +1,229 @@
+//! Guards the bound of P6: tokens admitted over all entries never exceed burst + rate x window.
+
+mod allowance_world;
+
+use allowance_world::{AllowanceWorld, SeededFault, UseEvent, WindowChecker};
+use proptest::prelude::*;
+use rstest::rstest;
+use std::time::Duration;
+use waxwinglatch::{
+    allowance::{
+        AllowanceLedger, AllowanceShare, GRANT_OUTSTANDING, GRANT_VALIDITY, RateLimit, Reservation,
+    },
+    ids::{EntryKey, TeamId},
+};
+
+const STEPS: usize = 6000;
+
+fn run(seed: u64, entries: usize, fault: SeededFault) -> AllowanceWorld {
+    let mut world = AllowanceWorld::new(seed, entries, fault);
+    for _ in 0..STEPS {
+        world.step();
+    }
+    world
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 48, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards against any order of faults that lets entries use more than the bound.
+    #[test]
+    fn no_window_exceeds_the_bound(seed: u64, entries in 1_usize..8) {
+        let world = run(seed, entries, SeededFault::None);
+        prop_assert_eq!(world.excess(), 0);
+        for (committed, burst) in world.committed() {
+            prop_assert!(committed <= burst);
+        }
+    }
+}
+
+/// Guards against a schedule that tests nothing because nothing is admitted.
+#[test]
+fn seeded_schedules_admit_requests_within_the_bound() {
+    let worlds: Vec<_> = (0..40)
+        .map(|seed| run(seed, 4, SeededFault::None))
+        .collect();
+    assert_eq!(worlds.iter().map(AllowanceWorld::excess).max(), Some(0));
+    let admissions: usize = worlds.iter().map(AllowanceWorld::admissions).sum();
+    assert!(admissions > 40 * 50, "only {admissions} admissions");
+}
+
+/// Guards against a checker that cannot fail.
+#[rstest]
+#[case(SeededFault::NoGrace)]
+#[case(SeededFault::SameIncarnation)]
+fn the_checker_finds_a_seeded_fault(#[case] fault: SeededFault) {
+    let found = (0..40)
+        .filter(|seed| run(*seed, 4, fault).excess() > 0)
+        .count();
+    assert!(found > 0, "{fault:?} was not found");
+}
+
+/// Guards against a checker that credits returns of requests admitted before the window.
+#[test]
+fn the_checker_counts_returns_of_the_same_admission_only() {
+    let mut checker = WindowChecker::default();
+    checker.set_limit(Duration::ZERO, RateLimit { rate: 0, burst: 10 });
+    let second = Duration::from_secs;
+    checker.record(second(1), UseEvent::Admitted { id: 0, tokens: 10 });
+    checker.record(second(2), UseEvent::Returned { id: 0, tokens: 10 });
+    checker.record(second(3), UseEvent::Admitted { id: 1, tokens: 10 });
+    assert_eq!(checker.excess(Duration::ZERO), 0);
+    checker.record(second(4), UseEvent::Admitted { id: 2, tokens: 3 });
+    assert_eq!(checker.excess(Duration::ZERO), 3);
+}
+
+struct Pair {
+    ledger: AllowanceLedger,
+    share: AllowanceShare,
+    key: EntryKey,
+    team: TeamId,
+}
+
+impl Pair {
+    fn new(limit: RateLimit) -> Self {
+        let team = TeamId::from("counter");
+        let mut ledger = AllowanceLedger::new(1, Duration::ZERO);
+        ledger.set_limit(&team, limit, GRANT_OUTSTANDING);
+        let key = EntryKey {
+            vm: "vm-1".into(),
+            incarnation: 1,
+        };
+        Self {
+            ledger,
+            share: AllowanceShare::new(),
+            key,
+            team,
+        }
+    }
+
+    fn sync(&mut self, now: Duration) {
+        let report = self.share.report(now);
+        let grants = self.ledger.exchange(&self.key, &report, now);
+        self.share.accept(&grants, now);
+    }
+
+    fn obtain(&mut self, tokens: u64, now: Duration) -> u64 {
+        self.share.set_waiting(&self.team, tokens, tokens);
+        self.sync(now);
+        let Reservation::Granted(id) = self.share.reserve(&self.team, tokens, now) else {
+            panic!("{tokens} tokens were not granted");
+        };
+        self.share.set_waiting(&self.team, 0, 0);
+        id
+    }
+}
+
+const LIMIT: RateLimit = RateLimit {
+    rate: 10,
+    burst: 1000,
+};
+
+/// Guards against a paused process that uses a grant past its expiry.
+#[test]
+fn a_grant_is_void_at_the_moment_it_expires() {
+    let mut pair = Pair::new(LIMIT);
+    let start = Duration::from_secs(10);
+    let id = pair.obtain(300, start);
+    pair.share.settle(id, 0);
+    let late = pair.share.reserve(&pair.team, 300, start + GRANT_VALIDITY);
+    assert_eq!(late, Reservation::Short { lacking: 300 });
+}
+
+/// Uses all that two entries can get around a pause of the first, and returns the excess.
+fn excess_around_a_pause(checked_at: impl Fn(Duration, Duration) -> Duration) -> u64 {
+    let start = Duration::from_secs(10);
+    let resumed = start + Duration::from_secs(60);
+    let mut checker = WindowChecker::default();
+    checker.set_limit(Duration::ZERO, LIMIT);
+    let mut paused = Pair::new(LIMIT);
+    let id = paused.obtain(300, start);
+    paused.share.settle(id, 0);
+    paused.ledger.expire(start + GRANT_OUTSTANDING);
+    let mut other = Pair {
+        ledger: paused.ledger,
+        share: AllowanceShare::new(),
+        key: EntryKey {
+            vm: "vm-2".into(),
+            incarnation: 1,
+        },
+        team: paused.team.clone(),
+    };
+    other.obtain(1000, resumed);
+    checker.record(
+        resumed,
+        UseEvent::Admitted {
+            id: 0,
+            tokens: 1000,
+        },
+    );
+    let late = paused
+        .share
+        .reserve(&paused.team, 300, checked_at(start, resumed));
+    if let Reservation::Granted(_) = late {
+        checker.record(resumed, UseEvent::Admitted { id: 1, tokens: 300 });
+    }
+    checker.excess(Duration::ZERO)
+}
+
+/// Guards against a process that checks the expiry before a pause and uses the grant after it.
+#[test]
+fn a_paused_entry_stays_within_the_bound() {
+    assert_eq!(excess_around_a_pause(|_, resumed| resumed), 0);
+    assert_eq!(
+        excess_around_a_pause(|paused, _| paused),
+        300,
+        "the checker must find this"
+    );
+}
+
+/// Guards against teams that cost an entry memory after their last request, and against tokens of
+/// an idle team that stay away from other entries.
+#[test]
+fn an_idle_team_hands_everything_back_and_is_forgotten() {
+    let mut pair = Pair::new(LIMIT);
+    let start = Duration::from_secs(10);
+    let id = pair.obtain(1000, start);
+    pair.share.settle(id, 0);
+    for step in 1..=6 {
+        pair.sync(start + Duration::from_millis(400) * step);
+    }
+    assert_eq!(pair.share.active_teams(), 0);
+    assert_eq!(pair.ledger.committed(&pair.team), 1000);
+    pair.obtain(1000, start + Duration::from_secs(4));
+}
+
+/// Guards against idle tokens at one entry that keep a request at another waiting.
+#[test]
+fn tokens_held_elsewhere_are_recalled_for_a_waiting_request() {
+    let mut first = Pair::new(RateLimit {
+        rate: 1,
+        burst: 1000,
+    });
+    let start = Duration::from_secs(10);
+    for step in 0..8 {
+        let id = first.obtain(100, start + Duration::from_millis(step));
+        first.share.settle(id, 0);
+    }
+    first.sync(start + Duration::from_millis(10));
+    let mut second = Pair {
+        ledger: first.ledger,
+        share: AllowanceShare::new(),
+        key: EntryKey {
+            vm: "vm-2".into(),
+            incarnation: 1,
+        },
+        team: first.team.clone(),
+    };
+    second.share.set_waiting(&second.team, 900, 900);
+    second.sync(start + Duration::from_millis(20));
+    let refused = second
+        .share
+        .reserve(&second.team, 900, start + Duration::from_millis(20));
+    assert!(matches!(refused, Reservation::Short { .. }));
+    first.ledger = second.ledger;
+    first.sync(start + Duration::from_millis(30));
+    first.sync(start + Duration::from_millis(40));
+    second.ledger = first.ledger;
+    second.obtain(900, start + Duration::from_millis(50));
+}
