Add the weighted fair queue

Cause: one team's flood must not delay other teams, on any entry. Change: start-time fair queuing over teams by tokens, priorities with aging within a team, charges for service received elsewhere, bounds, and refusal of items that cannot meet their deadline.

--- /dev/null
+++ b/src/fair.rs
@@ -0,0 +1,22 @@
+//! Weighted fair queue over teams with priorities within a team; see docs/design.md, section 9,
+//! and docs/policy.md.
+
+mod limits;
+mod queue;
+mod refusal;
+mod service_rate;
+mod team_queue;
+
+use std::time::Duration;
+
+pub use limits::FairLimits;
+pub use queue::{FairQueue, TicketId};
+pub use refusal::{PushRefusal, RefusedItem};
+
+/// Highest priority of a request; 0 is the lowest.
+pub const HIGHEST_PRIORITY: u8 = 9;
+
+/// A request of one priority less is served as if it had arrived this much later. An item of the
+/// lowest priority is therefore overtaken only by items of its team that arrive within
+/// `9 x AGING_STEP` = 27 s after it.
+pub const AGING_STEP: Duration = Duration::from_secs(3);
--- /dev/null
+++ b/src/fair/queue.rs
@@ -0,0 +1,306 @@
+use std::{
+    collections::{BTreeSet, HashMap},
+    time::Duration,
+};
+
+use super::{
+    FairLimits, HIGHEST_PRIORITY, PushRefusal, RefusedItem,
+    service_rate::ServiceRate,
+    team_queue::{AgedKey, QueuedItem, TeamQueue},
+};
+use crate::ids::TeamId;
+
+/// Names an item of one queue.
+pub type TicketId = u64;
+
+/// Units of virtual time for one token at weight 1; keeps rounding far below a token.
+const TAG_SCALE: u128 = 1 << 32;
+
+/// An item is refused early only if the expected wait exceeds the time left by this factor, since
+/// a wrong refusal costs more than a late one.
+const REFUSAL_MARGIN: f64 = 1.25;
+
+/// Start-time fair queue over the teams of one capacity pool.
+///
+/// A team's items are served from the start tag of the team on; each item moves the tag by
+/// `cost / weight`. Virtual time is the tag of the item served last. Service that a team receives
+/// elsewhere moves its tag too, so that shares hold over the fleet. All operations are O(log n).
+#[derive(Debug)]
+pub struct FairQueue<T> {
+    limits: FairLimits,
+    teams: HashMap<TeamId, TeamQueue<T>>,
+    /// Teams with waiting items, by start tag.
+    ready: BTreeSet<(u128, TeamId)>,
+    /// Teams without waiting items whose tag is ahead of virtual time; others are forgotten.
+    idle: BTreeSet<(u128, TeamId)>,
+    deadlines: BTreeSet<(Duration, TicketId)>,
+    places: HashMap<TicketId, (TeamId, AgedKey)>,
+    expired: Vec<T>,
+    virtual_time: u128,
+    ready_weight: u64,
+    rate: ServiceRate,
+    last_id: TicketId,
+}
+
+impl<T> FairQueue<T> {
+    /// Returns an empty queue.
+    #[must_use]
+    pub fn new(limits: FairLimits) -> Self {
+        Self {
+            limits,
+            teams: HashMap::new(),
+            ready: BTreeSet::new(),
+            idle: BTreeSet::new(),
+            deadlines: BTreeSet::new(),
+            places: HashMap::new(),
+            expired: Vec::new(),
+            virtual_time: 0,
+            ready_weight: 0,
+            rate: ServiceRate::default(),
+            last_id: 0,
+        }
+    }
+
+    /// Queues an item of `cost` tokens. `weight` is at least 1; priorities above
+    /// [`HIGHEST_PRIORITY`] count as that.
+    ///
+    /// # Errors
+    /// [`RefusedItem`] when a bound is reached or the deadline cannot be met.
+    #[allow(clippy::too_many_arguments)] // One request; a struct would be built for each call.
+    pub fn push(
+        &mut self,
+        team: &TeamId,
+        weight: u32,
+        priority: u8,
+        cost: u64,
+        deadline: Duration,
+        now: Duration,
+        item: T,
+    ) -> Result<TicketId, RefusedItem<T>> {
+        let weight = weight.max(1);
+        let priority = priority.min(HIGHEST_PRIORITY);
+        let reason = if self.teams.get(team).map_or(0, TeamQueue::len) >= self.limits.team_items {
+            Some(PushRefusal::TeamFull)
+        } else if self.places.len() >= self.limits.total_items {
+            Some(PushRefusal::QueueFull)
+        } else if self.is_too_late(team, weight, priority, deadline, now) {
+            Some(PushRefusal::TooLate)
+        } else {
+            None
+        };
+        if let Some(reason) = reason {
+            return Err(RefusedItem { reason, item });
+        }
+        self.detach(team);
+        let virtual_time = self.virtual_time;
+        let queue = self
+            .teams
+            .entry(team.clone())
+            .or_insert_with(|| TeamQueue::new(weight, virtual_time));
+        queue.weight = weight;
+        if queue.is_empty() {
+            queue.tag = queue.tag.max(virtual_time);
+        }
+        self.last_id += 1;
+        let queued = QueuedItem {
+            item,
+            cost,
+            priority,
+            deadline,
+        };
+        let key = queue.push(self.last_id, queued, now);
+        self.deadlines.insert((deadline, self.last_id));
+        self.places.insert(self.last_id, (team.clone(), key));
+        self.attach(team);
+        self.rate.start(now);
+        Ok(self.last_id)
+    }
+
+    /// Takes the item that is to be served next. Items past their deadline are set aside for
+    /// [`Self::drain_expired`].
+    pub fn pop(&mut self, now: Duration) -> Option<T> {
+        self.expire(now);
+        let (_, team) = self.ready.first()?.clone();
+        self.detach(&team);
+        let queue = self.teams.get_mut(&team)?;
+        let ((_, id), served) = queue.pop()?;
+        self.virtual_time = self.virtual_time.max(queue.tag);
+        queue.tag += scaled(served.cost, queue.weight);
+        self.attach(&team);
+        self.places.remove(&id);
+        self.deadlines.remove(&(served.deadline, id));
+        self.rate.record(served.cost, !self.places.is_empty(), now);
+        self.forget_idle();
+        Some(served.item)
+    }
+
+    /// Takes an item out of the queue, for example because its caller is gone.
+    pub fn cancel(&mut self, ticket: TicketId) -> Option<T> {
+        let removed = self.remove(ticket);
+        self.stop_if_empty();
+        removed
+    }
+
+    /// Takes the items whose deadline has passed; none of them was served.
+    pub fn drain_expired(&mut self, now: Duration) -> Vec<T> {
+        self.expire(now);
+        std::mem::take(&mut self.expired)
+    }
+
+    /// Accounts for tokens that teams, with their weights, were served elsewhere in the fleet.
+    ///
+    /// All charges of a sync are given at once: a team falls behind the others here by at most
+    /// [`FairLimits::lead_tokens`] per unit of weight, and what all of them received is no lead.
+    pub fn charge_elsewhere(&mut self, charges: &[(TeamId, u32, u64)]) {
+        let virtual_time = self.virtual_time;
+        for (team, weight, tokens) in charges {
+            self.detach(team);
+            let weight = (*weight).max(1);
+            let queue = self
+                .teams
+                .entry(team.clone())
+                .or_insert_with(|| TeamQueue::new(weight, virtual_time));
+            queue.tag = queue.tag.max(virtual_time) + scaled(*tokens, weight);
+            self.attach(team);
+        }
+        let first = self.ready.first().or_else(|| self.idle.first());
+        let least = first.map_or(virtual_time, |(tag, _)| *tag);
+        self.virtual_time = virtual_time.max(least);
+        let most = self.virtual_time + scaled(self.limits.lead_tokens, 1);
+        for (team, ..) in charges {
+            if self.teams.get(team).is_some_and(|queue| queue.tag > most) {
+                self.move_tag(team, most);
+            }
+        }
+        self.forget_idle();
+    }
+
+    /// Accounts for an item that used fewer tokens than its cost. The team's tag moves back, but
+    /// not behind virtual time.
+    pub fn refund(&mut self, team: &TeamId, tokens: u64) {
+        let Some(queue) = self.teams.get(team) else {
+            return;
+        };
+        let refunded = queue.tag.saturating_sub(scaled(tokens, queue.weight));
+        let tag = queue.tag.min(refunded.max(self.virtual_time));
+        self.move_tag(team, tag);
+        self.forget_idle();
+    }
+
+    /// Number of items that wait.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.places.len()
+    }
+
+    /// Tells whether no item waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.places.is_empty()
+    }
+
+    /// Number of teams that cost memory at present.
+    #[must_use]
+    pub fn known_teams(&self) -> usize {
+        self.teams.len()
+    }
+
+    /// The expected wait is the team's tokens at this priority and above over the team's share of
+    /// the measured service rate.
+    #[allow(clippy::cast_precision_loss)] // A rounding error of the estimate is harmless.
+    fn is_too_late(
+        &self,
+        team: &TeamId,
+        weight: u32,
+        priority: u8,
+        deadline: Duration,
+        now: Duration,
+    ) -> bool {
+        if deadline <= now {
+            return true;
+        }
+        let Some(rate) = self.rate.per_second() else {
+            return false;
+        };
+        let queue = self.teams.get(team).filter(|queue| !queue.is_empty());
+        let ahead = queue.map_or(0, |queue| queue.tokens_from(priority));
+        let own = queue.map_or(0, |queue| u64::from(queue.weight));
+        let all = self.ready_weight - own + u64::from(weight);
+        let share = rate * f64::from(weight) / all as f64;
+        ahead as f64 / share > deadline.saturating_sub(now).as_secs_f64() * REFUSAL_MARGIN
+    }
+
+    fn expire(&mut self, now: Duration) {
+        while let Some((deadline, id)) = self.deadlines.first().copied()
+            && deadline <= now
+        {
+            let expired = self.remove(id);
+            self.expired.extend(expired);
+        }
+        self.stop_if_empty();
+    }
+
+    fn remove(&mut self, ticket: TicketId) -> Option<T> {
+        let (team, key) = self.places.remove(&ticket)?;
+        self.detach(&team);
+        let removed = self.teams.get_mut(&team)?.remove(&key)?;
+        self.attach(&team);
+        self.deadlines.remove(&(removed.deadline, ticket));
+        self.forget_idle();
+        Some(removed.item)
+    }
+
+    fn stop_if_empty(&mut self) {
+        if self.places.is_empty() {
+            self.rate.stop();
+        }
+    }
+
+    /// Takes a team out of the ordered sets before its tag, weight or items change.
+    fn detach(&mut self, team: &TeamId) {
+        let Some(queue) = self.teams.get(team) else {
+            return;
+        };
+        let place = (queue.tag, team.clone());
+        if self.ready.remove(&place) {
+            self.ready_weight -= u64::from(queue.weight);
+        } else {
+            self.idle.remove(&place);
+        }
+    }
+
+    fn move_tag(&mut self, team: &TeamId, tag: u128) {
+        self.detach(team);
+        if let Some(queue) = self.teams.get_mut(team) {
+            queue.tag = tag;
+        }
+        self.attach(team);
+    }
+
+    fn attach(&mut self, team: &TeamId) {
+        let Some(queue) = self.teams.get(team) else {
+            return;
+        };
+        let place = (queue.tag, team.clone());
+        if queue.is_empty() {
+            self.idle.insert(place);
+        } else {
+            self.ready_weight += u64::from(queue.weight);
+            self.ready.insert(place);
+        }
+    }
+
+    fn forget_idle(&mut self) {
+        while let Some((tag, _)) = self.idle.first()
+            && *tag <= self.virtual_time
+        {
+            if let Some((_, team)) = self.idle.pop_first() {
+                self.teams.remove(&team);
+            }
+        }
+    }
+}
+
+fn scaled(tokens: u64, weight: u32) -> u128 {
+    u128::from(tokens) * TAG_SCALE / u128::from(weight)
+}
--- /dev/null
+++ b/src/fair/team_queue.rs
@@ -0,0 +1,69 @@
+use std::{collections::BTreeMap, time::Duration};
+
+use super::{AGING_STEP, HIGHEST_PRIORITY};
+
+/// Place of an item within its team: its arrival, later by [`AGING_STEP`] per priority level.
+pub(super) type AgedKey = (Duration, u64);
+
+#[derive(Debug)]
+pub(super) struct QueuedItem<T> {
+    pub item: T,
+    pub cost: u64,
+    pub priority: u8,
+    pub deadline: Duration,
+}
+
+/// The waiting items of one team.
+#[derive(Debug)]
+pub(super) struct TeamQueue<T> {
+    pub weight: u32,
+    /// Start tag of the next item, in virtual time.
+    pub tag: u128,
+    items: BTreeMap<AgedKey, QueuedItem<T>>,
+    /// Waiting tokens per priority.
+    waiting: [u64; HIGHEST_PRIORITY as usize + 1],
+}
+
+impl<T> TeamQueue<T> {
+    pub fn new(weight: u32, tag: u128) -> Self {
+        Self {
+            weight,
+            tag,
+            items: BTreeMap::new(),
+            waiting: [0; HIGHEST_PRIORITY as usize + 1],
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.items.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.items.is_empty()
+    }
+
+    /// Tokens that wait at this priority and above.
+    pub fn tokens_from(&self, priority: u8) -> u64 {
+        self.waiting[usize::from(priority)..].iter().sum()
+    }
+
+    pub fn push(&mut self, id: u64, item: QueuedItem<T>, now: Duration) -> AgedKey {
+        let levels = u32::from(HIGHEST_PRIORITY - item.priority);
+        let key = (now + AGING_STEP * levels, id);
+        self.waiting[usize::from(item.priority)] += item.cost;
+        self.items.insert(key, item);
+        key
+    }
+
+    pub fn pop(&mut self) -> Option<(AgedKey, QueuedItem<T>)> {
+        let (key, item) = self.items.pop_first()?;
+        self.waiting[usize::from(item.priority)] -= item.cost;
+        Some((key, item))
+    }
+
+    pub fn remove(&mut self, key: &AgedKey) -> Option<QueuedItem<T>> {
+        let item = self.items.remove(key)?;
+        self.waiting[usize::from(item.priority)] -= item.cost;
+        Some(item)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod dev;
 pub mod entry;
 pub mod error;
+pub mod fair;
 pub mod fake;
 pub mod fleet;
 pub mod ids;
