Add the replica table and the retry budget

Cause: a target must be chosen by load, cached prefix and distance, and slow or failing targets must be left out. Measurement: none yet.

--- /dev/null
+++ b/src/route.rs
@@ -0,0 +1,25 @@
+//! Choice of a target for a request; see docs/design.md, section 10, and docs/policy.md.
+
+mod belief;
+mod choice;
+mod choose;
+mod health;
+mod load;
+mod outlier;
+mod pool;
+mod replica;
+mod request;
+mod retry;
+mod table;
+mod tuning;
+
+pub use belief::PrefixBelief;
+pub use choice::RouteChoice;
+pub use health::HealthState;
+pub use load::{LoadEstimate, LoadReport};
+pub use pool::PoolId;
+pub use replica::{Availability, ReplicaSpec};
+pub use request::{Exchange, PrefixBlock, RouteRequest};
+pub use retry::RetryBudget;
+pub use table::ReplicaTable;
+pub use tuning::RouteTuning;
--- /dev/null
+++ b/src/route/load.rs
@@ -0,0 +1,74 @@
+use std::{collections::VecDeque, time::Duration};
+
+/// Longest memory of own sends and ends per target; older ones are in every later report.
+const LONGEST_LOG: usize = 256;
+
+/// Load that a target reported.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait inside the target.
+    pub queued: u32,
+    /// Moment that the report describes, on this entry's clock.
+    pub at: Duration,
+}
+
+/// Estimate of the requests at one target: the last report and what this entry did since.
+#[derive(Debug, Default)]
+pub struct LoadEstimate {
+    report: LoadReport,
+    in_flight: u32,
+    sends: VecDeque<Duration>,
+    ends: VecDeque<Duration>,
+}
+
+impl LoadEstimate {
+    /// Takes over a report; older reports than the current one change nothing.
+    pub fn report(&mut self, report: LoadReport) {
+        if report.at < self.report.at {
+            return;
+        }
+        self.report = report;
+        for log in [&mut self.sends, &mut self.ends] {
+            while log.front().is_some_and(|at| *at <= report.at) {
+                log.pop_front();
+            }
+        }
+    }
+
+    /// Counts a request sent by this entry.
+    pub fn send(&mut self, now: Duration) {
+        self.in_flight += 1;
+        log(&mut self.sends, now);
+    }
+
+    /// Counts a request of this entry that has ended.
+    pub fn end(&mut self, now: Duration) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        log(&mut self.ends, now);
+    }
+
+    /// Requests of this entry that have not ended.
+    #[must_use]
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Returns the expected number of requests at the target. `scale` is how many requests of all
+    /// entries one of this entry's stands for.
+    #[must_use]
+    #[allow(clippy::cast_precision_loss)] // Counts are far below 2^24.
+    pub fn requests(&self, scale: f32) -> f32 {
+        let reported = (self.report.running + self.report.queued) as f32;
+        let change = self.sends.len() as f32 - self.ends.len() as f32;
+        (reported + change * scale).max(self.in_flight as f32)
+    }
+}
+
+fn log(moments: &mut VecDeque<Duration>, now: Duration) {
+    if moments.len() == LONGEST_LOG {
+        moments.pop_front();
+    }
+    moments.push_back(now);
+}
--- /dev/null
+++ b/src/route/table.rs
@@ -0,0 +1,222 @@
+use std::{collections::HashMap, time::Duration};
+
+use smallvec::SmallVec;
+
+use super::{
+    Availability, Exchange, HealthState, LoadEstimate, LoadReport, PoolId, PrefixBelief,
+    PrefixBlock, ReplicaSpec, RouteChoice, RouteTuning, belief::PrefixHolder, health::TargetHealth,
+    replica::Replica,
+};
+use crate::ids::{DataCentreId, TargetId};
+
+/// Prefixes of a prompt that are looked up; bounds the time of a choice.
+pub(super) const LONGEST_PREFIX: usize = 16;
+/// Distance to a data centre that the settings do not name.
+const UNKNOWN_DISTANCE_MS: f32 = 2.0;
+
+/// What an entry knows of the targets, and the choice between them.
+#[derive(Debug)]
+pub struct ReplicaTable {
+    pub(super) tuning: RouteTuning,
+    distances: HashMap<DataCentreId, f32>,
+    pub(super) replicas: Vec<Option<Replica>>,
+    vacant: Vec<u32>,
+    places: HashMap<TargetId, u32>,
+    pub(super) pools: HashMap<PoolId, Vec<u32>>,
+    pub(super) belief: PrefixBelief,
+    /// Requests of all entries that one send of this entry stands for.
+    pub(super) scale: f32,
+    last_generation: u32,
+}
+
+impl ReplicaTable {
+    /// Returns an empty table. `distances` are round trips from this entry to data centres.
+    #[must_use]
+    pub fn new(tuning: RouteTuning, distances: &[(DataCentreId, Duration)]) -> Self {
+        let in_ms =
+            |(name, time): &(DataCentreId, Duration)| (name.clone(), time.as_secs_f32() * 1000.0);
+        Self {
+            distances: distances.iter().map(in_ms).collect(),
+            belief: PrefixBelief::new(tuning.belief_capacity),
+            tuning,
+            replicas: Vec::new(),
+            vacant: Vec::new(),
+            places: HashMap::new(),
+            pools: HashMap::new(),
+            scale: 1.0,
+            last_generation: 0,
+        }
+    }
+
+    /// Sets the number of live entries that share the targets.
+    #[allow(clippy::cast_precision_loss)] // Counts are far below 2^24.
+    pub fn set_entries(&mut self, entries: usize) {
+        self.scale = (entries.max(1) as f32).powf(self.tuning.others_exponent);
+    }
+
+    /// Adds a target or changes its slots, data centre and pools; load and health stay.
+    #[allow(clippy::cast_precision_loss)] // Slots are far below 2^24.
+    pub fn upsert(&mut self, spec: &ReplicaSpec) {
+        let distance_ms = *self
+            .distances
+            .get(&spec.data_centre)
+            .unwrap_or(&UNKNOWN_DISTANCE_MS);
+        let index = self.place_of(&spec.target);
+        let slots = spec.slots.max(1) as f32;
+        let former = match &mut self.replicas[index as usize] {
+            Some(replica) => {
+                replica.slots = slots;
+                replica.distance_ms = distance_ms;
+                std::mem::replace(&mut replica.pools, spec.pools.iter().cloned().collect())
+            }
+            vacant @ None => {
+                self.last_generation += 1;
+                *vacant = Some(Replica {
+                    target: spec.target.clone(),
+                    slots,
+                    distance_ms,
+                    availability: Availability::Up,
+                    cache_horizon: None,
+                    load: LoadEstimate::default(),
+                    health: TargetHealth::new(),
+                    pools: spec.pools.iter().cloned().collect(),
+                    generation: self.last_generation,
+                });
+                SmallVec::new()
+            }
+        };
+        for (pool, _) in &former {
+            self.leave_pool(pool, index);
+        }
+        for (pool, _) in &spec.pools {
+            self.pools.entry(pool.clone()).or_default().push(index);
+        }
+    }
+
+    /// Removes a target.
+    pub fn remove(&mut self, target: &TargetId) {
+        let Some(index) = self.places.remove(target) else {
+            return;
+        };
+        if let Some(replica) = self.replicas[index as usize].take() {
+            for (pool, _) in &replica.pools {
+                self.leave_pool(pool, index);
+            }
+        }
+        self.vacant.push(index);
+    }
+
+    /// Sets whether a target takes new requests.
+    pub fn set_availability(&mut self, target: &TargetId, availability: Availability) {
+        if let Some(replica) = self.replica_mut(target) {
+            replica.availability = availability;
+        }
+    }
+
+    /// Takes over a load report of a target.
+    pub fn report(&mut self, target: &TargetId, report: LoadReport) {
+        if let Some(replica) = self.replica_mut(target) {
+            replica.load.report(report);
+        }
+    }
+
+    /// Counts a request that is sent to a target. Every call is followed by one of [`Self::end`].
+    pub fn send(&mut self, target: &TargetId, now: Duration) {
+        if let Some(replica) = self.replica_mut(target) {
+            replica.load.send(now);
+            replica.health.send(now);
+        }
+    }
+
+    /// Notes how the start of an exchange went. A target that fails or is slow is ejected, unless
+    /// a third of one of its pools is ejected already.
+    pub fn observe(&mut self, target: &TargetId, exchange: Exchange, now: Duration) {
+        let Some(index) = self.places.get(target).copied() else {
+            return;
+        };
+        if let Some(replica) = &mut self.replicas[index as usize] {
+            replica.health.observe(exchange, now);
+        }
+        self.eject_outlier(index, now);
+    }
+
+    /// Counts a request that has ended.
+    pub fn end(&mut self, target: &TargetId, now: Duration) {
+        if let Some(replica) = self.replica_mut(target) {
+            replica.load.end(now);
+        }
+    }
+
+    /// Notes that a prompt was sent to a target, which will have its prefixes in the cache.
+    pub fn learn(&mut self, target: &TargetId, prefix: &[PrefixBlock], now: Duration) {
+        let Some(index) = self.places.get(target).copied() else {
+            return;
+        };
+        let Some(replica) = &self.replicas[index as usize] else {
+            return;
+        };
+        let holder = PrefixHolder {
+            replica: index,
+            generation: replica.generation,
+            seen_at: now,
+        };
+        for block in prefix.iter().take(LONGEST_PREFIX) {
+            self.belief.add(block.hash, holder);
+        }
+    }
+
+    /// Takes over how many prompt tokens a target found in its cache. Caches drop what was not
+    /// used for longest: if less than half of what was believed is there, the target has dropped
+    /// everything last used before the evidence for it.
+    pub fn correct(&mut self, choice: &RouteChoice, cached_tokens: u32) {
+        let Some((believed, seen_at)) = choice.evidence else {
+            return;
+        };
+        if cached_tokens >= believed / 2 {
+            return;
+        }
+        if let Some(replica) = self.replica_mut(&choice.target) {
+            replica.cache_horizon = replica.cache_horizon.max(Some(seen_at));
+        }
+    }
+
+    /// Notes that a target has dropped a prefix from its cache, or turned out not to have it.
+    pub fn forget(&mut self, target: &TargetId, hash: u64) {
+        if let Some(index) = self.places.get(target) {
+            self.belief.remove(hash, *index);
+        }
+    }
+
+    /// Returns the health of a target.
+    #[must_use]
+    pub fn health(&self, target: &TargetId) -> Option<HealthState> {
+        let index = self.places.get(target)?;
+        Some(self.replicas[*index as usize].as_ref()?.health.state)
+    }
+
+    fn place_of(&mut self, target: &TargetId) -> u32 {
+        if let Some(index) = self.places.get(target) {
+            return *index;
+        }
+        let index = self.vacant.pop().unwrap_or_else(|| {
+            self.replicas.push(None);
+            u32::try_from(self.replicas.len() - 1).unwrap_or(u32::MAX)
+        });
+        self.places.insert(target.clone(), index);
+        index
+    }
+
+    fn leave_pool(&mut self, pool: &PoolId, index: u32) {
+        if let Some(members) = self.pools.get_mut(pool) {
+            members.retain(|member| *member != index);
+            if members.is_empty() {
+                self.pools.remove(pool);
+            }
+        }
+    }
+
+    fn replica_mut(&mut self, target: &TargetId) -> Option<&mut Replica> {
+        let index = self.places.get(target)?;
+        self.replicas[*index as usize].as_mut()
+    }
+}
--- /dev/null
+++ b/src/route/tuning.rs
@@ -0,0 +1,38 @@
+use std::time::Duration;
+
+/// Constants of the choice. The defaults come from docs/policy.md, section "Routing".
+#[derive(Clone, Copy, Debug)]
+pub struct RouteTuning {
+    /// Candidates that are scored, besides those believed to have the prefix.
+    pub sample: usize,
+    /// Candidates drawn from these, weighted by score; the better one wins.
+    pub draws: usize,
+    /// Cost difference at which the weight of a candidate falls by e, in milliseconds.
+    pub temperature_ms: f32,
+    /// A send of this entry since a report counts `entries^exponent` times, for the sends of
+    /// others that the report does not contain either.
+    pub others_exponent: f32,
+    /// Time after which a belief about a cached prefix counts half.
+    pub belief_half_life: Duration,
+    /// Time to process one prompt token that is not cached, in milliseconds.
+    pub prefill_ms_per_token: f32,
+    /// Time that a request occupies a slot, in milliseconds.
+    pub slot_ms: f32,
+    /// Prefixes remembered over all pools.
+    pub belief_capacity: usize,
+}
+
+impl Default for RouteTuning {
+    fn default() -> Self {
+        Self {
+            sample: 8,
+            draws: 2,
+            temperature_ms: 20.0,
+            others_exponent: 0.5,
+            belief_half_life: Duration::from_secs(60),
+            prefill_ms_per_token: 0.1,
+            slot_ms: 1000.0,
+            belief_capacity: 32_768,
+        }
+    }
+}
