--- a/src/route.rs
+++ b/src/route.rs
@@ -13,7 +13,7 @@
 mod table;
 mod tuning;
 
-pub use belief::PrefixBelief;
+pub use belief::{PrefixBelief, PrefixHolder};
 pub use choice::RouteChoice;
 pub use health::HealthState;
 pub use load::{LoadEstimate, LoadReport};
