--- a/src/control/hub.rs
+++ b/src/control/hub.rs
@@ -1,102 +1,334 @@
 use std::{
-    collections::BTreeMap,
-    sync::{Mutex, PoisonError},
+    collections::{BTreeMap, BTreeSet, HashMap},
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
 };
 
+use spdlog::prelude::*;
 use tokio::sync::watch;
 
 use crate::{
-    ids::TargetId,
-    state::ControlState,
-    sync::{ConfigSection, EngineReport, ResidencySection, ResidentModel, SyncReply, SyncRequest},
+    allowance::{AllowanceLedger, RateLimit, ShareGrant},
+    border::{FleetConfig, TargetConfig, TargetKind},
+    hub::{
+        DemandTable, EntryRegistry, ModelLoad, ReportTable, ResidencyLog, ServedTable,
+        TargetHealth, assign_reporter,
+    },
+    ids::{EntryKey, Fingerprint, ModelId, Revision, TargetId, TeamId, Term},
+    state::{BlockState, ControlState},
+    sync::{
+        ConfigSection, CrashSection, EngineReport, ResidentModel, SyncReply, SyncRequest,
+        TargetLoad,
+    },
     voter::{LeaderLease, VoterHandle},
 };
 
-/// Soft state that the leader keeps about entries and engines.
+/// Soft state that the leader keeps about entries and engines, and the replies made from it.
 pub struct SyncHub {
     voter: VoterHandle,
-    residency: Mutex<ResidencyTable>,
+    started: Instant,
+    tables: Mutex<HubTables>,
     changes: watch::Sender<u64>,
 }
 
-#[derive(Default)]
-struct ResidencyTable {
-    version: u64,
-    copies: Vec<ResidentModel>,
+/// Tables of one term; a new term starts with empty ones.
+struct HubTables {
+    term: Term,
+    registry: EntryRegistry,
+    demand: DemandTable,
+    reports: ReportTable,
+    residency: ResidencyLog,
+    served: ServedTable,
+    ledger: AllowanceLedger,
+    /// Revision whose limits the ledger has.
+    limits_of: Revision,
+    /// Teams that have a limit in the ledger.
+    limited: Vec<TeamId>,
+    /// Loads that each entry was told last.
+    told: HashMap<EntryKey, HashMap<TargetId, (u32, u32)>>,
+}
+
+impl HubTables {
+    fn new(term: Term, now: Duration) -> Self {
+        Self {
+            term,
+            registry: EntryRegistry::default(),
+            demand: DemandTable::default(),
+            reports: ReportTable::default(),
+            residency: ResidencyLog::new(term),
+            served: ServedTable::default(),
+            ledger: AllowanceLedger::new(term, now),
+            limits_of: 0,
+            limited: Vec::new(),
+            told: HashMap::new(),
+        }
+    }
 }
 
 impl SyncHub {
+    /// Starts with empty tables.
+    #[must_use]
     pub fn new(voter: VoterHandle) -> Self {
         Self {
             voter,
-            residency: Mutex::default(),
+            started: Instant::now(),
+            tables: Mutex::new(HubTables::new(0, Duration::ZERO)),
             changes: watch::channel(0).0,
         }
     }
 
-    /// Derives the residency table from the engines' reports.
-    pub fn record_reports(&self, reports: &BTreeMap<TargetId, EngineReport>) {
-        let ready = |target: &TargetId, report: &EngineReport| {
-            let copies = report.copies.iter().filter(|copy| copy.ready);
-            copies
-                .map(|copy| ResidentModel {
-                    target: target.clone(),
-                    model: copy.model.clone(),
-                    version: copy.version.clone(),
-                })
-                .collect::<Vec<_>>()
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// Locks the tables of the term; tables of an earlier term are dropped.
+    fn tables(&self, term: Term) -> MutexGuard<'_, HubTables> {
+        let mut tables = self.tables.lock().unwrap_or_else(PoisonError::into_inner);
+        if tables.term < term {
+            *tables = HubTables::new(term, self.now());
+        }
+        tables
+    }
+
+    /// Records what an entry told, before its sync is held, and tells whether there is allowance
+    /// that it waits for.
+    pub fn record(&self, request: &mut SyncRequest, lease: LeaderLease) -> bool {
+        let now = self.now();
+        let mut tables = self.tables(lease.term);
+        let entry = tables.registry.record(request, now);
+        tables.demand.record(&entry, &request.demand, now);
+        tables.reports.observe(&request.observations);
+        tables
+            .reports
+            .record(std::mem::take(&mut request.reports), now);
+        tables.served.record(&entry, &request.shares);
+        self.refresh_residency(&mut tables);
+        self.refresh_limits(&mut tables);
+        let grants = tables.ledger.exchange(&entry, &request.shares, now);
+        let held =
+            |grant: &ShareGrant| request.shares.iter().find(|share| share.team == grant.team);
+        grants
+            .iter()
+            .any(|grant| held(grant).is_some_and(|share| grant.granted > share.granted))
+    }
+
+    /// Gives the ledger the limits of the revision in force.
+    fn refresh_limits(&self, tables: &mut HubTables) {
+        let (revision, Some(config)) = self.voter.local(ControlState::config) else {
+            return;
         };
-        let copies: Vec<_> = reports
+        if tables.limits_of == revision {
+            return;
+        }
+        let now = self.now();
+        let limits: HashMap<&TeamId, RateLimit> = config
+            .teams
             .iter()
-            .flat_map(|(target, report)| ready(target, report))
+            .map(|team| (&team.id, RateLimit::from(team)))
             .collect();
-        let mut table = self
-            .residency
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        if table.copies != copies {
-            table.copies = copies;
-            table.version += 1;
-            self.changes.send_replace(table.version);
+        let removed = tables
+            .limited
+            .iter()
+            .filter(|team| !limits.contains_key(team));
+        for team in removed {
+            tables.ledger.set_limit(team, RateLimit::default(), now);
+        }
+        for (team, limit) in &limits {
+            tables.ledger.set_limit(team, *limit, now);
         }
+        tables.limited = limits.into_keys().cloned().collect();
+        tables.limits_of = revision;
+    }
+
+    /// Returns how long a sync may be held before it would bring allowance.
+    pub fn hold_limit(&self, request: &SyncRequest, lease: LeaderLease) -> Option<Duration> {
+        let now = self.now();
+        let key = EntryKey {
+            vm: request.vm.clone(),
+            incarnation: request.incarnation,
+        };
+        let due = self
+            .tables(lease.term)
+            .ledger
+            .due(&key, &request.shares, now)?;
+        Some(due.saturating_sub(now))
     }
 
     /// Builds the reply to an entry's sync; `lease` proves that this voter leads.
     pub fn reply(&self, request: &SyncRequest, lease: LeaderLease) -> SyncReply {
         let config = match self.voter.local(ControlState::config) {
             (revision, Some(config)) if revision != request.revision => {
-                ConfigSection::Snapshot(revision, Box::new((*config).clone()))
+                self.config_change(request.revision, revision, &config)
             }
             _ => ConfigSection::Current,
         };
-        let table = self
-            .residency
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        let residency = if table.version == request.residency {
-            ResidencySection::Current
-        } else {
-            ResidencySection::Snapshot(table.version, table.copies.clone())
+        let now = self.now();
+        let mut tables = self.tables(lease.term);
+        let key = EntryKey {
+            vm: request.vm.clone(),
+            incarnation: request.incarnation,
         };
+        self.refresh_limits(&mut tables);
         SyncReply {
             serial: request.serial,
             term: lease.term,
             config,
-            residency,
-            grants: Vec::new(),
-            served_elsewhere: Vec::new(),
-            assigned: Vec::new(),
+            residency: tables.residency.since(request.residency),
+            avoided: self.avoided(&tables),
+            loads: tables.changed_loads(&key, now),
+            crashes: self.crash_change(request.crashes),
+            grants: tables.ledger.exchange(&key, &request.shares, now).to_vec(),
+            served_elsewhere: tables
+                .served
+                .elsewhere(&key, request.shares.iter().map(|share| &share.team)),
+            assigned: self.assigned(&tables, &key),
         }
     }
 
-    /// Tells whether a reply to `request` would bring news.
-    pub fn has_news(&self, request: &SyncRequest) -> bool {
+    /// Returns the difference from the entry's revision, or the whole configuration when the
+    /// entry's revision is no longer kept or the difference is not smaller.
+    fn config_change(&self, from: Revision, to: Revision, config: &FleetConfig) -> ConfigSection {
+        let delta = self.voter.local(|state| match state.config() {
+            (current, _) if current == to => state.configs().delta_since(from),
+            _ => None,
+        });
+        match delta {
+            Some(delta) => ConfigSection::Delta {
+                from,
+                to,
+                delta: Box::new(delta),
+            },
+            None => ConfigSection::Snapshot(to, Box::new(config.clone())),
+        }
+    }
+
+    /// Returns the table of crashing requests if the entry has another version.
+    fn crash_change(&self, version: u64) -> Option<CrashSection> {
+        self.voter.local(|state| {
+            let crashes = state.crashes();
+            if crashes.version() == version {
+                return None;
+            }
+            let (blocked, suspects): (Vec<_>, Vec<_>) = crashes
+                .suspects(state.now_ms())
+                .partition(|(_, block)| *block == BlockState::Blocked);
+            let fingerprints = |rows: Vec<(&Fingerprint, BlockState)>| {
+                rows.into_iter()
+                    .map(|(fingerprint, _)| *fingerprint)
+                    .collect()
+            };
+            Some(CrashSection {
+                version: crashes.version(),
+                suspects: fingerprints(suspects),
+                blocked: fingerprints(blocked),
+            })
+        })
+    }
+
+    /// Returns the targets that get no new requests: draining ones, and engines that are leaving
+    /// or down. Plain services have no reports; entries judge them by their own calls.
+    fn avoided(&self, tables: &HubTables) -> Vec<TargetId> {
+        let Some(config) = self.voter.local(ControlState::config).1 else {
+            return Vec::new();
+        };
+        let now = self.now();
+        self.voter.local(|state| {
+            let is_avoided = |target: &&TargetConfig| {
+                let health = tables.reports.health(&target.id, now);
+                target.draining
+                    || state.drains().covers(target)
+                    || matches!(health, TargetHealth::Leaving | TargetHealth::Down)
+            };
+            config
+                .targets
+                .iter()
+                .filter(is_avoided)
+                .map(|target| target.id.clone())
+                .collect()
+        })
+    }
+
+    fn assigned(&self, tables: &HubTables, entry: &EntryKey) -> Vec<TargetId> {
+        let Some(config) = self.voter.local(ControlState::config).1 else {
+            return Vec::new();
+        };
+        let engines = config
+            .targets
+            .iter()
+            .filter(|target| target.kind == TargetKind::Engine);
+        engines
+            .filter(|target| {
+                let reporters = tables.registry.reporters();
+                assign_reporter(&target.id, &target.data_centre, reporters) == Some(entry)
+            })
+            .map(|target| target.id.clone())
+            .collect()
+    }
+
+    /// Tells whether a reply to `request` would bring news that cannot wait.
+    pub fn has_news(&self, request: &SyncRequest, lease: LeaderLease) -> bool {
         let revision = self.voter.local(|state| state.config().0);
-        let table = self
-            .residency
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        revision != request.revision || table.version != request.residency
+        let tables = self.tables(lease.term);
+        revision != request.revision
+            || tables.residency.version() != request.residency
+            || self.voter.local(|state| state.crashes().version()) != request.crashes
+    }
+
+    /// Removes entries and reports that are out of date, and returns the entries that are gone.
+    pub fn expire(&self, lease: LeaderLease) -> Vec<EntryKey> {
+        let now = self.now();
+        let mut tables = self.tables(lease.term);
+        self.refresh_limits(&mut tables);
+        tables.ledger.expire(now);
+        let gone = tables.registry.expire(now);
+        for entry in &gone {
+            info!("sync: entry {} ({:x}) is gone", entry.vm, entry.incarnation);
+            tables.served.forget(entry);
+            tables.told.remove(entry);
+        }
+        self.refresh_residency(&mut tables);
+        gone
+    }
+
+    fn refresh_residency(&self, tables: &mut HubTables) {
+        let Some(config) = self.voter.local(ControlState::config).1 else {
+            return;
+        };
+        let copies = tables.serving_copies(&config, self.now());
+        if tables.residency.replace(copies) {
+            self.changes.send_replace(tables.residency.version());
+        }
+    }
+
+    /// Returns the latest report of each engine that is up.
+    pub fn reports(&self, lease: LeaderLease) -> BTreeMap<TargetId, EngineReport> {
+        let now = self.now();
+        let tables = self.tables(lease.term);
+        let is_up = |target: &TargetId| tables.reports.health(target, now) == TargetHealth::Up;
+        tables
+            .reports
+            .iter()
+            .filter(|(target, _, _)| is_up(target))
+            .map(|(target, report, _)| (target.clone(), report.clone()))
+            .collect()
+    }
+
+    /// Returns the health of each engine that has reported.
+    pub fn health(&self, lease: LeaderLease) -> BTreeMap<TargetId, TargetHealth> {
+        let now = self.now();
+        let tables = self.tables(lease.term);
+        let health = |target: &TargetId| (target.clone(), tables.reports.health(target, now));
+        tables
+            .reports
+            .iter()
+            .map(|(target, _, _)| health(target))
+            .collect()
+    }
+
+    /// Returns the demand since the last call.
+    pub fn take_demand(&self, lease: LeaderLease) -> BTreeMap<ModelId, ModelLoad> {
+        let now = self.now();
+        self.tables(lease.term).demand.take(now)
     }
 
     /// Returns a receiver that changes with the residency table.
@@ -104,3 +336,44 @@
         self.changes.subscribe()
     }
 }
+
+impl HubTables {
+    /// Copies that are ready on targets that are configured, up and not leaving.
+    fn serving_copies(&self, config: &FleetConfig, now: Duration) -> BTreeSet<ResidentModel> {
+        let usable = config.targets.iter().filter(|target| {
+            !target.draining && self.reports.health(&target.id, now) == TargetHealth::Up
+        });
+        usable
+            .filter_map(|target| Some((target, self.reports.get(&target.id)?)))
+            .flat_map(|(target, report)| {
+                let ready = report.copies.iter().filter(|copy| copy.ready);
+                ready.map(|copy| ResidentModel {
+                    target: target.id.clone(),
+                    model: copy.model.clone(),
+                    version: copy.version.clone(),
+                })
+            })
+            .collect()
+    }
+
+    /// Loads that differ from what the entry was told last.
+    fn changed_loads(&mut self, entry: &EntryKey, now: Duration) -> Vec<TargetLoad> {
+        let told = self.told.entry(entry.clone()).or_default();
+        let mut loads = Vec::new();
+        for (target, report, received_at) in self.reports.iter() {
+            let load = (report.running, report.queued);
+            if told.get(target) == Some(&load) {
+                continue;
+            }
+            told.insert(target.clone(), load);
+            let age = now.saturating_sub(received_at).as_millis();
+            loads.push(TargetLoad {
+                target: target.clone(),
+                running: report.running,
+                queued: report.queued,
+                age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+            });
+        }
+        loads
+    }
+}
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -1,13 +1,15 @@
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     sync::{Arc, PoisonError, RwLock},
     time::{Duration, Instant},
 };
 
+use super::crashes::CrashTable;
 use crate::{
+    border::FleetConfig,
     fleet::FleetIndex,
     ids::{ModelId, Revision, TargetId, VersionId},
-    sync::{ConfigSection, ResidencySection, SyncReply},
+    sync::{ConfigSection, ResidencySection, ResidentModel, SyncReply},
 };
 
 /// Copies of each model that may receive requests.
@@ -18,49 +20,102 @@
 pub struct EntryView {
     /// Revision in force.
     pub revision: Revision,
+    /// Configuration of the revision; `None` before the first one.
+    pub config: Option<Arc<FleetConfig>>,
     /// Lookup tables of the revision.
     pub index: Arc<FleetIndex>,
     /// Version of the residency table.
     pub residency_version: u64,
     /// Copies of each model.
     pub residency: Arc<ResidencyTable>,
+    /// Targets that get no new requests.
+    pub avoided: Arc<HashSet<TargetId>>,
+    /// Requests that crashed targets.
+    pub crashes: Arc<CrashTable>,
     /// Moment at which the entry asked for the latest proof; `None` before the first one.
     pub proven_at: Option<Instant>,
 }
 
 impl EntryView {
     /// Tells whether the view was proved fresh within `bound`.
+    #[must_use]
     pub fn is_fresh(&self, bound: Duration) -> bool {
         self.proven_at.is_some_and(|asked| asked.elapsed() <= bound)
     }
 
+    fn set_config(&mut self, revision: Revision, config: FleetConfig) {
+        self.revision = revision;
+        self.index = Arc::new(FleetIndex::new(&config));
+        self.config = Some(Arc::new(config));
+    }
+
     /// Returns the view after a reply to a sync that was asked at `asked`.
     #[must_use]
     pub fn with_reply(mut self, reply: SyncReply, asked: Instant) -> Self {
         match reply.config {
             // Revisions only move forward, also when replies overtake each other.
             ConfigSection::Snapshot(revision, config) if revision > self.revision => {
-                self.revision = revision;
-                self.index = Arc::new(FleetIndex::new(&config));
+                self.set_config(revision, *config);
+            }
+            ConfigSection::Delta { from, to, delta } if from == self.revision && to > from => {
+                let changed = self.config.as_ref().map(|config| delta.apply_to(config));
+                // A difference that does not fit leaves the revision as it is, and the next sync
+                // brings the configuration anew; the proof must not cover the old one.
+                let Some(Ok(config)) = changed else {
+                    self.revision = 0;
+                    return self;
+                };
+                self.set_config(to, config);
             }
             _ => {}
         }
-        if let ResidencySection::Snapshot(version, copies) = reply.residency {
-            let mut table = ResidencyTable::new();
-            for copy in copies {
-                table
-                    .entry(copy.model)
-                    .or_default()
-                    .push((copy.target, copy.version));
+        match reply.residency {
+            ResidencySection::Snapshot(version, copies) => {
+                let mut table = ResidencyTable::new();
+                add_copies(&mut table, copies);
+                self.residency_version = version;
+                self.residency = Arc::new(table);
             }
-            self.residency_version = version;
-            self.residency = Arc::new(table);
+            ResidencySection::Delta {
+                from,
+                to,
+                added,
+                removed,
+            } if from == self.residency_version => {
+                let table = Arc::make_mut(&mut self.residency);
+                remove_copies(table, &removed);
+                add_copies(table, added);
+                self.residency_version = to;
+            }
+            _ => {}
+        }
+        self.avoided = Arc::new(reply.avoided.into_iter().collect());
+        if let Some(crashes) = reply.crashes {
+            self.crashes = Arc::new(CrashTable::new(crashes));
         }
         self.proven_at = self.proven_at.max(Some(asked));
         self
     }
 }
 
+fn add_copies(table: &mut ResidencyTable, copies: Vec<ResidentModel>) {
+    for copy in copies {
+        table
+            .entry(copy.model)
+            .or_default()
+            .push((copy.target, copy.version));
+    }
+}
+
+fn remove_copies(table: &mut ResidencyTable, copies: &[ResidentModel]) {
+    for copy in copies {
+        if let Some(held) = table.get_mut(&copy.model) {
+            held.retain(|(target, version)| *target != copy.target || *version != copy.version);
+        }
+    }
+    table.retain(|_, held| !held.is_empty());
+}
+
 /// The current view, shared by all requests.
 #[derive(Default)]
 pub struct SharedView {
@@ -73,8 +128,12 @@
         Arc::clone(&self.current.read().unwrap_or_else(PoisonError::into_inner))
     }
 
-    /// Replaces the current view.
-    pub fn set(&self, view: EntryView) {
-        *self.current.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(view);
+    /// Applies a reply to a sync that was asked at `asked`, and returns the revision if it is new.
+    pub fn update(&self, reply: SyncReply, asked: Instant) -> Option<Revision> {
+        let mut current = self.current.write().unwrap_or_else(PoisonError::into_inner);
+        let before = current.revision;
+        let next = EntryView::clone(&current).with_reply(reply, asked);
+        *current = Arc::new(next);
+        (current.revision != before).then_some(current.revision)
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,10 +3,34 @@
 //! `ControlState::apply` is deterministic, so that each voter that applies the same log holds the
 //! same state; see docs/design.md, sections 4 and 5.
 
+mod apply_request;
+mod claim;
+mod claim_table;
 mod command;
+mod config_history;
+mod crash_table;
+mod drain_request;
+mod drain_table;
 mod machine;
+mod memory_table;
 mod outcome;
+mod recorded_response;
+mod request_table;
+mod target_memory;
 
-pub use command::{ApplyRequest, Command, StampedCommand};
+pub use apply_request::ApplyRequest;
+pub use claim::{ClaimKey, ClaimOutcome, ClaimRequest, ClaimTicket};
+pub use claim_table::{ClaimLimits, ClaimTable};
+pub use command::{Command, StampedCommand};
+pub use config_history::{ConfigHistory, RevisionNote};
+pub use crash_table::CrashTable;
+pub use drain_request::{DrainOutcome, DrainRequest, DrainState, DrainSubject};
+pub use drain_table::DrainTable;
 pub use machine::ControlState;
-pub use outcome::{ApplyOutcome, Outcome};
+pub use memory_table::MemoryTable;
+pub use outcome::{
+    ApplyOutcome, BlockState, CrashOutcome, Outcome, ReserveOutcome, SettleResult, TurnOutcome,
+};
+pub use recorded_response::RecordedResponse;
+pub use request_table::{ChangeDigest, RequestLookup, RequestTable, change_digest};
+pub use target_memory::{TargetMemory, UnsettledOrder};
