Serve the administration API

Cause: operators could only read and replace the configuration, without checks. Change: endpoints for the configuration with checks and all its errors, history, differences, keys as changes of the current configuration under one request id, drains with warnings for models that lose their room, status, and whether a revision is in force. Reads go through the leader; others answer 421 with its address. OperatorClient follows hints and sends a change again with the same body until its outcome is known. Conclusion: mounted by control::admin::mount on the administration port.

--- a/src/code.rs
+++ b/src/code.rs
@@ -96,6 +96,8 @@
     NotInForce = 2006, "not_in_force", 504;
     /// The request id was used for another change.
     RequestIdReused = 2007, "request_id_reused", 422;
+    /// The revision is not kept or was never accepted.
+    UnknownRevision = 2010, "unknown_revision", 404;
     /// An unexpected condition; the log has the details.
     Internal = 3001, "internal", 500;
 }
--- a/src/control/admin.rs
+++ b/src/control/admin.rs
@@ -1,117 +1,60 @@
-use rocket::{
-    State, get,
-    http::Status,
-    put,
-    request::{FromRequest, Outcome as Guard, Request},
-    serde::json::Json,
-};
-use serde::{Deserialize, Serialize};
-use subtle::ConstantTimeEq;
-
-use crate::{
-    border::FleetConfig,
-    code::ResultCode,
-    ids::Revision,
-    state::{ApplyOutcome, ApplyRequest, Command, ControlState, Outcome},
-    voter::VoterHandle,
-};
-
-/// Bearer token of operators.
-pub struct AdminToken(pub String);
-
-/// A request that carried the operators' token.
-pub struct Operator;
-
-#[rocket::async_trait]
-impl<'r> FromRequest<'r> for Operator {
-    type Error = ();
-
-    async fn from_request(request: &'r Request<'_>) -> Guard<Self, ()> {
-        let expected = request.rocket().state::<AdminToken>();
-        let sent = request
-            .headers()
-            .get_one("authorization")
-            .and_then(|value| value.strip_prefix("Bearer "));
-        match (expected, sent) {
-            (Some(token), Some(sent)) if bool::from(token.0.as_bytes().ct_eq(sent.as_bytes())) => {
-                Guard::Success(Self)
-            }
-            _ => Guard::Error((Status::Unauthorized, ())),
-        }
-    }
-}
-
-/// A revision and its configuration.
-#[derive(Debug, Serialize, Deserialize)]
-pub struct ConfigView {
-    /// Number of the revision.
-    pub revision: Revision,
-    /// The configuration; `null` before the first one.
-    pub config: Option<FleetConfig>,
-}
-
-/// Answer to an apply request.
-#[derive(Debug, Serialize, Deserialize)]
-pub struct ApplyAnswer {
-    /// Number of the result code; 0 when the configuration was accepted.
-    pub code: u16,
-    /// Name of the result code.
-    pub name: String,
-    /// The accepted revision, or the current one after a conflict.
-    pub revision: Revision,
+//! The administration API; its messages are in [`crate::operator`], its endpoints in
+//! docs/operators.md.
+
+mod config;
+mod drains;
+mod guard;
+mod keys;
+mod refusal;
+mod revisions;
+mod status;
+
+use rocket::{Build, Request, Rocket, catch, catchers, http::Status, routes};
+
+pub use guard::{AdminToken, Operator};
+pub use refusal::AdminError;
+
+use crate::code::ResultCode;
+
+/// Largest request body, in MiB. A configuration of 4 MiB may be sent with generous indentation.
+const MAX_BODY_MIB: u64 = 16;
+
+/// Mounts the API on a server that manages an [`AdminToken`], a
+/// [`VoterHandle`](crate::voter::VoterHandle) and a shared [`SyncHub`](super::SyncHub).
+pub fn mount(rocket: Rocket<Build>) -> Rocket<Build> {
+    rocket
+        .mount(
+            "/admin/v1",
+            routes![
+                config::get_config,
+                config::apply_config,
+                config::get_in_force,
+                revisions::list_revisions,
+                revisions::get_revision,
+                revisions::get_diff,
+                keys::add_key,
+                keys::revoke_key,
+                drains::list_drains,
+                drains::set_drain,
+                status::get_status,
+            ],
+        )
+        .register("/", catchers![unauthorized, unknown])
 }
 
-/// Returns the configuration in force.
-#[get("/admin/v1/config")]
-pub fn get_config(_operator: Operator, voter: &State<VoterHandle>) -> Json<ConfigView> {
-    let (revision, config) = voter.local(ControlState::config);
-    Json(ConfigView {
-        revision,
-        config: config.map(|config| (*config).clone()),
-    })
+#[catch(401)]
+fn unauthorized() -> AdminError {
+    AdminError::new(
+        ResultCode::Unauthorized,
+        "the credentials do not allow this",
+    )
 }
 
-/// Replaces the configuration.
-#[put("/admin/v1/config", data = "<request>")]
-pub async fn apply_config(
-    _operator: Operator,
-    request: Json<ApplyRequest>,
-    voter: &State<VoterHandle>,
-) -> (Status, Json<ApplyAnswer>) {
-    let refuse = |code: ResultCode, revision: Revision| {
-        let name = code.name().to_owned();
-        (
-            Status::new(code.status()),
-            Json(ApplyAnswer {
-                code: code.number(),
-                name,
-                revision,
-            }),
-        )
+#[catch(default)]
+fn unknown(status: Status, _request: &Request<'_>) -> (Status, AdminError) {
+    let code = match status.code {
+        400..500 => ResultCode::MalformedRequest,
+        _ => ResultCode::Internal,
     };
-    match voter
-        .propose(Command::Apply(Box::new(request.into_inner())))
-        .await
-    {
-        Ok(Outcome::Applied(ApplyOutcome::Accepted(revision))) => {
-            let name = "accepted".to_owned();
-            (
-                Status::Ok,
-                Json(ApplyAnswer {
-                    code: 0,
-                    name,
-                    revision,
-                }),
-            )
-        }
-        Ok(Outcome::Applied(ApplyOutcome::Conflict(current))) => {
-            refuse(ResultCode::RevisionConflict, current)
-        }
-        Ok(Outcome::Applied(ApplyOutcome::RequestIdReused)) => {
-            refuse(ResultCode::RequestIdReused, 0)
-        }
-        Ok(_) => refuse(ResultCode::Internal, 0),
-        Err(crate::error::Error::NotLeader { .. }) => refuse(ResultCode::NotLeader, 0),
-        Err(_) => refuse(ResultCode::Unconfirmed, 0),
-    }
+    (status, AdminError::new(code, status.to_string()))
 }
--- /dev/null
+++ b/src/control/admin/guard.rs
@@ -0,0 +1,33 @@
+use rocket::{
+    http::Status,
+    request::{FromRequest, Outcome, Request},
+};
+use subtle::ConstantTimeEq;
+
+/// Bearer token of operators.
+pub struct AdminToken(pub String);
+
+/// A request that carried the operators' token.
+pub struct Operator;
+
+#[rocket::async_trait]
+impl<'r> FromRequest<'r> for Operator {
+    type Error = ();
+
+    async fn from_request(request: &'r Request<'_>) -> Outcome<Self, ()> {
+        let expected = request.rocket().state::<AdminToken>();
+        let sent = request
+            .headers()
+            .get_one("authorization")
+            .and_then(|value| value.strip_prefix("Bearer "));
+        match (expected, sent) {
+            // An empty token file must not admit everyone.
+            (Some(token), Some(sent))
+                if !token.0.is_empty() && bool::from(token.0.as_bytes().ct_eq(sent.as_bytes())) =>
+            {
+                Outcome::Success(Self)
+            }
+            _ => Outcome::Error((Status::Unauthorized, ())),
+        }
+    }
+}
--- a/src/control/daemon.rs
+++ b/src/control/daemon.rs
@@ -46,7 +46,8 @@
         let admin = build(&self.config.admin_listen)
             .manage(token)
             .manage(voter.clone())
-            .mount("/", routes![admin::get_config, admin::apply_config]);
+            .manage(Arc::clone(&hub));
+        let admin = admin::mount(admin);
         let placer = ModelPlacer::new(voter, hub, client::http_client()?);
         let placing = tokio::spawn(placer.run());
         info!(
--- a/src/control/hub.rs
+++ b/src/control/hub.rs
@@ -11,15 +11,19 @@
     allowance::{AllowanceLedger, RateLimit, ShareGrant},
     border::{FleetConfig, TargetKind},
     hub::{
-        DemandTable, EntryRegistry, ModelLoad, ReportTable, ResidencyLog, ServedTable,
+        DemandTable, EntryRegistry, EntryStatus, ModelLoad, ReportTable, ResidencyLog, ServedTable,
         TargetHealth, assign_reporter,
     },
-    ids::{EntryKey, ModelId, Revision, TargetId, TeamId, Term},
+    ids::{EntryKey, ModelId, Revision, TargetId, TeamId, Term, VmId},
     state::ControlState,
     sync::{ConfigSection, EngineReport, ResidentModel, SyncReply, SyncRequest, TargetLoad},
     voter::{LeaderLease, VoterHandle},
 };
 
+/// Greatest freshness bound that an entry's settings allow. An entry that has not synced for longer
+/// serves no keyed request.
+const MAX_FRESHNESS: Duration = Duration::from_millis(3_000);
+
 /// Soft state that the leader keeps about entries and engines, and the replies made from it.
 pub struct SyncHub {
     voter: VoterHandle,
@@ -31,6 +35,8 @@
 /// Tables of one term; a new term starts with empty ones.
 struct HubTables {
     term: Term,
+    /// Time at which the term's first request arrived here.
+    since: Duration,
     registry: EntryRegistry,
     demand: DemandTable,
     reports: ReportTable,
@@ -49,6 +55,7 @@
     fn new(term: Term, now: Duration) -> Self {
         Self {
             term,
+            since: now,
             registry: EntryRegistry::default(),
             demand: DemandTable::default(),
             reports: ReportTable::default(),
@@ -251,6 +258,28 @@
         self.tables(lease.term).demand.take(now)
     }
 
+    /// Returns the entries that sync with this leader, with the age of their last sync.
+    pub fn entries(&self, lease: LeaderLease) -> Vec<(EntryKey, EntryStatus, Duration)> {
+        let now = self.now();
+        let tables = self.tables(lease.term);
+        let entries = tables.registry.iter();
+        entries
+            .map(|(key, status)| {
+                let age = now.saturating_sub(status.seen_at);
+                (key.clone(), status.clone(), age)
+            })
+            .collect()
+    }
+
+    /// Returns the VMs whose entries may still serve with an earlier revision than `revision`;
+    /// `None` while this term is so young that entries may hold a proof of the leader before.
+    pub fn lacking(&self, revision: Revision, lease: LeaderLease) -> Option<Vec<VmId>> {
+        let now = self.now();
+        let tables = self.tables(lease.term);
+        let is_known = now.saturating_sub(tables.since) > MAX_FRESHNESS;
+        is_known.then(|| tables.registry.lacking(revision, MAX_FRESHNESS, now))
+    }
+
     /// Returns a receiver that changes with the residency table.
     pub fn watch(&self) -> watch::Receiver<u64> {
         self.changes.subscribe()
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod hub;
 pub mod ids;
 pub mod logger;
+pub mod operator;
 pub mod order;
 pub mod server;
 pub mod state;
--- a/src/state/config_history.rs
+++ b/src/state/config_history.rs
@@ -5,7 +5,7 @@
 use crate::{
     border::FleetConfig,
     fleet::FleetDelta,
-    ids::{RequestId, Revision},
+    ids::{RequestId, Revision, TargetId},
 };
 
 /// Most revisions that are kept.
@@ -82,6 +82,13 @@
         self.current.as_ref()
     }
 
+    /// Tells whether the configuration in force names a target.
+    #[must_use]
+    pub fn has_target(&self, id: &TargetId) -> bool {
+        let config = self.current.as_ref();
+        config.is_some_and(|config| config.targets.iter().any(|target| target.id == *id))
+    }
+
     /// Returns the configuration of a kept revision.
     #[must_use]
     pub fn at(&self, revision: Revision) -> Option<Arc<FleetConfig>> {
