--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,8 @@
 pub mod logger;
 pub mod operator;
 pub mod order;
+pub mod place;
+pub mod raft;
 pub mod server;
 pub mod state;
 pub mod sync;
