Add the operators' command line

Cause: changes needed hand-written HTTP requests. Change: validate, diff, apply, get, history, status, key add and revoke, drain, undrain, members and completions, with settings from a file and flags, tables or JSON, and exit codes for scripts. A change prints its request id, so that it can be sent again when its outcome is not known.

--- a/src/bin/waxwing.rs
+++ b/src/bin/waxwing.rs
@@ -1,17 +1,26 @@
 //! Operator command line.
 
-use std::path::PathBuf;
+use std::{path::PathBuf, process::ExitCode};
 
+use clap::ArgMatches;
 use waxwinglatch::{
     clap_app,
     dev::{DevFleet, DevSettings},
     error::Result,
+    operator,
 };
 
 #[rocket::main]
-async fn main() -> Result<()> {
+async fn main() -> Result<ExitCode> {
     let matches = clap_app::operator_app().get_matches();
-    let (_, arguments) = matches.subcommand().expect("clap demands a subcommand");
+    if let Some(("dev", arguments)) = matches.subcommand() {
+        return run_dev(arguments).await;
+    }
+    let exit = Box::pin(operator::run(&matches)).await;
+    Ok(ExitCode::from(exit.number()))
+}
+
+async fn run_dev(arguments: &ArgMatches) -> Result<ExitCode> {
     let folder = arguments
         .get_one::<PathBuf>("data-folder")
         .cloned()
@@ -21,5 +30,6 @@
     let port = |name: &str| *arguments.get_one(name).expect("it has a default");
     DevFleet::new(DevSettings::new(port("port"), port("admin-port"), folder)?)
         .run()
-        .await
+        .await?;
+    Ok(ExitCode::SUCCESS)
 }
--- a/src/clap_app.rs
+++ b/src/clap_app.rs
@@ -1,5 +1,7 @@
 //! Command lines of all programs.
 
+mod operator;
+
 use clap::{Arg, ArgAction, Command, value_parser};
 use std::path::PathBuf;
 
@@ -72,12 +74,14 @@
 /// Command line of `waxwing`.
 #[must_use]
 pub fn operator_app() -> Command {
-    Command::new("waxwing")
+    let app = Command::new("waxwing")
         .version(env!("CARGO_PKG_VERSION"))
         .about("Operates a fleet")
+        .after_help("Exit codes and settings are described in docs/operators.md.")
         .subcommand_required(true)
         .arg_required_else_help(true)
-        .subcommand(dev_command())
+        .subcommand(dev_command());
+    operator::with_commands(app)
 }
 
 fn dev_command() -> Command {
