--- a/src/code.rs
+++ b/src/code.rs
@@ -96,8 +96,10 @@
     NotInForce = 2006, "not_in_force", 504;
     /// The request id was used for another change.
     RequestIdReused = 2007, "request_id_reused", 422;
+    /// The membership change does not apply or would put the quorum at risk.
+    ChangeRefused = 2008, "change_refused", 409;
     /// The revision is not kept or was never accepted.
-    UnknownRevision = 2010, "unknown_revision", 404;
+    UnknownRevision = 2009, "unknown_revision", 404;
     /// An unexpected condition; the log has the details.
     Internal = 3001, "internal", 500;
 }
--- a/src/error.rs
+++ b/src/error.rs
@@ -21,6 +21,10 @@
             source(source)
             display("{}: {}", path.display(), source)
         }
+        /// A file of the journal holds something else than what was synced to it.
+        Corrupt { path: PathBuf, offset: u64, reason: String } {
+            display("{}: offset {}: {}", path.display(), offset, reason)
+        }
         /// A peer, target or control daemon could not be reached or sent an unusable answer.
         Transport { peer: String, reason: String } {
             display("{}: {}", peer, reason)
@@ -33,6 +37,10 @@
         NotLeader { leader: Option<String> } {
             display("not the leader; leader: {}", leader.as_deref().unwrap_or("unknown"))
         }
+        /// The command or membership change has no effect.
+        Refused { reason: String } {
+            display("refused: {}", reason)
+        }
         /// The command may or may not be committed later.
         Unconfirmed { reason: String } {
             display("outcome unknown: {}", reason)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod fleet;
 pub mod hub;
 pub mod ids;
+pub mod journal;
 pub mod logger;
 pub mod operator;
 pub mod order;
