--- a/src/operator/exit_code.rs
+++ b/src/operator/exit_code.rs
@@ -53,6 +53,7 @@
         match code {
             ResultCode::InvalidConfiguration
             | ResultCode::MalformedRequest
+            | ResultCode::ChangeRefused
             | ResultCode::BodyTooLarge => Self::Invalid,
             ResultCode::RevisionConflict => Self::Conflict,
             ResultCode::Unauthorized => Self::Unauthorized,
