--- a/src/code.rs
+++ b/src/code.rs
@@ -3,10 +3,10 @@
 use serde::{Deserialize, Serialize};
 
 macro_rules! result_codes {
-    ($($(#[$doc:meta])* $variant:ident = $number:literal, $name:literal, $status:literal;)*) => {
+    ($($(#[doc = $meaning:literal])+ $variant:ident = $number:literal, $name:literal, $status:literal;)*) => {
         /// Result code of a refusal or failure, stable across releases.
         #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-        pub enum ResultCode { $($(#[$doc])* $variant),* }
+        pub enum ResultCode { $($(#[doc = $meaning])+ $variant),* }
 
         impl ResultCode {
             /// Every code, in the order of the numbers.
@@ -23,6 +23,12 @@
             /// HTTP status that goes with the code.
             #[must_use]
             pub const fn status(self) -> u16 { match self { $(Self::$variant => $status),* } }
+
+            /// What the code means, for the documentation.
+            #[must_use]
+            pub const fn meaning(self) -> &'static str {
+                match self { $(Self::$variant => concat!($($meaning),+)),* }
+            }
         }
     };
 }
--- a/tests/admin_leader.rs
+++ b/tests/admin_leader.rs
@@ -21,7 +21,7 @@
 }
 
 impl TrioFixture {
-    async fn start() -> Self {
+    fn start() -> Self {
         let folder = TestFolder::new();
         let [system, admin] = [[(); 3].map(|()| free_port()), [(); 3].map(|()| free_port())];
         let voters: Vec<Value> = (0..3)
@@ -105,7 +105,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_change_survives_the_leader_and_is_not_made_twice() {
-    let mut trio = TrioFixture::start().await;
+    let mut trio = TrioFixture::start();
     let leader = trio.leader().await;
     let follower = (leader + 1) % 3;
     let hint = wait_for("hint of the leader", START_LIMIT, async || {
