Share claim shards with clones of the state

Change: claims lie in shards of 5 minutes by the age of their keys, shared with clones and copied on change. Records are dropped by shard, up to 5 minutes after their keys expire; the keys are refused by their age as before.

--- a/src/operator/command/config.rs
+++ b/src/operator/command/config.rs
@@ -85,6 +85,9 @@
         expected,
         config,
     };
+    if arguments.get_one::<Revision>("expected").is_none() {
+        eprintln!("waxwing: expected revision {expected}");
+    }
     let path = admin_path("/config");
     let reply = client.send(Method::PUT, &path, Some(&body)).await?;
     let answer: AdminAnswer = reply.decode()??;
--- a/src/state.rs
+++ b/src/state.rs
@@ -5,6 +5,7 @@
 
 mod apply_request;
 mod claim;
+mod claim_shard;
 mod claim_table;
 mod command;
 mod config_history;
--- a/src/state/claim_table.rs
+++ b/src/state/claim_table.rs
@@ -1,15 +1,24 @@
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use serde::{Deserialize, Serialize};
 
-use super::{ClaimKey, ClaimOutcome, ClaimRequest, ClaimTicket, RecordedResponse};
-use crate::ids::{Attempt, BodyHash, EntryKey, IdempotencyKey};
+use super::{
+    ClaimKey, ClaimOutcome, ClaimRequest, ClaimTicket, RecordedResponse,
+    claim_shard::{ClaimRecord, ClaimShard, ClaimState},
+};
+use crate::ids::{BodyHash, EntryKey, IdempotencyKey};
 
 /// Age from which on a key is refused for ever, in milliseconds.
 const RETENTION_MS: u64 = 24 * 3_600 * 1_000;
 /// How far a key's timestamp may lie ahead of the state's time, in milliseconds; covers the clock
 /// difference between callers and the leader.
 const MAX_AHEAD_MS: u64 = 5 * 60 * 1_000;
+/// Time that the keys of one shard span, in milliseconds. A full table has some 7,000 claims in
+/// each, which are copied in a few milliseconds.
+const SHARD_MS: u64 = 5 * 60 * 1_000;
 
 /// Bounds of the claim table. They are the same in every voter of a release.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,46 +40,22 @@
 }
 
 /// Claims of idempotency keys and the responses of the requests that ran.
+///
+/// The claims lie in shards by the age of their keys. Shards are shared with clones of the table
+/// and copied when they change, so that a clone for a snapshot takes little time at any size.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ClaimTable {
-    /// Sorted by age, since the key's timestamp comes first.
-    claims: BTreeMap<ClaimKey, ClaimRecord>,
+    shards: BTreeMap<u64, Arc<ClaimShard>>,
+    len: usize,
     /// Claims that still run, for the loss of their claimant.
     open: BTreeMap<EntryKey, BTreeSet<ClaimKey>>,
-    /// Claims whose response takes recorded bytes.
-    recorded: BTreeSet<ClaimKey>,
     recorded_bytes: usize,
+    /// No claim before this key has recorded bytes.
+    first_recorded: Option<ClaimKey>,
     #[serde(skip)]
     limits: ClaimLimits,
 }
 
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-struct ClaimRecord {
-    claimant: EntryKey,
-    attempt: Attempt,
-    body_hash: BodyHash,
-    state: ClaimState,
-}
-
-impl ClaimRecord {
-    fn is_of(&self, ticket: &ClaimTicket) -> bool {
-        self.claimant == ticket.claimant && self.attempt == ticket.attempt
-    }
-}
-
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-enum ClaimState {
-    /// The request may be running.
-    Open,
-    /// No byte was sent. The record stays, so that a late copy of the released attempt's claim is
-    /// not granted again.
-    Released,
-    /// The request ran.
-    Recorded(RecordedResponse),
-    /// The request may have run.
-    Unknown,
-}
-
 impl ClaimTable {
     /// Creates an empty table with other bounds, for tests.
     #[must_use]
@@ -89,9 +74,8 @@
             KeyAge::Expired => return ClaimOutcome::Expired,
             KeyAge::Valid => {}
         }
-        let is_full = self.claims.len() >= self.limits.claims;
-        match self.claims.get(&ticket.key) {
-            None if is_full => return ClaimOutcome::TableFull,
+        match self.get(&ticket.key) {
+            None if self.len >= self.limits.claims => return ClaimOutcome::TableFull,
             None => {}
             Some(record) => match &record.state {
                 // The attempt was released; its claimant has already answered its caller.
@@ -114,74 +98,67 @@
 
     /// Records the response of a claim, also when its outcome was given up as unknown before.
     pub fn complete(&mut self, ticket: &ClaimTicket, response: &RecordedResponse) {
-        let Some(record) = self.claims.get_mut(&ticket.key) else {
-            return;
-        };
-        if !record.is_of(ticket) || !matches!(record.state, ClaimState::Open | ClaimState::Unknown)
-        {
-            return;
-        }
+        let can_end = |state: &ClaimState| matches!(state, ClaimState::Open | ClaimState::Unknown);
         let response = bounded(response);
         let size = response.size();
-        record.state = ClaimState::Recorded(response);
-        self.close(ticket);
-        if size > 0 {
-            self.recorded.insert(ticket.key.clone());
-            self.recorded_bytes += size;
+        if !self.end(ticket, can_end, ClaimState::Recorded(response)) || size == 0 {
+            return;
         }
-        while self.recorded_bytes > self.limits.recorded_bytes {
+        self.recorded_bytes += size;
+        if self
+            .first_recorded
+            .as_ref()
+            .is_none_or(|first| ticket.key < *first)
+        {
+            self.first_recorded = Some(ticket.key.clone());
+        }
+        while self.recorded_bytes > self.limits.recorded_bytes && self.first_recorded.is_some() {
             self.shrink_oldest();
         }
     }
 
     /// Frees a claim of which no byte was sent.
     pub fn release(&mut self, now_ms: u64, ticket: &ClaimTicket) {
-        let is_full = self.claims.len() >= self.limits.claims;
-        match self.claims.get_mut(&ticket.key) {
-            Some(record) if record.is_of(ticket) && record.state == ClaimState::Open => {
-                record.state = ClaimState::Released;
-                self.close(ticket);
-            }
-            // The release overtook its claim, which must not be granted when it arrives.
-            None if !is_full && key_age(&ticket.key.key, now_ms) == KeyAge::Valid => {
-                self.insert(ticket, BodyHash::default(), ClaimState::Released);
-            }
-            _ => {}
+        let is_open = |state: &ClaimState| *state == ClaimState::Open;
+        // When the release overtook its claim, that must not be granted when it arrives.
+        let is_early = self.get(&ticket.key).is_none()
+            && self.len < self.limits.claims
+            && key_age(&ticket.key.key, now_ms) == KeyAge::Valid;
+        if is_early {
+            self.insert(ticket, BodyHash::default(), ClaimState::Released);
+        } else {
+            self.end(ticket, is_open, ClaimState::Released);
         }
     }
 
     /// Ends a claim whose outcome is not known.
     pub fn abandon(&mut self, ticket: &ClaimTicket) {
-        if let Some(record) = self.claims.get_mut(&ticket.key)
-            && record.is_of(ticket)
-            && record.state == ClaimState::Open
-        {
-            record.state = ClaimState::Unknown;
-            self.close(ticket);
-        }
+        let is_open = |state: &ClaimState| *state == ClaimState::Open;
+        self.end(ticket, is_open, ClaimState::Unknown);
     }
 
     /// Ends all open claims of a process that is gone.
     pub fn lose_claimant(&mut self, claimant: &EntryKey) {
         for key in self.open.remove(claimant).unwrap_or_default() {
-            if let Some(record) = self.claims.get_mut(&key) {
+            if let Some(record) = self.get_mut(&key) {
                 record.state = ClaimState::Unknown;
             }
         }
     }
 
-    /// Drops claims whose keys are older than the retention; such keys are refused by their age.
+    /// Drops the shards of which every key is older than the retention; such keys are refused by
+    /// their age.
     pub fn expire(&mut self, now_ms: u64) {
-        while let Some(first) = self.claims.first_entry()
-            && key_age(&first.key().key, now_ms) == KeyAge::Expired
+        while let Some(first) = self.shards.first_entry()
+            && (first.key() + 1) * SHARD_MS + RETENTION_MS <= now_ms
         {
-            let (key, record) = first.remove_entry();
-            match record.state {
-                ClaimState::Open => self.forget_open(&record.claimant, &key),
-                ClaimState::Recorded(response) if self.recorded.remove(&key) => {
-                    self.recorded_bytes -= response.size();
+            let shard = first.remove();
+            self.len -= shard.0.len();
+            for (key, record) in &shard.0 {
+                self.recorded_bytes -= record.recorded_size();
+                if record.state == ClaimState::Open {
+                    self.forget_open(&record.claimant, key);
                 }
-                _ => {}
             }
         }
     }
@@ -189,13 +166,13 @@
     /// Returns the number of claims.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.claims.len()
+        self.len
     }
 
     /// Tells whether there is no claim.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.claims.is_empty()
+        self.len == 0
     }
 
     /// Returns the bytes of recorded headers and bodies.
@@ -211,6 +188,15 @@
             .map(|(claimant, keys)| (claimant, keys.len()))
     }
 
+    fn get(&self, key: &ClaimKey) -> Option<&ClaimRecord> {
+        self.shards.get(&shard_number(key))?.0.get(key)
+    }
+
+    fn get_mut(&mut self, key: &ClaimKey) -> Option<&mut ClaimRecord> {
+        let shard = self.shards.get_mut(&shard_number(key))?;
+        Arc::make_mut(shard).0.get_mut(key)
+    }
+
     fn insert(&mut self, ticket: &ClaimTicket, body_hash: BodyHash, state: ClaimState) {
         let record = ClaimRecord {
             claimant: ticket.claimant.clone(),
@@ -218,11 +204,27 @@
             body_hash,
             state,
         };
-        self.claims.insert(ticket.key.clone(), record);
+        let shard = self.shards.entry(shard_number(&ticket.key)).or_default();
+        let before = Arc::make_mut(shard).0.insert(ticket.key.clone(), record);
+        self.len += usize::from(before.is_none());
     }
 
-    fn close(&mut self, ticket: &ClaimTicket) {
+    /// Gives the claim of this attempt another state, if its present one allows that.
+    fn end(
+        &mut self,
+        ticket: &ClaimTicket,
+        can_end: impl Fn(&ClaimState) -> bool,
+        state: ClaimState,
+    ) -> bool {
+        let can_end = |record: &ClaimRecord| record.is_of(ticket) && can_end(&record.state);
+        if !self.get(&ticket.key).is_some_and(can_end) {
+            return false;
+        }
+        if let Some(record) = self.get_mut(&ticket.key) {
+            record.state = state;
+        }
         self.forget_open(&ticket.claimant, &ticket.key);
+        true
     }
 
     fn forget_open(&mut self, claimant: &EntryKey, key: &ClaimKey) {
@@ -236,14 +238,23 @@
 
     /// Keeps only the status of the oldest recorded response.
     fn shrink_oldest(&mut self) {
-        let oldest = self.recorded.pop_first();
-        let record = oldest.and_then(|key| self.claims.get_mut(&key));
-        if let Some(ClaimRecord {
-            state: ClaimState::Recorded(response),
-            ..
-        }) = record
+        let Some(first) = self.first_recorded.take() else {
+            return;
+        };
+        let shards = self.shards.range(shard_number(&first)..);
+        let mut recorded = shards
+            .flat_map(|(_, shard)| shard.0.range(&first..))
+            .filter(|(_, record)| record.recorded_size() > 0)
+            .map(|(key, record)| (key.clone(), record.recorded_size()));
+        let oldest = recorded.next();
+        self.first_recorded = recorded.next().map(|(key, _)| key);
+        let Some((key, size)) = oldest else {
+            return;
+        };
+        self.recorded_bytes -= size;
+        if let Some(record) = self.get_mut(&key)
+            && let ClaimState::Recorded(response) = &mut record.state
         {
-            self.recorded_bytes -= response.size();
             response.headers = Vec::new();
             response.body = None;
         }
@@ -273,11 +284,18 @@
     Invalid,
 }
 
+/// Time at which a key was made: its first 48 bits are the milliseconds since the Unix epoch.
+fn created_ms(key: &IdempotencyKey) -> u64 {
+    key.as_u64_pair().0 >> 16
+}
+
+fn shard_number(key: &ClaimKey) -> u64 {
+    created_ms(&key.key) / SHARD_MS
+}
+
 fn key_age(key: &IdempotencyKey, now_ms: u64) -> KeyAge {
     let is_v7 = key.get_version_num() == 7 && key.get_variant() == uuid::Variant::RFC4122;
-    // The first 48 bits are the milliseconds since the Unix epoch.
-    let created_ms = key.as_u64_pair().0 >> 16;
-    match created_ms {
+    match created_ms(key) {
         _ if !is_v7 => KeyAge::Invalid,
         created if created > now_ms.saturating_add(MAX_AHEAD_MS) => KeyAge::Invalid,
         created if created.saturating_add(RETENTION_MS) <= now_ms => KeyAge::Expired,
