Bound the size of a configuration with its defaults

Cause: a configuration of 4 MiB with short parts grew to four times that size in the log, more than a message between voters may have. Such an entry could never reach a quorum and would have blocked all later ones. Change: the bound of 4 MiB counts the configuration with all defaults written out; it also holds when a key is added. Conclusion: what validation accepts fits the log and its messages.

--- a/src/fleet/check.rs
+++ b/src/fleet/check.rs
@@ -9,12 +9,14 @@
 mod teams;
 
 pub use names::check_identifier;
+use serde::Serialize;
 use serde_json::Value;
 
 use super::{ConfigIssue, shape};
 use crate::border::FleetConfig;
 
-/// Largest configuration, in bytes of compact JSON.
+/// Largest configuration, in bytes of compact JSON with all defaults written out. The log and the
+/// messages between voters carry it in about that size; a message has room for 16 MiB.
 pub const MAX_CONFIG_BYTES: usize = 4 * 1024 * 1024;
 /// Most issues that are reported; a document of another kind would give thousands.
 const MAX_ISSUES: usize = 1_000;
@@ -34,16 +36,13 @@
 /// # Errors
 /// Every issue, by the path of the offending value.
 pub fn check_document(document: &Value) -> Result<FleetConfig, Vec<ConfigIssue>> {
-    let size = serde_json::to_vec(document).map_or(usize::MAX, |bytes| bytes.len());
-    if size > MAX_CONFIG_BYTES {
-        let message = format!("has {size} bytes, of which {MAX_CONFIG_BYTES} are allowed");
-        return Err(vec![ConfigIssue::new(".", message)]);
-    }
+    // What is too large already needs no further work.
+    check_size(document)?;
     let issues = shape::check_shape(document);
     if !issues.is_empty() {
         return Err(bounded(issues));
     }
-    let config = serde_path_to_error::deserialize(document).map_err(|error| {
+    let config: FleetConfig = serde_path_to_error::deserialize(document).map_err(|error| {
         let path = error.path().to_string();
         vec![ConfigIssue::new(path, error.into_inner().to_string())]
     })?;
@@ -53,9 +52,22 @@
     }
 }
 
+fn check_size(part: &impl Serialize) -> Result<(), Vec<ConfigIssue>> {
+    let size = serde_json::to_vec(part).map_or(usize::MAX, |bytes| bytes.len());
+    if size <= MAX_CONFIG_BYTES {
+        return Ok(());
+    }
+    let message =
+        format!("has {size} bytes with its defaults, of which {MAX_CONFIG_BYTES} are allowed");
+    Err(vec![ConfigIssue::new(".", message)])
+}
+
 /// Returns every issue of a parsed configuration.
 #[must_use]
 pub fn check_config(config: &FleetConfig) -> Vec<ConfigIssue> {
+    if let Err(issues) = check_size(config) {
+        return issues;
+    }
     let mut issues = Vec::new();
     names::check(config, &mut issues);
     teams::check(config, &mut issues);
--- a/tests/admin_leader.rs
+++ b/tests/admin_leader.rs
@@ -166,3 +166,34 @@
     let alone = trio.waxwing(&alone, &all, &fleet("c")).status.code();
     assert!(matches!(alone, Some(6 | 7)), "{alone:?}");
 }
+
+/// The log and the messages between voters must carry whatever validation accepts.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_configuration_of_the_greatest_size_reaches_a_quorum() {
+    let trio = TrioFixture::start();
+    trio.leader().await;
+    let fleet = |count: usize| {
+        let route = |id| json!({ "id": format!("r{id}"), "path_prefix": format!("/{id}"), "kind": "model" });
+        let routes: Vec<Value> = (0..count).map(route).collect();
+        json!({
+            "teams": [], "routes": routes, "models": [], "targets": [],
+            "weight_store": { "loads_per_second": 1.5, "concurrent_loads": 10 },
+        })
+        .to_string()
+    };
+    // Parts with many defaults grow most when these are written out.
+    let refused = trio.waxwing(&["validate", "-"], &[0], &fleet(30_000));
+    let reason = String::from_utf8_lossy(&refused.stderr).into_owned();
+    assert!(reason.contains("with its defaults"), "{reason}");
+    let config = fleet(23_000);
+    let apply = ["apply", "-", "--expected", "0", "--timeout-ms", "30000"];
+    let started = std::time::Instant::now();
+    let output = trio.waxwing(&apply, &[0, 1, 2], &config);
+    println!("applied in {:?}", started.elapsed());
+    assert_eq!(
+        output.status.code(),
+        Some(0),
+        "{}",
+        String::from_utf8_lossy(&output.stderr)
+    );
+}
