--- a/src/control/daemon.rs
+++ b/src/control/daemon.rs
@@ -115,7 +115,7 @@
             .manage(SystemSecret(secret.clone()))
             .manage(voter.clone())
             .manage(client.clone())
-            .mount("/", routes![admin::get_config, admin::apply_config])
+            .manage(Arc::clone(&hub))
             .mount("/", routes![health::health, health::readiness])
             .mount(
                 "/",
@@ -126,6 +126,7 @@
                     members::remove_member
                 ],
             );
+        let admin = admin::mount(admin);
         let founder = FleetFounder::new(config.clone(), voter.clone(), client.clone(), secret);
         let desk = Arc::new(OrderDesk::new(voter.clone(), client));
         let placer = ModelPlacer::new(voter.clone(), hub, desk);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod ids;
 pub mod journal;
 pub mod logger;
+pub mod operator;
 pub mod order;
 pub mod place;
 pub mod raft;
