--- a/src/client.rs
+++ b/src/client.rs
@@ -1,28 +1,102 @@
 //! HTTP clients for calls to targets and to the system's own processes.
 
-use std::time::Duration;
+use std::{
+    task::{Context, Poll},
+    time::Duration,
+};
 
-use reqwest::Client;
+use prometheus::IntCounter;
+use reqwest::{Client, ClientBuilder};
+use tower_layer::Layer;
+use tower_service::Service;
 
 use crate::error::{Error, Result};
 
 /// Time within which a TCP connection on the fleet's network is established, or never will be.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time after which an idle connection to a target is closed. It is shorter than the keep-alive of
+/// common servers, so that a request rarely meets a connection that the target is closing.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+
 /// Builds a client that ignores proxies and redirects, since targets are addressed directly.
 ///
 /// # Errors
 /// [`Error::Server`] when the TLS library cannot be set up.
 pub fn http_client() -> Result<Client> {
+    build(builder())
+}
+
+fn builder() -> ClientBuilder {
     // Installing fails when another part has done it already, which is as good.
     let _ = rustls::crypto::ring::default_provider().install_default();
     Client::builder()
         .no_proxy()
         .redirect(reqwest::redirect::Policy::none())
+        .retry(reqwest::retry::never())
         .connect_timeout(CONNECT_TIMEOUT)
         .tcp_nodelay(true)
-        .build()
-        .map_err(|error| Error::Server {
-            reason: error.to_string(),
-        })
+}
+
+fn build(builder: ClientBuilder) -> Result<Client> {
+    builder.build().map_err(|error| Error::Server {
+        reason: error.to_string(),
+    })
+}
+
+/// Counts the connections that clients open.
+#[derive(Clone)]
+pub struct ConnectCounter {
+    opened: IntCounter,
+}
+
+impl ConnectCounter {
+    /// Counts with the given metric.
+    #[must_use]
+    pub fn new(opened: IntCounter) -> Self {
+        Self { opened }
+    }
+
+    /// Builds a client for calls to targets whose connections are counted.
+    ///
+    /// # Errors
+    /// [`Error::Server`] when the TLS library cannot be set up.
+    pub fn target_client(&self) -> Result<Client> {
+        let builder = builder()
+            .http1_only()
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .connector_layer(self.clone());
+        build(builder)
+    }
+}
+
+impl<S> Layer<S> for ConnectCounter {
+    type Service = CountedConnector<S>;
+
+    fn layer(&self, inner: S) -> Self::Service {
+        let opened = self.opened.clone();
+        CountedConnector { inner, opened }
+    }
+}
+
+/// Connector that counts its calls.
+#[derive(Clone)]
+pub struct CountedConnector<S> {
+    inner: S,
+    opened: IntCounter,
+}
+
+impl<S: Service<R>, R> Service<R> for CountedConnector<S> {
+    type Response = S::Response;
+    type Error = S::Error;
+    type Future = S::Future;
+
+    fn poll_ready(&mut self, context: &mut Context<'_>) -> Poll<Result<(), S::Error>> {
+        self.inner.poll_ready(context)
+    }
+
+    fn call(&mut self, request: R) -> S::Future {
+        self.opened.inc();
+        self.inner.call(request)
+    }
 }
--- a/src/code.rs
+++ b/src/code.rs
@@ -82,6 +82,8 @@
     TargetRefused = 1307, "target_refused", 503;
     /// The key was revoked while the answer was streaming.
     KeyRevoked = 1308, "key_revoked", 403;
+    /// The request took a target down and another attempt of it runs.
+    SuspectBusy = 1309, "suspect_busy", 503;
     /// Another configuration was accepted first.
     RevisionConflict = 2001, "revision_conflict", 409;
     /// The configuration has errors and nothing was changed.
--- a/src/config/entry.rs
+++ b/src/config/entry.rs
@@ -6,6 +6,7 @@
 use crate::{
     error::Result,
     ids::{DataCentreId, VmId},
+    logger::LogFormat,
 };
 
 /// Settings of an entry daemon; see docs/operators.md.
@@ -30,6 +31,34 @@
     /// Time that running requests get after SIGTERM, in milliseconds.
     #[serde(default = "default_drain_timeout_ms")]
     pub drain_timeout_ms: u64,
+    /// Time between the failure of readiness and the refusal of new work, in milliseconds, so that
+    /// the load balancer can move callers first.
+    #[serde(default = "default_drain_delay_ms")]
+    pub drain_delay_ms: u64,
+    /// Port for health checks and metrics; without it, neither is served.
+    #[serde(default)]
+    pub manage_listen: Option<ListenAddress>,
+    /// Time to the first token that counts as attained, in milliseconds.
+    #[serde(default = "default_first_token_target_ms")]
+    pub first_token_target_ms: u64,
+    /// Mean time between tokens that counts as attained, in milliseconds.
+    #[serde(default = "default_inter_token_target_ms")]
+    pub inter_token_target_ms: u64,
+    /// Format of the log.
+    #[serde(default)]
+    pub log: LogFormat,
+}
+
+fn default_drain_delay_ms() -> u64 {
+    500
+}
+
+fn default_first_token_target_ms() -> u64 {
+    320
+}
+
+fn default_inter_token_target_ms() -> u64 {
+    36
 }
 
 fn default_freshness_bound_ms() -> u64 {
@@ -51,6 +80,12 @@
             config if !(200..=3_000).contains(&config.freshness_bound_ms) => {
                 error("freshness_bound_ms", "must be from 200 to 3000")
             }
+            config if config.drain_delay_ms > config.drain_timeout_ms => {
+                error("drain_delay_ms", "must not exceed drain_timeout_ms")
+            }
+            config if config.manage_listen == Some(config.listen) => {
+                error("manage_listen", "must differ from listen")
+            }
             _ => Ok(()),
         }
     }
--- a/src/control.rs
+++ b/src/control.rs
@@ -1,6 +1,9 @@
 //! The control daemon: serves entries and operators, and carries out the leader's duties.
 
 mod admin;
+mod claims;
+mod commands;
+mod crashes;
 mod daemon;
 mod hub;
 mod placer;
--- /dev/null
+++ b/src/control/commands.rs
@@ -0,0 +1,50 @@
+use rocket::{
+    data::{Data, ToByteUnit},
+    http::Status,
+};
+use serde::de::DeserializeOwned;
+use spdlog::prelude::*;
+
+use super::system::MAX_MESSAGE_MIB;
+use crate::{
+    error::Error,
+    state::Command,
+    sync::{self, CommandReply},
+    voter::{LeaderLease, VoterHandle},
+};
+
+/// Proposes the command that a message asks for and replies once it is applied.
+///
+/// A daemon that does not lead replies 421, and 503 when the outcome is not known; the sender may
+/// send the message again in both cases.
+pub async fn propose_message<M: DeserializeOwned>(
+    what: &'static str,
+    body: Data<'_>,
+    voter: &VoterHandle,
+    to_command: impl FnOnce(M) -> Command,
+) -> Result<Vec<u8>, Status> {
+    let bytes = body
+        .open(MAX_MESSAGE_MIB.mebibytes())
+        .into_bytes()
+        .await
+        .map_err(|_| Status::BadRequest)?;
+    let message: M = sync::decode(what, &bytes).map_err(|error| {
+        warn!("sync: {error}");
+        Status::BadRequest
+    })?;
+    if !voter
+        .lease()
+        .is_some_and(|lease| LeaderLease::holds(&lease))
+    {
+        return Err(Status::MisdirectedRequest);
+    }
+    let outcome = match voter.propose(to_command(message)).await {
+        Ok(outcome) => outcome,
+        Err(Error::NotLeader { .. }) => return Err(Status::MisdirectedRequest),
+        Err(error) => {
+            warn!("sync: {what}: {error}");
+            return Err(Status::ServiceUnavailable);
+        }
+    };
+    sync::encode(&CommandReply { outcome }).map_err(|_| Status::InternalServerError)
+}
--- a/src/control/daemon.rs
+++ b/src/control/daemon.rs
@@ -5,6 +5,7 @@
 
 use super::{
     admin::{self, AdminToken},
+    claims, crashes,
     hub::SyncHub,
     placer::ModelPlacer,
     system::{self, SystemSecret},
@@ -42,7 +43,10 @@
             .manage(secret)
             .manage(voter.clone())
             .manage(Arc::clone(&hub))
-            .mount("/", routes![system::sync_entry]);
+            .mount(
+                "/",
+                routes![system::sync_entry, claims::take_claim, crashes::take_crash],
+            );
         let admin = build(&self.config.admin_listen)
             .manage(token)
             .manage(voter.clone())
--- a/src/control/system.rs
+++ b/src/control/system.rs
@@ -17,7 +17,7 @@
 };
 
 /// Largest message that a peer may send, in MiB.
-const MAX_MESSAGE_MIB: u64 = 16;
+pub const MAX_MESSAGE_MIB: u64 = 16;
 /// Longest time that a sync is held, whatever the entry asks.
 const MAX_HOLD: Duration = Duration::from_millis(400);
 
--- a/src/dev/fleet.rs
+++ b/src/dev/fleet.rs
@@ -59,7 +59,7 @@
         let daemons = async {
             tokio::try_join!(
                 Box::pin(ControlDaemon::new(&control).run()),
-                Box::pin(EntryDaemon::new(&entry).run()),
+                Box::pin(EntryDaemon::new(&entry).run_until(std::future::pending())),
                 Box::pin(first),
                 Box::pin(second),
                 Box::pin(service),
--- a/src/dev/settings.rs
+++ b/src/dev/settings.rs
@@ -10,6 +10,7 @@
     config::{ControlConfig, EntryConfig, ListenAddress, VoterAddress},
     error::{Error, Result},
     fleet::KeyHash,
+    logger::LogFormat,
 };
 
 /// Name of the only VM and data centre of a development fleet.
@@ -105,6 +106,11 @@
             key_hash_secret_file: self.secret_path("key.secret"),
             freshness_bound_ms: 2_000,
             drain_timeout_ms: 5_000,
+            drain_delay_ms: 0,
+            manage_listen: None,
+            first_token_target_ms: 320,
+            inter_token_target_ms: 36,
+            log: LogFormat::Text,
         }
     }
 
--- /dev/null
+++ b/src/entry/caller_port.rs
@@ -0,0 +1,98 @@
+use std::{convert::Infallible, sync::Arc, time::Duration};
+
+use hyper::{server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use spdlog::prelude::*;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    task::JoinSet,
+};
+
+use super::proxy::CallerProxy;
+use crate::{
+    config::ListenAddress,
+    error::{Error, Result},
+};
+
+/// Time that a connection may be idle or send the head of a request. It exceeds the idle timeout of
+/// common load balancers, so that they close connections first.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(90);
+/// Wait after a failed accept, which usually means that no file descriptor is free.
+const ACCEPT_DELAY: Duration = Duration::from_millis(20);
+
+/// The port for callers.
+///
+/// It uses hyper itself rather than Rocket: a proxy must abort a chunked response that its target
+/// cut short, and must not change the method of a form that has a field `_method`.
+pub struct CallerPort {
+    listener: TcpListener,
+    proxy: Arc<CallerProxy>,
+}
+
+impl CallerPort {
+    /// Opens the port.
+    ///
+    /// # Errors
+    /// [`Error::Server`] when the port is taken.
+    pub async fn open(listen: &ListenAddress, proxy: Arc<CallerProxy>) -> Result<Self> {
+        let address = listen.socket();
+        let listener = TcpListener::bind(address)
+            .await
+            .map_err(|error| Error::Server {
+                reason: format!("{address}: {error}"),
+            })?;
+        Ok(Self { listener, proxy })
+    }
+
+    /// Serves connections until `stop` changes, then closes each after its running request.
+    pub async fn run(self, mut stop: watch::Receiver<bool>) {
+        let mut connections = JoinSet::new();
+        loop {
+            tokio::select! {
+                accepted = self.listener.accept() => match accepted {
+                    Ok((stream, _)) => {
+                        let serving = serve_connection(stream, Arc::clone(&self.proxy), stop.clone());
+                        connections.spawn(serving);
+                    }
+                    Err(error) => {
+                        warn!("entry: a connection cannot be accepted: {error}");
+                        tokio::time::sleep(ACCEPT_DELAY).await;
+                    }
+                },
+                Some(_) = connections.join_next() => {}
+                _ = stop.changed() => break,
+            }
+        }
+        drop(self.listener);
+        while connections.join_next().await.is_some() {}
+    }
+}
+
+async fn serve_connection(
+    stream: TcpStream,
+    proxy: Arc<CallerProxy>,
+    mut stop: watch::Receiver<bool>,
+) {
+    // Events of a stream are small and must not wait for each other.
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let proxy = Arc::clone(&proxy);
+        async move { Ok::<_, Infallible>(proxy.serve(request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_TIMEOUT)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        _ = stop.changed() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        debug!("entry: a connection ended: {error}");
+    }
+}
--- /dev/null
+++ b/src/entry/control_client.rs
@@ -0,0 +1,120 @@
+use std::{
+    net::SocketAddr,
+    sync::atomic::{AtomicU64, AtomicUsize, Ordering},
+    time::{Duration, Instant},
+};
+
+use reqwest::Client;
+use serde::Serialize;
+
+use crate::{
+    error::{Error, Result},
+    ids::{Attempt, EntryKey},
+    state::Outcome,
+    sync::{
+        self, CLAIMS_PATH, CRASHES_PATH, ClaimMessage, CommandReply, CrashMessage, SECRET_HEADER,
+    },
+};
+
+/// Time after which a message counts as lost and another control daemon is tried.
+const MESSAGE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Wait between two rounds, so that a fleet without a leader is not flooded.
+const RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// Sends claim and crash messages to the leader.
+pub struct ControlClient {
+    key: EntryKey,
+    control: Vec<SocketAddr>,
+    secret: String,
+    client: Client,
+    /// Index of the control daemon that replied last.
+    leader: AtomicUsize,
+    attempts: AtomicU64,
+}
+
+impl ControlClient {
+    pub fn new(key: EntryKey, control: Vec<SocketAddr>, secret: String, client: Client) -> Self {
+        Self {
+            key,
+            control,
+            secret,
+            client,
+            leader: AtomicUsize::new(0),
+            attempts: AtomicU64::new(0),
+        }
+    }
+
+    /// Names this life of the entry process.
+    pub fn key(&self) -> &EntryKey {
+        &self.key
+    }
+
+    /// Returns a number that no earlier attempt of this process had.
+    pub fn next_attempt(&self) -> Attempt {
+        self.attempts.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
+    /// Sends a claim message until the leader replies or `limit` has passed.
+    ///
+    /// # Errors
+    /// [`Error::Transport`] when no leader replied; the command may be committed later.
+    pub async fn send_claim(&self, message: &ClaimMessage, limit: Duration) -> Result<Outcome> {
+        self.send(CLAIMS_PATH, message, limit).await
+    }
+
+    /// Sends a crash message until the leader replies or `limit` has passed.
+    ///
+    /// # Errors
+    /// [`Error::Transport`] when no leader replied; the command may be committed later.
+    pub async fn send_crash(&self, message: &CrashMessage, limit: Duration) -> Result<Outcome> {
+        self.send(CRASHES_PATH, message, limit).await
+    }
+
+    async fn send<M: Serialize>(
+        &self,
+        path: &str,
+        message: &M,
+        limit: Duration,
+    ) -> Result<Outcome> {
+        let body = sync::encode(message)?;
+        let deadline = Instant::now() + limit;
+        loop {
+            let turn = self.leader.load(Ordering::Relaxed) % self.control.len();
+            let control = self.control[turn];
+            match self.send_once(control, path, body.clone(), deadline).await {
+                Ok(outcome) => return Ok(outcome),
+                Err(error) if Instant::now() + RETRY_DELAY >= deadline => return Err(error),
+                Err(_) => {
+                    self.leader.store(turn + 1, Ordering::Relaxed);
+                    tokio::time::sleep(RETRY_DELAY).await;
+                }
+            }
+        }
+    }
+
+    async fn send_once(
+        &self,
+        control: SocketAddr,
+        path: &str,
+        body: Vec<u8>,
+        deadline: Instant,
+    ) -> Result<Outcome> {
+        let transport = |error: reqwest::Error| Error::Transport {
+            peer: control.to_string(),
+            reason: error.to_string(),
+        };
+        let remaining = deadline.saturating_duration_since(Instant::now());
+        let answer = self
+            .client
+            .post(format!("http://{control}{path}"))
+            .header(SECRET_HEADER, &self.secret)
+            .timeout(MESSAGE_TIMEOUT.min(remaining))
+            .body(body)
+            .send()
+            .await
+            .and_then(reqwest::Response::error_for_status)
+            .map_err(transport)?;
+        let bytes = answer.bytes().await.map_err(transport)?;
+        sync::decode::<CommandReply>("command reply", &bytes).map(|reply| reply.outcome)
+    }
+}
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -1,21 +1,61 @@
-use std::{sync::Arc, time::Duration};
+use std::{future::Future, sync::Arc, time::Duration};
 
+use futures::future::BoxFuture;
 use spdlog::prelude::*;
+use tokio::{
+    signal::unix::{Signal, SignalKind, signal},
+    sync::{Notify, watch},
+    task::JoinHandle,
+    time::timeout,
+};
 
-use super::{follow::SyncFollower, proxy::CallerProxy, view::SharedView};
+use super::{
+    caller_port::CallerPort,
+    control_client::ControlClient,
+    crash::CrashRegistry,
+    follow::SyncFollower,
+    in_flight::InFlight,
+    management::ManagementPort,
+    metrics::EntryMetrics,
+    phase::{EntryPhase, PhaseReceiver, PhaseSender},
+    proxy::CallerProxy,
+    retries::RetryLimits,
+    target_pool::TargetPool,
+    view::SharedView,
+};
 use crate::{
-    client,
+    client::{self, ConnectCounter},
     config::{self, EntryConfig},
-    error::Result,
+    error::{Error, Result},
     fleet::KeyHasher,
-    server,
+    ids::EntryKey,
+    logger,
 };
 
+/// Time that the last sync and the closing of connections may take.
+const LEAVE_LIMIT: Duration = Duration::from_secs(3);
+
 /// One entry daemon.
 pub struct EntryDaemon<'c> {
     config: &'c EntryConfig,
 }
 
+/// An entry that serves callers.
+struct ServingEntry {
+    drain_delay: Duration,
+    drain_timeout: Duration,
+    phase: PhaseSender,
+    in_flight: Arc<InFlight>,
+    stop: watch::Sender<bool>,
+    leave: Arc<Notify>,
+    callers: JoinHandle<()>,
+    following: JoinHandle<()>,
+    management: BoxFuture<'static, Result<()>>,
+}
+
+/// An entry that refuses new work.
+struct DrainingEntry(ServingEntry);
+
 impl<'c> EntryDaemon<'c> {
     /// Prepares a daemon with these settings.
     #[must_use]
@@ -23,28 +63,168 @@
         Self { config }
     }
 
-    /// Serves until the process is told to stop.
+    /// Serves until SIGTERM, then completes what runs. A second SIGTERM ends the process at once.
     ///
     /// # Errors
-    /// [`crate::error::Error::File`] when a secret is not readable, [`crate::error::Error::Server`] when the port is taken.
+    /// [`Error::File`] when a secret is not readable, [`Error::Server`] when a port is taken.
     pub async fn run(self) -> Result<()> {
+        logger::set_format(self.config.log);
+        let mut signals = signal(SignalKind::terminate()).map_err(|error| Error::Server {
+            reason: error.to_string(),
+        })?;
+        let serving = self.start().await?;
+        let draining = serving.serve(wait_for(&mut signals)).await?;
+        tokio::select! {
+            () = draining.finish() => Ok(()),
+            () = wait_for(&mut signals) => {
+                warn!("entry: second SIGTERM; running requests are aborted");
+                std::process::exit(1);
+            }
+        }
+    }
+
+    /// Serves until `stop` completes, then completes what runs.
+    ///
+    /// # Errors
+    /// [`Error::File`] when a secret is not readable, [`Error::Server`] when a port is taken.
+    pub async fn run_until(self, stop: impl Future<Output = ()>) -> Result<()> {
+        let serving = self.start().await?;
+        serving.serve(stop).await?.finish().await;
+        Ok(())
+    }
+
+    async fn start(self) -> Result<ServingEntry> {
+        let config = self.config;
         let view = Arc::new(SharedView::default());
         let client = client::http_client()?;
-        let secret = config::read_secret(&self.config.system_secret_file)?;
-        let hasher = KeyHasher::new(&config::read_secret(&self.config.key_hash_secret_file)?);
-        let follower = SyncFollower::new(self.config, secret, Arc::clone(&view), client.clone());
-        let following = tokio::spawn(follower.run());
-        let bound = Duration::from_millis(self.config.freshness_bound_ms);
-        let proxy = CallerProxy::new(view, hasher, client, bound);
-        let rocket =
-            rocket::custom(server::figment(&self.config.listen)).mount("/", proxy.routes());
+        let secret = config::read_secret(&config.system_secret_file)?;
+        let hash_secret = config::read_secret(&config.key_hash_secret_file)?;
+        let hasher = KeyHasher::new(&hash_secret);
+        let key = EntryKey {
+            vm: config.vm.clone(),
+            incarnation: rand::random(),
+        };
+        let metrics = Arc::new(EntryMetrics::new(config));
+        let counter = ConnectCounter::new(metrics.upstream_connections.clone());
+        let in_flight = InFlight::new(metrics.in_flight.clone());
+        let phase = watch::channel(EntryPhase::Serving).0;
+        let freshness_bound = Duration::from_millis(config.freshness_bound_ms);
+        let follower = SyncFollower::new(
+            config,
+            key.incarnation,
+            secret.clone(),
+            Arc::clone(&view),
+            client.clone(),
+        );
+        let control = ControlClient::new(key, config.control.clone(), secret, client);
+        let control = Arc::new(control);
+        let proxy = CallerProxy {
+            view: Arc::clone(&view),
+            hasher,
+            targets: Arc::new(TargetPool::new(counter)?),
+            crashes: CrashRegistry::new(Arc::clone(&control), &hash_secret),
+            control,
+            retries: RetryLimits::new(),
+            metrics: Arc::clone(&metrics),
+            in_flight: Arc::clone(&in_flight),
+            phase: PhaseReceiver::new(&phase),
+            freshness_bound,
+        };
+        let management = ManagementPort {
+            view,
+            metrics,
+            phase: PhaseReceiver::new(&phase),
+            freshness_bound,
+        };
+        let management: BoxFuture<'static, Result<()>> = match config.manage_listen {
+            Some(listen) => Box::pin(management.run(listen)),
+            None => Box::pin(std::future::pending()),
+        };
+        let (stop, stopping) = watch::channel(false);
+        let port = CallerPort::open(&config.listen, Arc::new(proxy)).await?;
         info!(
             "entry: {} serves callers at {}",
-            self.config.vm,
-            self.config.listen.socket()
+            config.vm,
+            config.listen.socket()
         );
-        let served = server::launch(rocket).await;
-        following.abort();
-        served
+        let leave = Arc::new(Notify::new());
+        Ok(ServingEntry {
+            drain_delay: Duration::from_millis(config.drain_delay_ms),
+            drain_timeout: Duration::from_millis(config.drain_timeout_ms),
+            phase,
+            in_flight,
+            stop,
+            callers: tokio::spawn(port.run(stopping)),
+            following: tokio::spawn(follower.run(Arc::clone(&leave))),
+            leave,
+            management,
+        })
+    }
+}
+
+impl ServingEntry {
+    /// Serves until `stop` completes; readiness fails before new work is refused.
+    async fn serve(mut self, stop: impl Future<Output = ()>) -> Result<DrainingEntry> {
+        tokio::select! {
+            () = stop => {}
+            result = &mut self.management => {
+                result?;
+                let reason = "the management port has stopped".to_owned();
+                return Err(Error::Server { reason });
+            }
+        }
+        info!("entry: leaving; readiness fails from now on");
+        self.phase.send_replace(EntryPhase::Leaving);
+        let _ = timeout(self.drain_delay, &mut self.management).await;
+        self.phase.send_replace(EntryPhase::Draining);
+        let count = self.in_flight.count();
+        info!("entry: new work is refused; {count} requests run");
+        Ok(DrainingEntry(self))
+    }
+}
+
+impl DrainingEntry {
+    /// Waits for running requests, hands back what the leader lent, and closes all connections.
+    async fn finish(self) {
+        let ServingEntry {
+            drain_delay,
+            drain_timeout,
+            in_flight,
+            stop,
+            leave,
+            callers,
+            following,
+            mut management,
+            ..
+        } = self.0;
+        let limit = drain_timeout.saturating_sub(drain_delay);
+        let idle = async {
+            tokio::select! {
+                () = in_flight.wait_until_idle() => {}
+                // Health checks are answered to the end.
+                _ = &mut management => in_flight.wait_until_idle().await,
+            }
+        };
+        if timeout(limit, idle).await.is_err() {
+            let count = in_flight.count();
+            warn!("entry: {count} requests still run at the end of drain_timeout_ms");
+        }
+        leave.notify_one();
+        let abort = following.abort_handle();
+        if timeout(LEAVE_LIMIT, following).await.is_err() {
+            abort.abort();
+        }
+        stop.send_replace(true);
+        let abort = callers.abort_handle();
+        if timeout(Duration::from_millis(500), callers).await.is_err() {
+            abort.abort();
+        }
+        info!("entry: stopped");
+    }
+}
+
+async fn wait_for(signals: &mut Signal) {
+    if signals.recv().await.is_none() {
+        std::future::pending::<()>().await;
     }
 }
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -6,6 +6,7 @@
 
 use reqwest::Client;
 use spdlog::prelude::*;
+use tokio::sync::Notify;
 
 use super::view::{EntryView, SharedView};
 use crate::{
@@ -35,11 +36,11 @@
 impl SyncFollower {
     pub fn new(
         config: &EntryConfig,
+        incarnation: Incarnation,
         secret: String,
         view: Arc<SharedView>,
         client: Client,
     ) -> Self {
-        let incarnation = rand::random();
         Self {
             config: config.clone(),
             secret,
@@ -50,20 +51,33 @@
         }
     }
 
-    /// Syncs until the task is dropped.
-    pub async fn run(mut self) {
+    /// Syncs until `leave` is notified, then tells the leader that this entry leaves.
+    pub async fn run(mut self, leave: Arc<Notify>) {
         let mut turn = 0;
         loop {
             let control = self.config.control[turn % self.config.control.len()];
-            if let Err(error) = self.sync_once(control).await {
+            let result = tokio::select! {
+                result = self.sync_once(control, false) => result,
+                () = leave.notified() => break,
+            };
+            if let Err(error) = result {
                 debug!("sync: {error}");
                 turn += 1;
                 tokio::time::sleep(RETRY_DELAY).await;
             }
         }
+        for _ in 0..self.config.control.len() {
+            let control = self.config.control[turn % self.config.control.len()];
+            match self.sync_once(control, true).await {
+                Ok(()) => return,
+                Err(error) => debug!("sync: {error}"),
+            }
+            turn += 1;
+        }
+        warn!("sync: no leader took note that this entry leaves");
     }
 
-    async fn sync_once(&mut self, control: SocketAddr) -> Result<()> {
+    async fn sync_once(&mut self, control: SocketAddr, leaving: bool) -> Result<()> {
         self.serial += 1;
         let view = self.view.get();
         let request = SyncRequest {
@@ -73,12 +87,16 @@
             serial: self.serial,
             revision: view.revision,
             residency: view.residency_version,
-            leaving: false,
+            leaving,
             shares: Vec::new(),
             demand: Vec::new(),
             reports: Vec::new(),
             observations: Vec::new(),
-            hold_ms: u64::try_from(HOLD.as_millis()).unwrap_or(u64::MAX),
+            hold_ms: if leaving {
+                0
+            } else {
+                u64::try_from(HOLD.as_millis()).unwrap_or(u64::MAX)
+            },
         };
         let asked = Instant::now();
         let reply = self.send(control, &request).await?;
--- /dev/null
+++ b/src/entry/model.rs
@@ -0,0 +1,204 @@
+//! The model interface: list of models, completions and chat completions.
+
+use std::sync::Arc;
+
+use bytes::{Bytes, BytesMut};
+use futures::StreamExt;
+use hyper::{
+    Method, Response, StatusCode,
+    body::Incoming,
+    header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderValue},
+    http::request::Parts,
+};
+use serde_json::json;
+
+use super::{
+    body::{self, CallerBody},
+    candidates::{CandidatePool, TriedTargets},
+    context::RequestContext,
+    exchange::TargetAnswer,
+    guard::StreamGuard,
+    header::strip_hop_by_hop,
+    model_stream::ModelStream,
+    outgoing::{Outgoing, OutgoingBody, collect},
+    proxy::CallerProxy,
+    refusal::CallerError,
+    request::ModelRequest,
+};
+use crate::code::ResultCode;
+
+/// Largest response that is read as a whole, in bytes; the longest contexts stay below it.
+const MAX_WHOLE_RESPONSE: usize = 64 * 1024 * 1024;
+
+impl CallerProxy {
+    /// Serves a request to the model interface.
+    pub async fn serve_model(
+        self: &Arc<Self>,
+        context: Arc<RequestContext>,
+        parts: Parts,
+        incoming: Incoming,
+    ) -> Result<Response<CallerBody>, CallerError> {
+        let id = &context.id;
+        let prefix = context.route.path_prefix.trim_end_matches('/');
+        let rest = parts.uri.path().strip_prefix(prefix).unwrap_or_default();
+        let path = match (&parts.method, rest) {
+            (&Method::GET | &Method::HEAD, "/models") => return Ok(self.list_models()),
+            (&Method::POST, "/completions" | "/chat/completions") => format!("/v1{rest}"),
+            _ => {
+                let message = format!("no model call is at {} {rest}", parts.method);
+                return Err(CallerError::not_run(ResultCode::UnknownRoute, message, id));
+            }
+        };
+        let body = collect(incoming, context.route.max_body_bytes)
+            .await
+            .map_err(|(code, message)| CallerError::not_run(code, message, id))?;
+        let request: ModelRequest = serde_json::from_slice(&body).map_err(|error| {
+            CallerError::not_run(ResultCode::MalformedRequest, error.to_string(), id)
+        })?;
+        let view = self.view.get();
+        if view.index.model(&request.model).is_none()
+            && view.index.adapter(&request.model).is_none()
+        {
+            let message = format!("no model has the name {}", request.model);
+            return Err(CallerError::not_run(ResultCode::UnknownModel, message, id));
+        }
+        drop(view);
+        let pool = CandidatePool::Model(request.model.clone());
+        let mut outgoing = Outgoing {
+            method: Method::POST,
+            path_and_query: path,
+            headers: parts.headers,
+            fingerprint: Some(
+                self.crashes
+                    .fingerprint(&context.route.id, &request.model, &body),
+            ),
+            body: OutgoingBody::Whole(body),
+        };
+        let mut guard = self.guard(&context);
+        let mut tried = TriedTargets::new();
+        let answer = self
+            .dispatch(&context, &pool, &mut outgoing, &mut guard, &mut tried)
+            .await?;
+        let is_stream = answer.response.status() == StatusCode::OK
+            && answer
+                .response
+                .headers()
+                .get(CONTENT_TYPE)
+                .is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream"));
+        let status = answer.response.status();
+        let headers = response_headers(answer.response.headers(), &context);
+        if is_stream {
+            let events = ModelStream::new(
+                Arc::clone(self),
+                Arc::clone(&context),
+                pool,
+                outgoing,
+                guard,
+                tried,
+                answer,
+            );
+            return Ok(response(
+                status,
+                headers,
+                body::streamed(events.into_stream()),
+            ));
+        }
+        let bytes = read_whole(answer, &mut guard, &context).await?;
+        self.metrics.observe_first_token(context.started.elapsed());
+        Ok(response(status, headers, body::whole(bytes)))
+    }
+
+    fn list_models(&self) -> Response<CallerBody> {
+        let view = self.view.get();
+        let mut names: Vec<(&str, Option<&str>)> = view
+            .index
+            .models()
+            .map(|model| (model.id.as_str(), None))
+            .chain(
+                view.index
+                    .adapters()
+                    .map(|adapter| (adapter.id.as_str(), Some(adapter.model.as_str()))),
+            )
+            .collect();
+        names.sort_unstable();
+        let data: Vec<_> = names
+            .into_iter()
+            .map(|(id, parent)| json!({ "id": id, "object": "model", "parent": parent }))
+            .collect();
+        let text = json!({ "object": "list", "data": data }).to_string();
+        let mut response = Response::new(body::whole(text));
+        response
+            .headers_mut()
+            .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        response
+    }
+
+    /// Watches the caller's key while a response is under way.
+    pub fn guard(&self, context: &RequestContext) -> StreamGuard {
+        StreamGuard::new(
+            Arc::clone(&self.view),
+            self.freshness_bound,
+            context.caller.clone(),
+        )
+    }
+}
+
+/// Reads a response as a whole, so that a short one becomes an error with its own status.
+async fn read_whole(
+    answer: TargetAnswer,
+    guard: &mut StreamGuard,
+    context: &RequestContext,
+) -> Result<Bytes, CallerError> {
+    let TargetAnswer {
+        response,
+        slot,
+        turn: _turn,
+    } = answer;
+    let id = &context.id;
+    let mut chunks = response.bytes_stream();
+    let mut bytes = BytesMut::new();
+    loop {
+        let chunk = tokio::select! {
+            chunk = chunks.next() => chunk,
+            reason = guard.lapse() => {
+                return Err(CallerError::may_have_run(ResultCode::KeyRevoked, reason, id));
+            }
+        };
+        let cut = |reason: String| {
+            let message = format!(
+                "the response of target {} ended early: {reason}",
+                slot.target.id
+            );
+            CallerError::may_have_run(ResultCode::AnswerCut, message, id)
+        };
+        match chunk {
+            None => return Ok(bytes.freeze()),
+            Some(Err(error)) => {
+                slot.report_failure();
+                return Err(cut(error.without_url().to_string()));
+            }
+            Some(Ok(chunk)) if bytes.len() + chunk.len() > MAX_WHOLE_RESPONSE => {
+                return Err(cut("it is too large".to_owned()));
+            }
+            Some(Ok(chunk)) => bytes.extend_from_slice(&chunk),
+        }
+    }
+}
+
+/// Headers of a target's response that the caller receives.
+pub fn response_headers(headers: &HeaderMap, context: &RequestContext) -> HeaderMap {
+    let mut headers = headers.clone();
+    strip_hop_by_hop(&mut headers);
+    if let Ok(id) = HeaderValue::from_str(&context.id) {
+        headers.insert("x-request-id", id);
+    }
+    headers
+}
+
+fn response(status: StatusCode, mut headers: HeaderMap, body: CallerBody) -> Response<CallerBody> {
+    headers.remove(CONTENT_LENGTH);
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
--- /dev/null
+++ b/src/entry/model_stream.rs
@@ -0,0 +1,320 @@
+use std::{
+    io,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use futures::{Stream, StreamExt, stream::BoxStream};
+use hyper::{
+    Method, StatusCode,
+    header::{CONTENT_TYPE, HeaderMap, HeaderValue},
+};
+use serde_json::{json, value::RawValue};
+use spdlog::prelude::*;
+use tokio::time::timeout;
+
+use super::{
+    candidates::{CandidatePool, TriedTargets},
+    context::RequestContext,
+    crash::{self, SuspectTurn},
+    event::EventSplitter,
+    exchange::{TargetAnswer, exchange},
+    guard::StreamGuard,
+    metrics::RetryKind,
+    outgoing::{Outgoing, OutgoingBody},
+    proxy::CallerProxy,
+    refusal::{CallerError, RunState},
+    target_pool::TargetSlot,
+};
+use crate::{code::ResultCode, state::BlockState};
+
+/// Path of the call that continues a broken stream; see docs/engine-interface.md.
+const RESUME_PATH: &str = "/engine/v1/resume";
+/// Header in which an engine confirms the token offset at which it resumes.
+const RESUME_OFFSET_HEADER: &str = "x-resume-offset";
+/// Time to wait for the end of the body after the end mark, so that the connection can be reused.
+const TRAILING_WAIT: Duration = Duration::from_millis(100);
+/// Largest event; a longer one is a fault of the engine.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
+/// A stream of model events on its way to the caller. A broken one is resumed on another engine at
+/// the first token that the caller lacks.
+pub struct ModelStream {
+    proxy: Arc<CallerProxy>,
+    context: Arc<RequestContext>,
+    pool: CandidatePool,
+    request: Outgoing,
+    guard: StreamGuard,
+    tried: TriedTargets,
+    source: Option<EventSource>,
+    splitter: EventSplitter,
+    delivered: u64,
+    first_token_at: Option<Instant>,
+    phase: StreamPhase,
+}
+
+struct EventSource {
+    chunks: BoxStream<'static, reqwest::Result<Bytes>>,
+    slot: TargetSlot,
+    _turn: Option<SuspectTurn>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum StreamPhase {
+    Running,
+    /// The end mark was passed on; the rest of the body is read without effect.
+    Complete,
+    Ended,
+}
+
+impl ModelStream {
+    pub fn new(
+        proxy: Arc<CallerProxy>,
+        context: Arc<RequestContext>,
+        pool: CandidatePool,
+        request: Outgoing,
+        guard: StreamGuard,
+        tried: TriedTargets,
+        answer: TargetAnswer,
+    ) -> Self {
+        Self {
+            proxy,
+            context,
+            pool,
+            request,
+            guard,
+            tried,
+            source: Some(EventSource::new(answer)),
+            splitter: EventSplitter::default(),
+            delivered: 0,
+            first_token_at: None,
+            phase: StreamPhase::Running,
+        }
+    }
+
+    /// Turns the events into a body; it makes progress only while the caller reads.
+    pub fn into_stream(self) -> impl Stream<Item = io::Result<Bytes>> + Send + 'static {
+        futures::stream::unfold(self, |mut stream| async move {
+            let bytes = stream.next().await?;
+            Some((Ok(bytes), stream))
+        })
+    }
+
+    async fn next(&mut self) -> Option<Bytes> {
+        loop {
+            match self.phase {
+                StreamPhase::Ended => return None,
+                StreamPhase::Complete => {
+                    self.read_rest().await;
+                    return None;
+                }
+                StreamPhase::Running => {}
+            }
+            if let Some(batch) = self.splitter.take() {
+                self.note_tokens(batch.tokens);
+                if batch.ended {
+                    self.phase = StreamPhase::Complete;
+                    self.note_complete();
+                }
+                return Some(batch.bytes);
+            }
+            let Err(error) = self.read().await else {
+                continue;
+            };
+            let error = match error.code() {
+                ResultCode::AnswerCut => match self.resume(error).await {
+                    Ok(()) => continue,
+                    Err(error) => error,
+                },
+                _ => error,
+            };
+            return Some(self.fail(&error));
+        }
+    }
+
+    /// Reads one chunk into the splitter.
+    async fn read(&mut self) -> Result<(), CallerError> {
+        let idle_limit = Duration::from_millis(self.context.route.timeout_ms);
+        let id = &self.context.id;
+        let Some(source) = &mut self.source else {
+            let message = "the response ended early";
+            return Err(CallerError::may_have_run(
+                ResultCode::AnswerCut,
+                message,
+                id,
+            ));
+        };
+        let chunk = tokio::select! {
+            chunk = timeout(idle_limit, source.chunks.next()) => chunk,
+            reason = self.guard.lapse() => {
+                return Err(CallerError::may_have_run(ResultCode::KeyRevoked, reason, id));
+            }
+        };
+        let reason = match chunk {
+            Ok(Some(Ok(bytes))) if self.splitter.pending_bytes() < MAX_EVENT_BYTES => {
+                self.splitter.push(&bytes);
+                return Ok(());
+            }
+            Ok(Some(Ok(_))) => "an event is too large".to_owned(),
+            Ok(Some(Err(error))) => error.without_url().to_string(),
+            Ok(None) => "the end mark is missing".to_owned(),
+            Err(_elapsed) => "no token arrived in time".to_owned(),
+        };
+        source.slot.report_failure();
+        let message = format!(
+            "the response of target {} ended early: {reason}",
+            source.slot.target.id
+        );
+        Err(CallerError::may_have_run(
+            ResultCode::AnswerCut,
+            message,
+            id,
+        ))
+    }
+
+    /// Continues the response on a target that was not tried.
+    ///
+    /// # Errors
+    /// `cause`, when no target continues, or the refusal of a request that takes targets down.
+    async fn resume(&mut self, cause: CallerError) -> Result<(), CallerError> {
+        let fingerprint = self.request.fingerprint;
+        if let Some(source) = self.source.take() {
+            let crashes = &self.proxy.crashes;
+            let state = crashes.report_if_down(fingerprint, &source.slot.target);
+            if state.await == Some(BlockState::Blocked) {
+                return Err(crash::blocked(&self.context));
+            }
+        }
+        // A part of an event that was received is generated again by the next engine.
+        self.splitter = EventSplitter::default();
+        let Some(mut outgoing) = self.resume_request() else {
+            return Err(cause);
+        };
+        loop {
+            let proxy = &self.proxy;
+            let candidates = self.pool.candidates(&proxy.view.get(), &self.tried);
+            if candidates.is_empty()
+                || proxy.check_again(&self.context).is_err()
+                || !proxy.retries.try_spend(self.context.team())
+            {
+                return Err(cause);
+            }
+            // The stream outlives the deadline of its first byte; each resume has its own.
+            let limit = Duration::from_millis(self.context.route.timeout_ms);
+            let context = RequestContext {
+                deadline: Instant::now() + limit,
+                ..RequestContext::clone(&self.context)
+            };
+            let start = async {
+                let turn = proxy.crashes.admit(fingerprint, &context).await?;
+                let slot = proxy.wait_for_slot(&context, &self.pool, &self.tried);
+                Ok::<_, CallerError>((turn, slot.await?))
+            };
+            let (turn, slot) = tokio::select! {
+                started = start => started.map_err(|_| cause.clone())?,
+                _ = self.guard.lapse() => return Err(cause),
+            };
+            let target = Arc::clone(&slot.target);
+            info!(
+                "route: {} {} resumes at token {} on {}",
+                context.id, context.route.id, self.delivered, target.id
+            );
+            self.tried.push(target.id.clone());
+            proxy.metrics.count_retry(RetryKind::Resume);
+            proxy.metrics.count_upstream_request();
+            match exchange(slot, turn, &mut outgoing, &context, &mut self.guard).await {
+                Ok(answer) if resumes_at(&answer, self.delivered) => {
+                    self.source = Some(EventSource::new(answer));
+                    return Ok(());
+                }
+                Ok(_) => info!("route: {} target {} does not resume", context.id, target.id),
+                Err(error) => {
+                    info!("route: {} {}", context.id, error.message());
+                    if error.run_state() == RunState::MayHaveRun
+                        && proxy.crashes.report_if_down(fingerprint, &target).await
+                            == Some(BlockState::Blocked)
+                    {
+                        return Err(crash::blocked(&context));
+                    }
+                }
+            }
+        }
+    }
+
+    fn resume_request(&self) -> Option<Outgoing> {
+        let OutgoingBody::Whole(body) = &self.request.body else {
+            return None;
+        };
+        let request: &RawValue = serde_json::from_slice(body).ok()?;
+        let body = json!({
+            "path": self.request.path_and_query,
+            "offset": self.delivered,
+            "request": request,
+        });
+        let mut headers: HeaderMap = self.request.headers.clone();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        Some(Outgoing {
+            method: Method::POST,
+            path_and_query: RESUME_PATH.to_owned(),
+            headers,
+            body: OutgoingBody::Whole(Bytes::from(body.to_string())),
+            fingerprint: self.request.fingerprint,
+        })
+    }
+
+    fn note_tokens(&mut self, tokens: u64) {
+        if tokens > 0 && self.first_token_at.is_none() {
+            self.first_token_at = Some(Instant::now());
+            let elapsed = self.context.started.elapsed();
+            self.proxy.metrics.observe_first_token(elapsed);
+        }
+        self.delivered += tokens;
+    }
+
+    fn note_complete(&self) {
+        let Some(first) = self.first_token_at else {
+            return;
+        };
+        let gaps = u32::try_from(self.delivered.saturating_sub(1)).unwrap_or(u32::MAX);
+        if gaps > 0 {
+            self.proxy
+                .metrics
+                .observe_inter_token(first.elapsed() / gaps);
+        }
+    }
+
+    fn fail(&mut self, error: &CallerError) -> Bytes {
+        self.source = None;
+        self.phase = StreamPhase::Ended;
+        self.proxy.refuse(Some(&self.context), error);
+        Bytes::from(error.to_event())
+    }
+
+    async fn read_rest(&mut self) {
+        self.phase = StreamPhase::Ended;
+        if let Some(mut source) = self.source.take() {
+            let rest = async { while let Some(Ok(_)) = source.chunks.next().await {} };
+            let _ = timeout(TRAILING_WAIT, rest).await;
+        }
+    }
+}
+
+impl EventSource {
+    fn new(answer: TargetAnswer) -> Self {
+        Self {
+            chunks: answer.response.bytes_stream().boxed(),
+            slot: answer.slot,
+            _turn: answer.turn,
+        }
+    }
+}
+
+/// Whether an engine confirms that it continues with token number `offset`, counted from 0.
+fn resumes_at(answer: &TargetAnswer, offset: u64) -> bool {
+    let headers = answer.response.headers();
+    let confirmed = headers
+        .get(RESUME_OFFSET_HEADER)
+        .and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+    answer.response.status() == StatusCode::OK && confirmed == Some(offset)
+}
--- a/src/entry/proxy.rs
+++ b/src/entry/proxy.rs
@@ -1,236 +1,189 @@
 use std::{sync::Arc, time::Duration};
 
-use compact_str::{CompactString, format_compact};
-use futures::{StreamExt, TryStreamExt};
-use rand::seq::IndexedRandom;
-use reqwest::Client;
-use rocket::{
-    Data, Request, Response,
-    data::ToByteUnit,
-    http::{Method, Status},
-    route::{Handler, Outcome, Route},
+use compact_str::CompactString;
+use hyper::{
+    Method, Request, Response,
+    body::Incoming,
+    header::{CONNECTION, HeaderValue},
+    http::request::Parts,
 };
 use spdlog::prelude::*;
-use tokio_util::io::StreamReader;
 
 use super::{
+    body::{self, CallerBody},
+    context::{Caller, RequestContext},
+    control_client::ControlClient,
+    crash::CrashRegistry,
+    credential,
+    header::strip_request,
+    in_flight::InFlight,
+    metrics::EntryMetrics,
+    phase::{EntryPhase, PhaseReceiver},
     refusal::CallerError,
-    request::ModelRequest,
+    retries::RetryLimits,
+    target_pool::TargetPool,
     view::{EntryView, SharedView},
 };
 use crate::{
-    border::{RouteAccess, RouteConfig, RouteKind, TargetConfig},
+    border::{RouteAccess, RouteConfig, RouteKind},
     code::ResultCode,
     fleet::KeyHasher,
     ids::RequestId,
 };
 
-const METHODS: [Method; 7] = [
-    Method::Get,
-    Method::Put,
-    Method::Post,
-    Method::Delete,
-    Method::Options,
-    Method::Head,
-    Method::Patch,
-];
-
-/// Headers that concern one connection only, and those that may carry a caller's key.
-const DROPPED_HEADERS: [&str; 11] = [
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "host",
-    "content-length",
-    "authorization",
-];
-
 /// Serves every caller's request on every path.
-#[derive(Clone)]
 pub struct CallerProxy {
-    view: Arc<SharedView>,
-    hasher: KeyHasher,
-    client: Client,
-    freshness_bound: Duration,
+    /// What the entry knows of the fleet.
+    pub view: Arc<SharedView>,
+    /// Hashes callers' keys.
+    pub hasher: KeyHasher,
+    /// Connections and slots of the targets.
+    pub targets: Arc<TargetPool>,
+    /// Sends claims to the leader.
+    pub control: Arc<ControlClient>,
+    /// Requests that took targets down.
+    pub crashes: CrashRegistry,
+    /// Retry budgets.
+    pub retries: RetryLimits,
+    /// Counters.
+    pub metrics: Arc<EntryMetrics>,
+    /// Requests that run or wait.
+    pub in_flight: Arc<InFlight>,
+    /// Whether new work is taken.
+    pub phase: PhaseReceiver,
+    /// Greatest age of the freshness proof with which keyed routes are served.
+    pub freshness_bound: Duration,
 }
 
 impl CallerProxy {
-    pub fn new(
-        view: Arc<SharedView>,
-        hasher: KeyHasher,
-        client: Client,
-        freshness_bound: Duration,
-    ) -> Self {
-        Self {
-            view,
-            hasher,
-            client,
-            freshness_bound,
+    /// Serves one request. Dropping the future, as happens when the caller leaves, cancels the call
+    /// to the target.
+    pub async fn serve(self: Arc<Self>, request: Request<Incoming>) -> Response<CallerBody> {
+        let id = RequestContext::new_id();
+        let running = self.in_flight.enter();
+        let (parts, incoming) = request.into_parts();
+        let mut context = None;
+        let mut response = match self.answer(&id, parts, incoming, &mut context).await {
+            Ok(response) => {
+                if let Some(context) = &context {
+                    self.metrics.count_answered(context);
+                }
+                response
+            }
+            Err(error) => {
+                self.refuse(context.as_deref(), &error);
+                error.to_response()
+            }
+        };
+        if self.phase.get() == EntryPhase::Draining {
+            // The caller's next request goes to another entry.
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
         }
+        response.map(|body| body::holding(body, running))
     }
 
-    /// Returns one Rocket route per method.
-    pub fn routes(&self) -> Vec<Route> {
-        METHODS
-            .iter()
-            .map(|method| Route::new(*method, "/<path..>", self.clone()))
-            .collect()
+    /// Logs and counts an error that a caller receives.
+    pub fn refuse(&self, context: Option<&RequestContext>, error: &CallerError) {
+        let team = context.and_then(RequestContext::team);
+        let route = context.map(|context| &context.route.id);
+        self.metrics
+            .count_error(team.map(CompactString::as_str), route, error);
+        info!(
+            "entry: {} {} route {} team {}: {}",
+            error.request_id(),
+            error.code().name(),
+            route.map_or("-", |route| route.as_str()),
+            team.map_or("-", |team| team.as_str()),
+            error.message()
+        );
     }
 
-    async fn serve<'r>(
-        &self,
-        request: &'r Request<'_>,
-        data: Data<'r>,
-    ) -> Result<Response<'r>, CallerError> {
-        let id: RequestId = format_compact!("{}", uuid::Uuid::now_v7());
+    async fn answer(
+        self: &Arc<Self>,
+        id: &RequestId,
+        mut parts: Parts,
+        incoming: Incoming,
+        known: &mut Option<Arc<RequestContext>>,
+    ) -> Result<Response<CallerBody>, CallerError> {
+        let refuse = |code: ResultCode, message: &str| CallerError::not_run(code, message, id);
+        if self.phase.get() == EntryPhase::Draining {
+            let message = "this entry is shutting down";
+            return Err(refuse(ResultCode::ShuttingDown, message));
+        }
+        check_target(&parts).map_err(|message| refuse(ResultCode::MalformedRequest, message))?;
         let view = self.view.get();
-        let path = request.uri().path().as_str();
-        let route = view.index.route(path).cloned().ok_or_else(|| {
-            CallerError::not_run(
-                ResultCode::UnknownRoute,
-                format!("no route for {path}"),
-                &id,
-            )
-        })?;
-        self.authenticate(&view, &route, request, &id)?;
-        let body = data
-            .open(route.max_body_bytes.bytes())
-            .into_bytes()
-            .await
-            .map_err(|error| {
-                CallerError::not_run(ResultCode::MalformedRequest, error.to_string(), &id)
-            })?;
-        if !body.is_complete() {
-            let message = format!("the body is larger than {} bytes", route.max_body_bytes);
-            return Err(CallerError::not_run(ResultCode::BodyTooLarge, message, &id));
+        let path = parts.uri.path();
+        let Some(route) = view.index.route(path).cloned() else {
+            let message = format!("no route for {path}");
+            return Err(refuse(ResultCode::UnknownRoute, &message));
+        };
+        let caller = self.authenticate(&view, &route, &mut parts, id)?;
+        drop(view);
+        strip_request(&mut parts.headers);
+        let context = Arc::new(RequestContext::new(id.clone(), route, caller));
+        *known = Some(Arc::clone(&context));
+        self.retries.record_request(context.team());
+        match context.route.kind {
+            RouteKind::Model => self.serve_model(context, parts, incoming).await,
+            RouteKind::Service => self.serve_service(context, parts, incoming).await,
         }
-        let body = body.into_inner();
-        let target = choose_target(&view, &route, &body, &id)?;
-        info!("route: {id} {} to {}", route.id, target.id);
-        self.forward(request, &target, body, &id).await
     }
 
+    /// Takes the key out of the request and finds the caller that it identifies.
     fn authenticate(
         &self,
         view: &EntryView,
         route: &RouteConfig,
-        request: &Request<'_>,
+        parts: &mut Parts,
         id: &RequestId,
-    ) -> Result<(), CallerError> {
+    ) -> Result<Option<Caller>, CallerError> {
+        let refuse = |code, message: &str| Err(CallerError::not_run(code, message, id));
+        let keys = credential::take_keys(route, parts);
+        for key in &keys {
+            credential::remove_copies(key, parts);
+        }
         if route.access == RouteAccess::Open {
-            return Ok(());
+            return Ok(None);
         }
         if !view.is_fresh(self.freshness_bound) {
             let message = "this entry cannot prove that its configuration is current";
-            return Err(CallerError::not_run(
-                ResultCode::StaleConfiguration,
-                message,
-                id,
-            ));
-        }
-        let sent = request
-            .headers()
-            .get_one("authorization")
-            .and_then(|value| value.strip_prefix("Bearer "))
-            .ok_or_else(|| {
-                CallerError::not_run(ResultCode::MissingKey, "this route needs a key", id)
-            })?;
-        let known = view.index.key(&self.hasher.hash(sent)).is_some();
-        let unknown = || CallerError::not_run(ResultCode::UnknownKey, "the key is not valid", id);
-        known.then_some(()).ok_or_else(unknown)
-    }
-
-    async fn forward<'r>(
-        &self,
-        request: &Request<'_>,
-        target: &TargetConfig,
-        body: Vec<u8>,
-        id: &RequestId,
-    ) -> Result<Response<'r>, CallerError> {
-        let method = reqwest::Method::from_bytes(request.method().as_str().as_bytes())
-            .unwrap_or(reqwest::Method::GET);
-        let mut call = self.client.request(
-            method,
-            format!("http://{}{}", target.address, request.uri()),
-        );
-        for header in request.headers().iter() {
-            if !DROPPED_HEADERS.contains(&header.name().as_str().to_ascii_lowercase().as_str()) {
-                call = call.header(header.name().as_str(), header.value());
-            }
-        }
-        let answer = call
-            .header("x-request-id", id.as_str())
-            .body(body)
-            .send()
-            .await
-            .map_err(|error| {
-                let message = format!("target {}: {error}", target.id);
-                if error.is_connect() {
-                    CallerError::not_run(ResultCode::TargetUnreachable, message, id)
-                } else {
-                    CallerError::may_have_run(ResultCode::TargetUnreachable, message, id)
-                }
-            })?;
-        let mut response = Response::build();
-        response.status(Status::new(answer.status().as_u16()));
-        for (name, value) in answer.headers() {
-            if let Ok(value) = value.to_str()
-                && !DROPPED_HEADERS.contains(&name.as_str())
-            {
-                response.raw_header(name.to_string(), value.to_owned());
-            }
+            return refuse(ResultCode::StaleConfiguration, message);
         }
-        response.raw_header("x-request-id", id.to_string());
-        let chunks = answer.bytes_stream().map_err(std::io::Error::other).boxed();
-        response.streamed_body(StreamReader::new(chunks));
-        Ok(response.finalize())
+        let sent = match keys.as_slice() {
+            [] => return refuse(ResultCode::MissingKey, "this route needs a key"),
+            [sent] => sent,
+            // Which team the request runs for would be a guess.
+            _ => return refuse(ResultCode::UnknownKey, "the request carries different keys"),
+        };
+        let hash = self.hasher.hash(sent);
+        let Some(key) = view.index.key(&hash) else {
+            return refuse(ResultCode::UnknownKey, "the key is not valid");
+        };
+        let wanted = parts
+            .headers
+            .get("x-priority")
+            .and_then(|value| value.to_str().ok()?.trim().parse::<u8>().ok());
+        Ok(Some(Caller {
+            team: key.team.clone(),
+            key: hash,
+            priority: wanted.unwrap_or(key.priority).min(key.priority),
+        }))
     }
 }
 
-fn choose_target(
-    view: &EntryView,
-    route: &RouteConfig,
-    body: &[u8],
-    id: &RequestId,
-) -> Result<Arc<TargetConfig>, CallerError> {
-    let candidates: Vec<Arc<TargetConfig>> = match route.kind {
-        RouteKind::Model => {
-            let request: ModelRequest = serde_json::from_slice(body).map_err(|error| {
-                CallerError::not_run(ResultCode::MalformedRequest, error.to_string(), id)
-            })?;
-            let copies = view
-                .residency
-                .get(&request.model)
-                .map_or(&[][..], Vec::as_slice);
-            copies
-                .iter()
-                .filter_map(|(target, _)| view.index.target(target).cloned())
-                .collect()
-        }
-        RouteKind::Service => {
-            let service = route
-                .service
-                .clone()
-                .unwrap_or_else(|| CompactString::from(""));
-            view.index.service(&service).to_vec()
-        }
+/// Refuses request targets that could leave their route when the path is normalised on the way.
+fn check_target(parts: &Parts) -> Result<(), &'static str> {
+    if parts.method == Method::CONNECT {
+        return Err("tunnels are not supported");
+    }
+    let is_dots = |segment: &str| {
+        let plain = segment.to_ascii_lowercase().replace("%2e", ".");
+        plain == "." || plain == ".."
     };
-    candidates.choose(&mut rand::rng()).cloned().ok_or_else(|| {
-        CallerError::not_run(ResultCode::NoTarget, "no target can take the request", id)
-    })
-}
-
-#[rocket::async_trait]
-impl Handler for CallerProxy {
-    async fn handle<'r>(&self, request: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
-        match self.serve(request, data).await {
-            Ok(response) => Outcome::Success(response),
-            Err(error) => Outcome::from(request, error),
-        }
+    let path = parts.uri.path();
+    if path.contains('\\') || path.split('/').any(is_dots) {
+        return Err("the path contains relative segments");
     }
+    Ok(())
 }
--- a/src/entry/refusal.rs
+++ b/src/entry/refusal.rs
@@ -1,10 +1,10 @@
-use rocket::{
+use hyper::{
     Response,
-    http::{ContentType, Status},
-    response::{self, Responder},
+    header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
 };
 use serde::Serialize;
 
+use super::body::{self, CallerBody};
 use crate::{code::ResultCode, ids::RequestId};
 
 /// Whether a request that was refused or failed can have run.
@@ -17,7 +17,7 @@
 }
 
 /// An error answer to a caller; see docs/result-codes.md.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct CallerError {
     code: ResultCode,
     message: String,
@@ -37,13 +37,7 @@
 impl CallerError {
     /// Builds an error for a request that certainly did not run.
     pub fn not_run(code: ResultCode, message: impl Into<String>, request_id: &RequestId) -> Self {
-        let request_id = request_id.clone();
-        Self {
-            code,
-            message: message.into(),
-            run_state: RunState::NotRun,
-            request_id,
-        }
+        Self::new(code, message, request_id, RunState::NotRun)
     }
 
     /// Builds an error for a request that may have run.
@@ -52,18 +46,54 @@
         message: impl Into<String>,
         request_id: &RequestId,
     ) -> Self {
-        let request_id = request_id.clone();
+        Self::new(code, message, request_id, RunState::MayHaveRun)
+    }
+
+    fn new(
+        code: ResultCode,
+        message: impl Into<String>,
+        request_id: &RequestId,
+        run_state: RunState,
+    ) -> Self {
         Self {
             code,
             message: message.into(),
-            run_state: RunState::MayHaveRun,
-            request_id,
+            run_state,
+            request_id: request_id.clone(),
         }
     }
-}
 
-impl<'r> Responder<'r, 'static> for CallerError {
-    fn respond_to(self, _request: &'r rocket::Request<'_>) -> response::Result<'static> {
+    /// Returns the error with the run state of all attempts.
+    #[must_use]
+    pub fn with_run_state(self, run_state: RunState) -> Self {
+        Self { run_state, ..self }
+    }
+
+    /// Code of the error.
+    #[must_use]
+    pub fn code(&self) -> ResultCode {
+        self.code
+    }
+
+    /// Whether the request can have run.
+    #[must_use]
+    pub fn run_state(&self) -> RunState {
+        self.run_state
+    }
+
+    /// Id of the request.
+    #[must_use]
+    pub fn request_id(&self) -> &RequestId {
+        &self.request_id
+    }
+
+    /// Message for people.
+    #[must_use]
+    pub fn message(&self) -> &str {
+        &self.message
+    }
+
+    fn to_json(&self) -> String {
         let body = ErrorBody {
             code: self.code.number(),
             name: self.code.name(),
@@ -71,12 +101,44 @@
             not_run: self.run_state == RunState::NotRun,
             request_id: &self.request_id,
         };
-        let text = serde_json::to_string(&body).map_err(|_| Status::InternalServerError)?;
-        Response::build()
-            .status(Status::new(self.code.status()))
-            .header(ContentType::JSON)
-            .raw_header("x-request-id", self.request_id.to_string())
-            .sized_body(text.len(), std::io::Cursor::new(text))
-            .ok()
+        serde_json::to_string(&body).unwrap_or_default()
+    }
+
+    /// The error as the last event of a stream that has begun.
+    pub(super) fn to_event(&self) -> String {
+        format!("event: error\ndata: {}\n\n", self.to_json())
+    }
+
+    /// The error as a whole response.
+    pub(super) fn to_response(&self) -> Response<CallerBody> {
+        let mut response = Response::new(body::whole(self.to_json()));
+        *response.status_mut() = hyper::StatusCode::from_u16(self.code.status())
+            .unwrap_or(hyper::StatusCode::INTERNAL_SERVER_ERROR);
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if let Ok(id) = HeaderValue::from_str(&self.request_id) {
+            headers.insert("x-request-id", id);
+        }
+        if let Some(seconds) = retry_after(self.code) {
+            headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
+        }
+        response
+    }
+}
+
+/// Seconds after which the same request may succeed; `None` where waiting does not help.
+fn retry_after(code: ResultCode) -> Option<u16> {
+    match code {
+        ResultCode::RateLimited
+        | ResultCode::QueueFull
+        | ResultCode::DeadlineExceeded
+        | ResultCode::StaleConfiguration
+        | ResultCode::ShuttingDown
+        | ResultCode::InProgress
+        | ResultCode::SuspectBusy
+        | ResultCode::ClaimUnavailable
+        | ResultCode::NoTarget
+        | ResultCode::TargetRefused => Some(1),
+        _ => None,
     }
 }
--- /dev/null
+++ b/src/entry/service.rs
@@ -0,0 +1,281 @@
+//! Plain services, addressed by route prefix.
+
+use std::sync::Arc;
+
+use bytes::{Bytes, BytesMut};
+use compact_str::{CompactString, ToCompactString};
+use futures::{StreamExt, TryStreamExt};
+use hyper::{
+    Method, Response, StatusCode,
+    body::Incoming,
+    header::{HeaderMap, HeaderName, HeaderValue},
+    http::request::Parts,
+};
+use serde_bytes::ByteBuf;
+
+use super::{
+    body::{self, CallerBody},
+    candidates::{CandidatePool, TriedTargets},
+    claim::{self, ClaimResult, OpenClaim},
+    context::RequestContext,
+    exchange::TargetAnswer,
+    model::response_headers,
+    outgoing::{Outgoing, OutgoingBody, collect},
+    plain_stream::plain_stream,
+    proxy::CallerProxy,
+    refusal::{CallerError, RunState},
+};
+use crate::{code::ResultCode, ids::BodyHash, state::RecordedResponse};
+
+/// Header of a response that was recorded when the request ran.
+const REPLAYED_HEADER: &str = "idempotent-replayed";
+
+impl CallerProxy {
+    /// Serves a request to a plain service.
+    pub async fn serve_service(
+        self: &Arc<Self>,
+        context: Arc<RequestContext>,
+        parts: Parts,
+        incoming: Incoming,
+    ) -> Result<Response<CallerBody>, CallerError> {
+        let refuse = |(code, message): (ResultCode, String)| {
+            CallerError::not_run(code, message, &context.id)
+        };
+        let limit = context.route.max_body_bytes;
+        let is_claimed = claim::needs_claim(&context, &parts.method);
+        let key = if is_claimed {
+            Some(claim::idempotency_key(&parts.headers, &context)?)
+        } else {
+            None
+        };
+        let body = if is_claimed {
+            // The whole body is hashed before the request may leave.
+            OutgoingBody::Whole(collect(incoming, limit).await.map_err(refuse)?)
+        } else {
+            OutgoingBody::receive(incoming, limit)
+                .await
+                .map_err(refuse)?
+        };
+        let path_and_query = parts
+            .uri
+            .path_and_query()
+            .map_or("/", |target| target.as_str())
+            .to_owned();
+        let fingerprint = match &body {
+            OutgoingBody::Whole(bytes) => {
+                let target = format!("{} {path_and_query}", parts.method);
+                let route = &context.route.id;
+                Some(self.crashes.fingerprint(route, &target, bytes))
+            }
+            OutgoingBody::Streamed(_) => None,
+        };
+        let outgoing = Outgoing {
+            fingerprint,
+            method: parts.method,
+            path_and_query,
+            headers: parts.headers,
+            body,
+        };
+        let Some(key) = key else {
+            return self.forward(&context, outgoing).await;
+        };
+        let hash = request_hash(&outgoing);
+        match claim::claim(&self.control, &context, key, hash).await? {
+            ClaimResult::Recorded(recorded) => replay(recorded, &context),
+            ClaimResult::Open(open) => {
+                // The task goes on when the caller leaves, so that the outcome is recorded.
+                let proxy = Arc::clone(self);
+                let id = context.id.clone();
+                let running =
+                    tokio::spawn(async move { proxy.run_claimed(&context, outgoing, open).await });
+                running.await.unwrap_or_else(|error| {
+                    let message = format!("the request failed inside the entry: {error}");
+                    Err(CallerError::may_have_run(
+                        ResultCode::Internal,
+                        message,
+                        &id,
+                    ))
+                })
+            }
+        }
+    }
+
+    async fn forward(
+        self: &Arc<Self>,
+        context: &RequestContext,
+        mut outgoing: Outgoing,
+    ) -> Result<Response<CallerBody>, CallerError> {
+        let method = outgoing.method.clone();
+        let mut guard = self.guard(context);
+        let answer = self
+            .dispatch(
+                context,
+                &service_pool(context),
+                &mut outgoing,
+                &mut guard,
+                &mut TriedTargets::new(),
+            )
+            .await?;
+        let status = answer.response.status();
+        let headers = response_headers(answer.response.headers(), context);
+        let body = if has_body(&method, status) {
+            body::streamed(plain_stream(answer, guard))
+        } else {
+            body::empty()
+        };
+        Ok(response(status, headers, body))
+    }
+
+    async fn run_claimed(
+        self: Arc<Self>,
+        context: &RequestContext,
+        mut outgoing: Outgoing,
+        open: OpenClaim,
+    ) -> Result<Response<CallerBody>, CallerError> {
+        let mut guard = self.guard(context);
+        let pool = service_pool(context);
+        let answer = self
+            .dispatch(
+                context,
+                &pool,
+                &mut outgoing,
+                &mut guard,
+                &mut TriedTargets::new(),
+            )
+            .await;
+        let answer = match answer {
+            Ok(answer) => answer,
+            Err(error) if error.run_state() == RunState::NotRun => {
+                open.release();
+                return Err(error);
+            }
+            Err(error) => {
+                open.abandon().await;
+                return Err(error);
+            }
+        };
+        let status = answer.response.status();
+        let headers = response_headers(answer.response.headers(), context);
+        let TargetAnswer {
+            response: answer,
+            slot,
+            turn,
+        } = answer;
+        let mut chunks = answer.bytes_stream().boxed();
+        let mut start = BytesMut::new();
+        while start.len() <= RecordedResponse::MAX_BODY_BYTES {
+            match chunks.next().await {
+                None => {
+                    let bytes = start.freeze();
+                    open.complete(record(status, &headers, Some(&bytes))).await;
+                    return Ok(response(status, headers, body::whole(bytes)));
+                }
+                Some(Ok(chunk)) => start.extend_from_slice(&chunk),
+                Some(Err(error)) => {
+                    slot.report_failure();
+                    open.abandon().await;
+                    let message = format!(
+                        "the response of target {} ended early: {}",
+                        slot.target.id,
+                        error.without_url()
+                    );
+                    return Err(CallerError::may_have_run(
+                        ResultCode::AnswerCut,
+                        message,
+                        &context.id,
+                    ));
+                }
+            }
+        }
+        // The request ran; a larger body is passed on but not kept.
+        open.complete(record(status, &headers, None)).await;
+        let rest = chunks.map_err(|error| std::io::Error::other(error.without_url()));
+        let all = futures::stream::once(async { Ok(start.freeze()) }).chain(rest);
+        let body = body::holding(body::streamed(all), (slot, turn));
+        Ok(response(status, headers, body))
+    }
+}
+
+fn service_pool(context: &RequestContext) -> CandidatePool {
+    CandidatePool::Service(context.route.service.clone().unwrap_or_default())
+}
+
+/// Whether a response has a body; HEAD, 1xx, 204 and 304 have none, whatever their headers say.
+fn has_body(method: &Method, status: StatusCode) -> bool {
+    method != Method::HEAD
+        && !status.is_informational()
+        && status != StatusCode::NO_CONTENT
+        && status != StatusCode::NOT_MODIFIED
+}
+
+/// Hash that tells whether a resend is the same request.
+fn request_hash(outgoing: &Outgoing) -> BodyHash {
+    let mut hasher = blake3::Hasher::new_derive_key("waxwinglatch claimed request v1");
+    for part in [outgoing.method.as_str(), &outgoing.path_and_query] {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part.as_bytes());
+    }
+    if let OutgoingBody::Whole(bytes) = &outgoing.body {
+        hasher.update(bytes);
+    }
+    BodyHash::new(*hasher.finalize().as_bytes())
+}
+
+fn record(status: StatusCode, headers: &HeaderMap, body: Option<&Bytes>) -> RecordedResponse {
+    let mut size = 0;
+    let headers = headers
+        .iter()
+        .filter(|(name, _)| name.as_str() != "x-request-id")
+        .filter_map(|(name, value)| {
+            let value = value.to_str().ok()?;
+            Some((name.as_str().to_compact_string(), value.to_owned()))
+        })
+        .take_while(|(name, value): &(CompactString, String)| {
+            size += name.len() + value.len();
+            size <= RecordedResponse::MAX_HEADER_BYTES
+        })
+        .collect();
+    RecordedResponse {
+        status: status.as_u16(),
+        headers,
+        body: body.map(|bytes| ByteBuf::from(bytes.to_vec())),
+    }
+}
+
+fn replay(
+    recorded: RecordedResponse,
+    context: &RequestContext,
+) -> Result<Response<CallerBody>, CallerError> {
+    let Some(body) = recorded.body else {
+        let message = format!(
+            "the request ran with status {}, but its response was too large to keep",
+            recorded.status
+        );
+        return Err(CallerError::may_have_run(
+            ResultCode::OutcomeUnknown,
+            message,
+            &context.id,
+        ));
+    };
+    let mut headers: HeaderMap = recorded
+        .headers
+        .iter()
+        .filter_map(|(name, value)| {
+            let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+            Some((name, HeaderValue::from_str(value).ok()?))
+        })
+        .collect();
+    headers.insert(REPLAYED_HEADER, HeaderValue::from_static("true"));
+    if let Ok(id) = HeaderValue::from_str(&context.id) {
+        headers.insert("x-request-id", id);
+    }
+    let status = StatusCode::from_u16(recorded.status).unwrap_or(StatusCode::OK);
+    Ok(response(status, headers, body::whole(body.into_vec())))
+}
+
+fn response(status: StatusCode, headers: HeaderMap, body: CallerBody) -> Response<CallerBody> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -4,6 +4,8 @@
     time::{Duration, Instant},
 };
 
+use tokio::sync::watch;
+
 use crate::{
     fleet::FleetIndex,
     ids::{ModelId, Revision, TargetId, VersionId},
@@ -62,9 +64,20 @@
 }
 
 /// The current view, shared by all requests.
-#[derive(Default)]
 pub struct SharedView {
     current: RwLock<Arc<EntryView>>,
+    revisions: watch::Sender<Revision>,
+    residency: watch::Sender<u64>,
+}
+
+impl Default for SharedView {
+    fn default() -> Self {
+        Self {
+            current: RwLock::default(),
+            revisions: watch::channel(0).0,
+            residency: watch::channel(0).0,
+        }
+    }
 }
 
 impl SharedView {
@@ -75,6 +88,28 @@
 
     /// Replaces the current view.
     pub fn set(&self, view: EntryView) {
+        let (revision, residency) = (view.revision, view.residency_version);
         *self.current.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(view);
+        notify(&self.revisions, revision);
+        notify(&self.residency, residency);
     }
+
+    /// Returns a receiver that changes with the revision in force.
+    pub fn watch_revision(&self) -> watch::Receiver<Revision> {
+        self.revisions.subscribe()
+    }
+
+    /// Returns a receiver that changes with the residency table.
+    pub fn watch_residency(&self) -> watch::Receiver<u64> {
+        self.residency.subscribe()
+    }
+}
+
+/// Wakes the receivers only when the value differs, since each sync sets the view.
+fn notify(sender: &watch::Sender<u64>, value: u64) {
+    sender.send_if_modified(|current| {
+        let differs = *current != value;
+        *current = value;
+        differs
+    });
 }
--- a/src/fleet/index.rs
+++ b/src/fleet/index.rs
@@ -5,7 +5,7 @@
     border::{
         AdapterConfig, FleetConfig, KeyConfig, ModelConfig, RouteConfig, TargetConfig, TeamConfig,
     },
-    ids::{ModelId, ServiceId, TargetId, TeamId},
+    ids::{ModelId, RouteId, ServiceId, TargetId, TeamId},
 };
 
 /// Lookup tables over one accepted configuration.
@@ -120,6 +120,12 @@
         self.teams.values()
     }
 
+    /// Finds a route by its id.
+    #[must_use]
+    pub fn route_by_id(&self, id: &RouteId) -> Option<&Arc<RouteConfig>> {
+        self.routes.iter().find(|route| route.id == *id)
+    }
+
     /// Finds the route with the longest prefix of `path` that ends at a path segment.
     #[must_use]
     pub fn route(&self, path: &str) -> Option<&Arc<RouteConfig>> {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod ids;
 pub mod logger;
 pub mod order;
+pub mod route;
 pub mod server;
 pub mod state;
 pub mod sync;
--- a/src/logger.rs
+++ b/src/logger.rs
@@ -1,6 +1,30 @@
 //! Set-up of the log; see docs/operators.md.
 
-use spdlog::{Level, LevelFilter};
+use serde::{Deserialize, Serialize};
+use spdlog::{Level, LevelFilter, formatter::JsonFormatter};
+
+/// Format of log lines.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogFormat {
+    /// One line of text per message.
+    #[default]
+    Text,
+    /// One JSON object per line.
+    Json,
+}
+
+/// Switches the log of this process to a format.
+pub fn set_format(format: LogFormat) {
+    match format {
+        LogFormat::Text => {}
+        LogFormat::Json => {
+            for sink in spdlog::default_logger().sinks() {
+                sink.set_formatter(Box::new(JsonFormatter::new()));
+            }
+        }
+    }
+}
 
 /// Lets through messages at `level` and above.
 pub fn set_level(level: Level) {
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -1,9 +1,11 @@
 //! Messages between entry daemons and control daemons; see docs/design.md, section 7.
 
+mod claims;
 mod reply;
 mod report;
 mod request;
 
+pub use claims::{CLAIMS_PATH, CRASHES_PATH, ClaimMessage, CommandReply, CrashMessage};
 pub use reply::{ConfigSection, ResidencySection, ResidentModel, SyncReply};
 pub use report::{EngineReport, ResidentCopy};
 pub use request::{ModelDemand, SyncRequest, TargetObservation, TargetReport};
