--- a/src/control.rs
+++ b/src/control.rs
@@ -10,3 +10,4 @@
 mod system;
 
 pub use daemon::ControlDaemon;
+pub use hub::SyncHub;
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -1,5 +1,7 @@
 //! The entry daemon: authenticates, admits, routes and streams callers' requests.
 
+mod admission;
+mod allowance;
 mod body;
 mod caller_port;
 mod candidates;
@@ -7,8 +9,10 @@
 mod context;
 mod control_client;
 mod crash;
+mod crashes;
 mod credential;
 mod daemon;
+mod demand;
 mod dispatch;
 mod event;
 mod exchange;
@@ -23,6 +27,7 @@
 mod outgoing;
 mod phase;
 mod plain_stream;
+mod poll;
 mod proxy;
 mod refusal;
 mod request;
@@ -31,5 +36,11 @@
 mod target_pool;
 mod view;
 
+pub use allowance::{ReservedTokens, SharedAllowance};
+pub use crashes::CrashTable;
 pub use daemon::EntryDaemon;
+pub use demand::DemandCounter;
+pub use follow::{SyncFollower, SyncParts};
+pub use poll::PolledReports;
 pub use refusal::CallerError;
+pub use view::{EntryView, ResidencyTable, SharedView};
--- a/src/entry/candidates.rs
+++ b/src/entry/candidates.rs
@@ -23,7 +23,9 @@
 impl CandidatePool {
     /// Targets that hold what the request needs and were not tried.
     pub fn candidates(&self, view: &EntryView, tried: &TriedTargets) -> Vec<Arc<TargetConfig>> {
-        let usable = |target: &Arc<TargetConfig>| !target.draining && !tried.contains(&target.id);
+        let usable = |target: &Arc<TargetConfig>| {
+            !target.draining && !view.avoided.contains(&target.id) && !tried.contains(&target.id)
+        };
         match self {
             Self::Model(model) => {
                 let copies = view.residency.get(model).map_or(&[][..], Vec::as_slice);
--- a/src/entry/crash.rs
+++ b/src/entry/crash.rs
@@ -9,7 +9,10 @@
 use spdlog::prelude::*;
 use tokio::{net::TcpStream, time::timeout};
 
-use super::{context::RequestContext, control_client::ControlClient, refusal::CallerError};
+use super::{
+    context::RequestContext, control_client::ControlClient, crashes::CrashTable,
+    refusal::CallerError, view::EntryView,
+};
 use crate::{
     border::TargetConfig,
     code::ResultCode,
@@ -77,8 +80,8 @@
         Fingerprint::new(first)
     }
 
-    /// Remembers what is known of a fingerprint, also when another entry reported it.
-    pub fn remember(&self, fingerprint: Fingerprint, state: BlockState) {
+    /// Remembers the reply to a report until the leader's table shows it.
+    fn remember(&self, fingerprint: Fingerprint, state: BlockState) {
         let mut suspects = self.lock();
         if suspects.len() >= MAX_SUSPECTS {
             let oldest = suspects
@@ -101,11 +104,12 @@
         &self,
         fingerprint: Option<Fingerprint>,
         context: &RequestContext,
+        view: &EntryView,
     ) -> Result<Option<SuspectTurn>, CallerError> {
         let Some(fingerprint) = fingerprint else {
             return Ok(None);
         };
-        match self.state(&fingerprint) {
+        match self.state(&fingerprint, &view.crashes) {
             None => return Ok(None),
             Some(BlockState::Blocked) => return Err(blocked(context)),
             Some(BlockState::Suspect) => {}
@@ -169,7 +173,14 @@
         Some(state)
     }
 
-    fn state(&self, fingerprint: &Fingerprint) -> Option<BlockState> {
+    /// What the leader's table and this entry's own reports tell; the table may lag behind.
+    fn state(&self, fingerprint: &Fingerprint, table: &CrashTable) -> Option<BlockState> {
+        if table.is_blocked(fingerprint) {
+            return Some(BlockState::Blocked);
+        }
+        if table.is_suspect(fingerprint) {
+            return Some(BlockState::Suspect);
+        }
         let mut suspects = self.lock();
         let suspect = suspects.get(fingerprint).copied()?;
         if suspect.seen.elapsed() > SUSPECT_LIFETIME {
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -4,20 +4,23 @@
 use spdlog::prelude::*;
 use tokio::{
     signal::unix::{Signal, SignalKind, signal},
-    sync::{Notify, watch},
+    sync::watch,
     task::JoinHandle,
     time::timeout,
 };
 
 use super::{
+    allowance::SharedAllowance,
     caller_port::CallerPort,
     control_client::ControlClient,
     crash::CrashRegistry,
-    follow::SyncFollower,
+    demand::DemandCounter,
+    follow::{SyncFollower, SyncParts},
     in_flight::InFlight,
     management::ManagementPort,
     metrics::EntryMetrics,
     phase::{EntryPhase, PhaseReceiver, PhaseSender},
+    poll::{PolledReports, ReportPoller},
     proxy::CallerProxy,
     retries::RetryLimits,
     target_pool::TargetPool,
@@ -47,9 +50,10 @@
     phase: PhaseSender,
     in_flight: Arc<InFlight>,
     stop: watch::Sender<bool>,
-    leave: Arc<Notify>,
     callers: JoinHandle<()>,
     following: JoinHandle<()>,
+    polling: JoinHandle<()>,
+    follower: Arc<SyncFollower>,
     management: BoxFuture<'static, Result<()>>,
 }
 
@@ -100,27 +104,34 @@
         let secret = config::read_secret(&config.system_secret_file)?;
         let hash_secret = config::read_secret(&config.key_hash_secret_file)?;
         let hasher = KeyHasher::new(&hash_secret);
+        let demand = Arc::new(DemandCounter::default());
+        let polled = Arc::new(PolledReports::default());
+        let allowance = Arc::new(SharedAllowance::new());
+        let engine_poller = ReportPoller::new(Arc::clone(&polled), client.clone());
+        let parts = SyncParts {
+            view: Arc::clone(&view),
+            demand: Arc::clone(&demand),
+            polled,
+            allowance: Arc::clone(&allowance),
+        };
+        let follower = SyncFollower::new(config, secret.clone(), parts, client.clone());
+        let follower = Arc::new(follower);
         let key = EntryKey {
             vm: config.vm.clone(),
-            incarnation: rand::random(),
+            incarnation: follower.incarnation(),
         };
         let metrics = Arc::new(EntryMetrics::new(config));
         let counter = ConnectCounter::new(metrics.upstream_connections.clone());
         let in_flight = InFlight::new(metrics.in_flight.clone());
         let phase = watch::channel(EntryPhase::Serving).0;
         let freshness_bound = Duration::from_millis(config.freshness_bound_ms);
-        let follower = SyncFollower::new(
-            config,
-            key.incarnation,
-            secret.clone(),
-            Arc::clone(&view),
-            client.clone(),
-        );
         let control = ControlClient::new(key, config.control.clone(), secret, client);
         let control = Arc::new(control);
         let proxy = CallerProxy {
             view: Arc::clone(&view),
             hasher,
+            demand,
+            allowance,
             targets: Arc::new(TargetPool::new(counter)?),
             crashes: CrashRegistry::new(Arc::clone(&control), &hash_secret),
             control,
@@ -147,7 +158,6 @@
             config.vm,
             config.listen.socket()
         );
-        let leave = Arc::new(Notify::new());
         Ok(ServingEntry {
             drain_delay: Duration::from_millis(config.drain_delay_ms),
             drain_timeout: Duration::from_millis(config.drain_timeout_ms),
@@ -155,8 +165,9 @@
             in_flight,
             stop,
             callers: tokio::spawn(port.run(stopping)),
-            following: tokio::spawn(follower.run(Arc::clone(&leave))),
-            leave,
+            following: tokio::spawn(Arc::clone(&follower).run()),
+            polling: tokio::spawn(engine_poller.run()),
+            follower,
             management,
         })
     }
@@ -191,9 +202,10 @@
             drain_timeout,
             in_flight,
             stop,
-            leave,
             callers,
             following,
+            polling,
+            follower,
             mut management,
             ..
         } = self.0;
@@ -209,10 +221,11 @@
             let count = in_flight.count();
             warn!("entry: {count} requests still run at the end of drain_timeout_ms");
         }
-        leave.notify_one();
-        let abort = following.abort_handle();
-        if timeout(LEAVE_LIMIT, following).await.is_err() {
-            abort.abort();
+        // A regular sync that replied later would bring new allowance.
+        following.abort();
+        polling.abort();
+        if !matches!(timeout(LEAVE_LIMIT, follower.leave()).await, Ok(Ok(()))) {
+            warn!("sync: no leader took note that this entry leaves");
         }
         stop.send_replace(true);
         let abort = callers.abort_handle();
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -9,6 +9,7 @@
     candidates::{CandidatePool, TriedTargets},
     context::RequestContext,
     crash,
+    demand::DemandCounter,
     exchange::{TargetAnswer, backoff, exchange},
     guard::StreamGuard,
     metrics::RetryKind,
@@ -17,7 +18,7 @@
     refusal::{CallerError, RunState},
     target_pool::TargetSlot,
 };
-use crate::{border::RouteIdempotency, code::ResultCode, state::BlockState};
+use crate::{border::RouteIdempotency, code::ResultCode, ids::ModelId, state::BlockState};
 
 impl CallerProxy {
     /// Sends a request to targets of the pool until one responds, as far as retries are allowed.
@@ -38,7 +39,7 @@
         loop {
             let turn = self
                 .crashes
-                .admit(outgoing.fingerprint, context)
+                .admit(outgoing.fingerprint, context, &self.view.get())
                 .await
                 .map_err(|error| match run_state {
                     RunState::MayHaveRun => error.with_run_state(run_state),
@@ -123,6 +124,7 @@
         tried: &TriedTargets,
     ) -> Result<TargetSlot, CallerError> {
         let queued = Instant::now();
+        let mut absent = None;
         let mut residency = self.view.watch_residency();
         let mut revisions = self.view.watch_revision();
         loop {
@@ -143,6 +145,12 @@
                     &context.id,
                 ));
             }
+            if let CandidatePool::Model(model) = pool
+                && candidates.is_empty()
+                && absent.is_none()
+            {
+                absent = Some(AbsentModel::new(&self.demand, model));
+            }
             tokio::select! {
                 () = &mut released => {}
                 _ = residency.changed() => {}
@@ -160,6 +168,25 @@
     }
 }
 
+/// A request that waits until its model is loaded, as the planner sees it.
+struct AbsentModel<'d> {
+    demand: &'d DemandCounter,
+    model: &'d ModelId,
+}
+
+impl<'d> AbsentModel<'d> {
+    fn new(demand: &'d DemandCounter, model: &'d ModelId) -> Self {
+        demand.begin_wait(model);
+        Self { demand, model }
+    }
+}
+
+impl Drop for AbsentModel<'_> {
+    fn drop(&mut self) {
+        self.demand.end_wait(self.model);
+    }
+}
+
 /// Whether a second run of the request changes nothing.
 fn is_idempotent(context: &RequestContext, outgoing: &Outgoing) -> bool {
     match context.route.idempotency {
--- a/src/entry/model.rs
+++ b/src/entry/model.rs
@@ -13,17 +13,18 @@
 use serde_json::json;
 
 use super::{
+    admission::settle_failure,
     body::{self, CallerBody},
     candidates::{CandidatePool, TriedTargets},
     context::RequestContext,
     exchange::TargetAnswer,
     guard::StreamGuard,
     header::strip_hop_by_hop,
-    model_stream::ModelStream,
+    model_stream::{ModelStream, StreamRequest},
     outgoing::{Outgoing, OutgoingBody, collect},
     proxy::CallerProxy,
     refusal::CallerError,
-    request::ModelRequest,
+    request::{ModelRequest, TokenCost},
 };
 use crate::code::ResultCode;
 
@@ -55,14 +56,9 @@
         let request: ModelRequest = serde_json::from_slice(&body).map_err(|error| {
             CallerError::not_run(ResultCode::MalformedRequest, error.to_string(), id)
         })?;
-        let view = self.view.get();
-        if view.index.model(&request.model).is_none()
-            && view.index.adapter(&request.model).is_none()
-        {
-            let message = format!("no model has the name {}", request.model);
-            return Err(CallerError::not_run(ResultCode::UnknownModel, message, id));
-        }
-        drop(view);
+        let cost = self.cost(&context, &request)?;
+        self.demand.record_arrival(&request.model, cost.total());
+        let reserved = self.admit(&context, cost.total()).await?;
         let pool = CandidatePool::Model(request.model.clone());
         let mut outgoing = Outgoing {
             method: Method::POST,
@@ -78,7 +74,14 @@
         let mut tried = TriedTargets::new();
         let answer = self
             .dispatch(&context, &pool, &mut outgoing, &mut guard, &mut tried)
-            .await?;
+            .await;
+        let answer = match answer {
+            Ok(answer) => answer,
+            Err(error) => {
+                settle_failure(reserved, &error);
+                return Err(error);
+            }
+        };
         let is_stream = answer.response.status() == StatusCode::OK
             && answer
                 .response
@@ -91,10 +94,14 @@
             let events = ModelStream::new(
                 Arc::clone(self),
                 Arc::clone(&context),
-                pool,
-                outgoing,
+                StreamRequest {
+                    pool,
+                    outgoing,
+                    tried,
+                    prompt_tokens: cost.prompt,
+                    reserved,
+                },
                 guard,
-                tried,
                 answer,
             );
             return Ok(response(
@@ -105,9 +112,34 @@
         }
         let bytes = read_whole(answer, &mut guard, &context).await?;
         self.metrics.observe_first_token(context.started.elapsed());
+        if let Some((reserved, used)) = reserved.zip(used_tokens(&bytes)) {
+            reserved.settle(used);
+        }
         Ok(response(status, headers, body::whole(bytes)))
     }
 
+    /// Estimates the tokens that a request needs.
+    fn cost(
+        &self,
+        context: &RequestContext,
+        request: &ModelRequest,
+    ) -> Result<TokenCost, CallerError> {
+        let view = self.view.get();
+        let index = &view.index;
+        let base = index
+            .adapter(&request.model)
+            .map_or(&request.model, |adapter| &adapter.model);
+        let Some(model) = index.model(base) else {
+            let message = format!("no model has the name {}", request.model);
+            return Err(CallerError::not_run(
+                ResultCode::UnknownModel,
+                message,
+                &context.id,
+            ));
+        };
+        Ok(request.cost(model.max_tokens_default))
+    }
+
     fn list_models(&self) -> Response<CallerBody> {
         let view = self.view.get();
         let mut names: Vec<(&str, Option<&str>)> = view
@@ -185,6 +217,20 @@
     }
 }
 
+/// Tokens that the engine says it used.
+fn used_tokens(body: &[u8]) -> Option<u64> {
+    #[derive(serde::Deserialize)]
+    struct Usage {
+        total_tokens: u64,
+    }
+    #[derive(serde::Deserialize)]
+    struct Answer {
+        usage: Usage,
+    }
+    let answer: Answer = serde_json::from_slice(body).ok()?;
+    Some(answer.usage.total_tokens)
+}
+
 /// Headers of a target's response that the caller receives.
 pub fn response_headers(headers: &HeaderMap, context: &RequestContext) -> HeaderMap {
     let mut headers = headers.clone();
--- a/src/entry/model_stream.rs
+++ b/src/entry/model_stream.rs
@@ -15,6 +15,7 @@
 use tokio::time::timeout;
 
 use super::{
+    allowance::ReservedTokens,
     candidates::{CandidatePool, TriedTargets},
     context::RequestContext,
     crash::{self, SuspectTurn},
@@ -43,10 +44,8 @@
 pub struct ModelStream {
     proxy: Arc<CallerProxy>,
     context: Arc<RequestContext>,
-    pool: CandidatePool,
-    request: Outgoing,
+    request: StreamRequest,
     guard: StreamGuard,
-    tried: TriedTargets,
     source: Option<EventSource>,
     splitter: EventSplitter,
     delivered: u64,
@@ -54,6 +53,20 @@
     phase: StreamPhase,
 }
 
+/// The request behind a stream, kept so that it can be resumed.
+pub struct StreamRequest {
+    /// Targets that can run it.
+    pub pool: CandidatePool,
+    /// The request as it was sent.
+    pub outgoing: Outgoing,
+    /// Targets that it was sent to.
+    pub tried: TriedTargets,
+    /// Estimated tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Tokens reserved for it.
+    pub reserved: Option<ReservedTokens>,
+}
+
 struct EventSource {
     chunks: BoxStream<'static, reqwest::Result<Bytes>>,
     slot: TargetSlot,
@@ -72,19 +85,15 @@
     pub fn new(
         proxy: Arc<CallerProxy>,
         context: Arc<RequestContext>,
-        pool: CandidatePool,
-        request: Outgoing,
+        request: StreamRequest,
         guard: StreamGuard,
-        tried: TriedTargets,
         answer: TargetAnswer,
     ) -> Self {
         Self {
             proxy,
             context,
-            pool,
             request,
             guard,
-            tried,
             source: Some(EventSource::new(answer)),
             splitter: EventSplitter::default(),
             delivered: 0,
@@ -178,7 +187,7 @@
     /// # Errors
     /// `cause`, when no target continues, or the refusal of a request that takes targets down.
     async fn resume(&mut self, cause: CallerError) -> Result<(), CallerError> {
-        let fingerprint = self.request.fingerprint;
+        let fingerprint = self.request.outgoing.fingerprint;
         if let Some(source) = self.source.take() {
             let crashes = &self.proxy.crashes;
             let state = crashes.report_if_down(fingerprint, &source.slot.target);
@@ -193,7 +202,10 @@
         };
         loop {
             let proxy = &self.proxy;
-            let candidates = self.pool.candidates(&proxy.view.get(), &self.tried);
+            let candidates = self
+                .request
+                .pool
+                .candidates(&proxy.view.get(), &self.request.tried);
             if candidates.is_empty()
                 || proxy.check_again(&self.context).is_err()
                 || !proxy.retries.try_spend(self.context.team())
@@ -207,8 +219,11 @@
                 ..RequestContext::clone(&self.context)
             };
             let start = async {
-                let turn = proxy.crashes.admit(fingerprint, &context).await?;
-                let slot = proxy.wait_for_slot(&context, &self.pool, &self.tried);
+                let turn = proxy
+                    .crashes
+                    .admit(fingerprint, &context, &proxy.view.get())
+                    .await?;
+                let slot = proxy.wait_for_slot(&context, &self.request.pool, &self.request.tried);
                 Ok::<_, CallerError>((turn, slot.await?))
             };
             let (turn, slot) = tokio::select! {
@@ -220,7 +235,7 @@
                 "route: {} {} resumes at token {} on {}",
                 context.id, context.route.id, self.delivered, target.id
             );
-            self.tried.push(target.id.clone());
+            self.request.tried.push(target.id.clone());
             proxy.metrics.count_retry(RetryKind::Resume);
             proxy.metrics.count_upstream_request();
             match exchange(slot, turn, &mut outgoing, &context, &mut self.guard).await {
@@ -243,23 +258,23 @@
     }
 
     fn resume_request(&self) -> Option<Outgoing> {
-        let OutgoingBody::Whole(body) = &self.request.body else {
+        let OutgoingBody::Whole(body) = &self.request.outgoing.body else {
             return None;
         };
         let request: &RawValue = serde_json::from_slice(body).ok()?;
         let body = json!({
-            "path": self.request.path_and_query,
+            "path": self.request.outgoing.path_and_query,
             "offset": self.delivered,
             "request": request,
         });
-        let mut headers: HeaderMap = self.request.headers.clone();
+        let mut headers: HeaderMap = self.request.outgoing.headers.clone();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         Some(Outgoing {
             method: Method::POST,
             path_and_query: RESUME_PATH.to_owned(),
             headers,
             body: OutgoingBody::Whole(Bytes::from(body.to_string())),
-            fingerprint: self.request.fingerprint,
+            fingerprint: self.request.outgoing.fingerprint,
         })
     }
 
@@ -272,7 +287,11 @@
         self.delivered += tokens;
     }
 
-    fn note_complete(&self) {
+    fn note_complete(&mut self) {
+        let used = self.request.prompt_tokens + self.delivered;
+        if let Some(reserved) = self.request.reserved.take() {
+            reserved.settle(used);
+        }
         let Some(first) = self.first_token_at else {
             return;
         };
--- a/src/entry/proxy.rs
+++ b/src/entry/proxy.rs
@@ -10,11 +10,13 @@
 use spdlog::prelude::*;
 
 use super::{
+    allowance::SharedAllowance,
     body::{self, CallerBody},
     context::{Caller, RequestContext},
     control_client::ControlClient,
     crash::CrashRegistry,
     credential,
+    demand::DemandCounter,
     header::strip_request,
     in_flight::InFlight,
     metrics::EntryMetrics,
@@ -39,6 +41,10 @@
     pub hasher: KeyHasher,
     /// Connections and slots of the targets.
     pub targets: Arc<TargetPool>,
+    /// Demand per model, reported with each sync.
+    pub demand: Arc<DemandCounter>,
+    /// The entry's share of every team's allowance.
+    pub allowance: Arc<SharedAllowance>,
     /// Sends claims to the leader.
     pub control: Arc<ControlClient>,
     /// Requests that took targets down.
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -1,10 +1,74 @@
 use serde::Deserialize;
+use serde_json::Value;
 
 use crate::ids::ModelId;
 
-/// The fields of a model request that routing needs; the rest passes through.
+/// The fields of a model request that routing and admission need; the rest passes through.
 #[derive(Debug, Deserialize)]
 pub struct ModelRequest {
     /// Model or adapter.
     pub model: ModelId,
+    /// Most tokens to generate.
+    #[serde(default)]
+    pub max_tokens: Option<u64>,
+    /// Newer name of `max_tokens` on the chat path.
+    #[serde(default)]
+    pub max_completion_tokens: Option<u64>,
+    /// Prompt of a completion.
+    #[serde(default)]
+    pub prompt: Option<Value>,
+    /// Messages of a chat.
+    #[serde(default)]
+    pub messages: Option<Value>,
+}
+
+/// Bytes of a prompt that count as one token.
+const BYTES_PER_TOKEN: u64 = 4;
+
+/// Tokens that a request needs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TokenCost {
+    /// Estimate of the prompt.
+    pub prompt: u64,
+    /// Most that may be generated.
+    pub generated: u64,
+}
+
+impl TokenCost {
+    /// Tokens to reserve.
+    #[must_use]
+    pub fn total(&self) -> u64 {
+        self.prompt.saturating_add(self.generated)
+    }
+}
+
+impl ModelRequest {
+    /// Estimates the tokens of the request; `max_tokens_default` applies when it does not say.
+    #[must_use]
+    pub fn cost(&self, max_tokens_default: u64) -> TokenCost {
+        let bytes = [&self.prompt, &self.messages]
+            .into_iter()
+            .flatten()
+            .map(text_bytes)
+            .sum::<u64>();
+        let generated = self
+            .max_tokens
+            .or(self.max_completion_tokens)
+            .unwrap_or(max_tokens_default);
+        TokenCost {
+            prompt: bytes.div_ceil(BYTES_PER_TOKEN),
+            generated,
+        }
+    }
+}
+
+fn text_bytes(value: &Value) -> u64 {
+    match value {
+        Value::String(text) => text.len() as u64,
+        Value::Array(items) => items.iter().map(text_bytes).sum(),
+        Value::Object(fields) => fields.get("content").map_or(0, text_bytes),
+        // A prompt can also be a list of token ids.
+        Value::Number(_) => BYTES_PER_TOKEN,
+        _ => 0,
+    }
 }
--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -14,6 +14,7 @@
 use serde_bytes::ByteBuf;
 
 use super::{
+    admission::settle_failure,
     body::{self, CallerBody},
     candidates::{CandidatePool, TriedTargets},
     claim::{self, ClaimResult, OpenClaim},
@@ -76,18 +77,43 @@
             headers: parts.headers,
             body,
         };
+        let reserved = self.admit(&context, context.route.request_tokens).await?;
         let Some(key) = key else {
-            return self.forward(&context, outgoing).await;
+            let result = self.forward(&context, outgoing).await;
+            if let Err(error) = &result {
+                settle_failure(reserved, error);
+            }
+            return result;
         };
         let hash = request_hash(&outgoing);
-        match claim::claim(&self.control, &context, key, hash).await? {
-            ClaimResult::Recorded(recorded) => replay(recorded, &context),
+        let claimed = match claim::claim(&self.control, &context, key, hash).await {
+            Ok(claimed) => claimed,
+            Err(error) => {
+                // This attempt did not run, whatever is known of an earlier one.
+                if let Some(reserved) = reserved {
+                    reserved.give_back();
+                }
+                return Err(error);
+            }
+        };
+        match claimed {
+            ClaimResult::Recorded(recorded) => {
+                if let Some(reserved) = reserved {
+                    reserved.give_back();
+                }
+                replay(recorded, &context)
+            }
             ClaimResult::Open(open) => {
                 // The task goes on when the caller leaves, so that the outcome is recorded.
                 let proxy = Arc::clone(self);
                 let id = context.id.clone();
-                let running =
-                    tokio::spawn(async move { proxy.run_claimed(&context, outgoing, open).await });
+                let running = tokio::spawn(async move {
+                    let result = proxy.run_claimed(&context, outgoing, open).await;
+                    if let Err(error) = &result {
+                        settle_failure(reserved, error);
+                    }
+                    result
+                });
                 running.await.unwrap_or_else(|error| {
                     let message = format!("the request failed inside the entry: {error}");
                     Err(CallerError::may_have_run(
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -6,7 +6,9 @@
 mod request;
 
 pub use claims::{CLAIMS_PATH, CRASHES_PATH, ClaimMessage, CommandReply, CrashMessage};
-pub use reply::{ConfigSection, ResidencySection, ResidentModel, SyncReply};
+pub use reply::{
+    ConfigSection, CrashSection, ResidencySection, ResidentModel, SyncReply, TargetLoad,
+};
 pub use report::{EngineReport, ResidentCopy};
 pub use request::{ModelDemand, SyncRequest, TargetObservation, TargetReport};
 
