Give the stand-in targets faults, records and limits

Cause: tests of the entry need targets that crash, cut, stall, answer another request or refuse, and their own record of what ran. Change: the engine accounts memory per accelerator, queues by priority, lags and leaves gaps on demand, and resumes and cancels streams; the service counts runs per reservation. waxwing-fake has a flag for each option.

--- a/src/clap_app.rs
+++ b/src/clap_app.rs
@@ -3,6 +3,8 @@
 use clap::{Arg, ArgAction, Command, value_parser};
 use std::path::PathBuf;
 
+use crate::fake::Switch;
+
 /// Command line of `waxwing-entry`.
 #[must_use]
 pub fn entry_app() -> Command {
@@ -50,23 +52,109 @@
         .required(true)
         .value_parser(value_parser!(u16))
         .help("Loopback port to serve at");
-    let memory = Arg::new("memory-mib")
-        .long("memory-mib")
-        .value_name("MIB")
-        .default_value("81920")
-        .value_parser(value_parser!(u64))
-        .help("Memory of the engine's accelerator");
+    let echo = switch_argument("echo-ids", "on", "Whether X-Request-Id is echoed");
     Command::new("waxwing-fake")
         .version(env!("CARGO_PKG_VERSION"))
-        .about("Stands in for targets")
+        .about("Stands in for targets; tests set faults at /fake/v1/faults")
         .subcommand_required(true)
         .subcommand(
             Command::new("engine")
-                .about("A model engine")
+                .about("A model engine that echoes the prompt word by word")
                 .arg(port.clone())
-                .arg(memory),
+                .arg(echo.clone())
+                .args(engine_numbers())
+                .args(engine_switches())
+                .arg(
+                    Arg::new("crash-on")
+                        .long("crash-on")
+                        .value_name("TEXT")
+                        .help("Aborts the process when a prompt contains this text"),
+                ),
+        )
+        .subcommand(
+            Command::new("service")
+                .about("A plain service that counts the runs of each X-Reservation")
+                .arg(port)
+                .arg(echo)
+                .arg(number_argument::<u64>(
+                    "response-ms",
+                    "0",
+                    "Time that a response takes",
+                )),
         )
-        .subcommand(Command::new("service").about("A plain service").arg(port))
+}
+
+fn engine_numbers() -> [Arg; 10] {
+    [
+        number_argument::<u32>("accelerators", "1", "Number of accelerators"),
+        number_argument::<u64>("memory-mib", "81920", "Memory of each accelerator"),
+        number_argument::<u64>("load-ms", "0", "Time to load a copy"),
+        number_argument::<u64>(
+            "unload-ms",
+            "0",
+            "Time to unload a copy; its memory is taken until then",
+        ),
+        number_argument::<u64>("token-ms", "5", "Time per generated token"),
+        number_argument::<u32>(
+            "slots",
+            "16",
+            "Requests that run at once; more wait by X-Priority",
+        ),
+        number_argument::<usize>(
+            "cache-blocks",
+            "4096",
+            "Blocks of 64 prompt bytes that the prefix cache holds",
+        ),
+        number_argument::<u64>(
+            "event-delay-ms",
+            "0",
+            "Time after which a cache event is published",
+        ),
+        number_argument::<u64>(
+            "event-gap",
+            "0",
+            "Leaves out every Nth cache event; 0 publishes all",
+        ),
+        number_argument::<u64>("report-lag-ms", "0", "Greatest age of a report"),
+    ]
+}
+
+fn engine_switches() -> [Arg; 3] {
+    [
+        switch_argument(
+            "check-fencing",
+            "on",
+            "Whether orders with an old fencing number are refused",
+        ),
+        switch_argument(
+            "check-memory",
+            "off",
+            "Whether orders that exceed the memory are refused",
+        ),
+        switch_argument("resume", "on", "Whether broken streams can be resumed"),
+    ]
+}
+
+fn number_argument<T>(name: &'static str, default: &'static str, help: &'static str) -> Arg
+where
+    T: std::str::FromStr + Clone + Send + Sync + 'static,
+    T::Err: std::error::Error + Send + Sync + 'static,
+{
+    Arg::new(name)
+        .long(name)
+        .value_name("N")
+        .default_value(default)
+        .value_parser(|text: &str| text.parse::<T>())
+        .help(help)
+}
+
+fn switch_argument(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("SWITCH")
+        .default_value(default)
+        .value_parser(value_parser!(Switch))
+        .help(help)
 }
 
 /// Command line of `waxwing`.
--- a/src/fake/engine.rs
+++ b/src/fake/engine.rs
@@ -1,171 +1,178 @@
 use std::{
-    sync::{Arc, Mutex, PoisonError},
+    collections::HashSet,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
-use futures::{StreamExt, stream::BoxStream};
 use rocket::{
-    Request, State, get,
-    http::Status,
-    post,
-    response::{
-        self, Responder,
-        stream::{Event, EventStream},
-    },
-    routes,
-    serde::json::{Json, Value, json},
+    Request, Response, State,
+    fairing::{Fairing, Info, Kind},
+    get,
+    http::Header,
+    put, routes,
+    serde::json::Json,
 };
 
-use crate::{
-    config::ListenAddress,
-    error::Result,
-    order::{EngineOrder, OrderAction, OrderAnswer},
-    server,
-    sync::{EngineReport, ResidentCopy},
+use super::{
+    engine_calls, engine_orders,
+    engine_state::EngineState,
+    fault::{FaultPlan, Faults},
+    options::{EngineOptions, Switch},
+    prefix_cache::PrefixCache,
+    record::{RequestRecord, SharedRecord},
+    slots::SlotQueue,
 };
+use crate::{config::ListenAddress, error::Result, server};
 
-/// A model engine that echoes the last message word by word.
+/// A model engine that echoes the prompt word by word, with faults on demand.
 pub struct FakeEngine {
     listen: ListenAddress,
-    memory_mib: u64,
-    state: Arc<Mutex<EngineReport>>,
+    options: EngineOptions,
+    faults: Faults,
 }
 
-struct EngineShared {
-    memory_mib: u64,
-    state: Arc<Mutex<EngineReport>>,
+/// What the handlers of an engine share.
+#[derive(Clone)]
+pub struct EngineShared {
+    /// Behaviour.
+    pub options: EngineOptions,
+    /// Faults to commit.
+    pub faults: FaultPlan,
+    /// What was received.
+    pub record: SharedRecord,
+    /// Slots and internal queue.
+    pub slots: SlotQueue,
+    state: Arc<Mutex<EngineState>>,
+    cache: Arc<Mutex<PrefixCache>>,
+    cancelled: Arc<Mutex<HashSet<String>>>,
 }
 
 impl FakeEngine {
     /// Prepares an engine with one accelerator of `memory_mib` MiB.
     #[must_use]
     pub fn new(listen: ListenAddress, memory_mib: u64) -> Self {
-        let report = EngineReport {
-            incarnation: rand::random(),
-            ..EngineReport::default()
-        };
+        Self::with_options(
+            listen,
+            EngineOptions {
+                memory_mib,
+                ..EngineOptions::default()
+            },
+        )
+    }
+
+    /// Prepares an engine with these options.
+    #[must_use]
+    pub fn with_options(listen: ListenAddress, options: EngineOptions) -> Self {
         Self {
             listen,
-            memory_mib,
-            state: Arc::new(Mutex::new(report)),
+            options,
+            faults: Faults::default(),
         }
     }
 
+    /// Returns the engine with faults that it commits from the start.
+    #[must_use]
+    pub fn with_faults(self, faults: Faults) -> Self {
+        Self { faults, ..self }
+    }
+
     /// Serves until the process is told to stop.
     ///
     /// # Errors
     /// [`crate::error::Error::Server`] when the port is taken.
     pub async fn run(self) -> Result<()> {
+        let options = self.options;
+        let faults = FaultPlan::default();
+        faults.set(self.faults);
         let shared = EngineShared {
-            memory_mib: self.memory_mib,
-            state: self.state,
+            faults: faults.clone(),
+            record: SharedRecord::default(),
+            slots: SlotQueue::new(options.slots),
+            state: Arc::new(Mutex::new(EngineState::new(options.clone()))),
+            cache: Arc::new(Mutex::new(PrefixCache::new(
+                options.cache_blocks,
+                Duration::from_millis(options.event_delay_ms),
+                options.event_gap,
+            ))),
+            cancelled: Arc::default(),
+            options: options.clone(),
         };
         let rocket = rocket::custom(server::figment(&self.listen))
             .manage(shared)
-            .mount("/", routes![report, take_order, complete, chat]);
+            .attach(IdEcho {
+                switch: options.echoes_ids,
+                faults,
+            })
+            .mount("/", routes![get_faults, set_faults, get_record])
+            .mount("/", engine_orders::routes())
+            .mount("/", engine_calls::routes());
         server::launch(rocket).await
     }
 }
 
-#[get("/engine/v1/report")]
-fn report(shared: &State<EngineShared>) -> Json<EngineReport> {
-    Json(
-        shared
-            .state
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone(),
-    )
-}
+impl EngineShared {
+    /// Locks copies, memory and orders.
+    pub fn state(&self) -> MutexGuard<'_, EngineState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 
-#[post("/engine/v1/order", data = "<order>")]
-fn take_order(order: Json<EngineOrder>, shared: &State<EngineShared>) -> Json<OrderAnswer> {
-    let mut state = shared.state.lock().unwrap_or_else(PoisonError::into_inner);
-    if order.fencing <= state.last_fencing {
-        return Json(OrderAnswer::OldFencing);
+    /// Locks the prefix cache.
+    pub fn cache(&self) -> MutexGuard<'_, PrefixCache> {
+        self.cache.lock().unwrap_or_else(PoisonError::into_inner)
     }
-    let used: u64 = state.copies.iter().map(|copy| copy.memory_mib).sum();
-    match &order.action {
-        OrderAction::Load(copy) if used + copy.memory_mib > shared.memory_mib => {
-            return Json(OrderAnswer::NoMemory);
-        }
-        OrderAction::Load(copy) => {
-            let copy = ResidentCopy {
-                ready: true,
-                ..copy.clone()
-            };
-            state.copies.push(copy);
-        }
-        OrderAction::Unload(copy) => state
-            .copies
-            .retain(|held| held.model != copy.model || held.version != copy.version),
+
+    /// Locks the ids of cancelled requests.
+    pub fn cancelled(&self) -> MutexGuard<'_, HashSet<String>> {
+        self.cancelled
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
-    state.last_fencing = order.fencing;
-    Json(OrderAnswer::Accepted)
 }
 
-/// Either a stream of events or one JSON document.
-enum Completion {
-    Stream(BoxStream<'static, Event>),
-    Whole(Value),
+#[get("/fake/v1/faults")]
+fn get_faults(shared: &State<EngineShared>) -> Json<Faults> {
+    Json(shared.faults.get())
 }
 
-impl<'r> Responder<'r, 'r> for Completion {
-    fn respond_to(self, request: &'r Request<'_>) -> response::Result<'r> {
-        match self {
-            Self::Stream(events) => EventStream::from(events).respond_to(request),
-            Self::Whole(body) => Json(body).respond_to(request),
-        }
-    }
+#[put("/fake/v1/faults", data = "<faults>")]
+fn set_faults(faults: Json<Faults>, shared: &State<EngineShared>) {
+    shared.faults.set(faults.into_inner());
 }
 
-#[post("/v1/completions", data = "<body>")]
-fn complete(body: Json<Value>, shared: &State<EngineShared>) -> Result<Completion, Status> {
-    let text = body["prompt"].as_str().unwrap_or_default().to_owned();
-    answer(&body, &text, shared)
+#[get("/fake/v1/record")]
+fn get_record(shared: &State<EngineShared>) -> Json<RequestRecord> {
+    let max_used_mib = shared.state().max_used_mib();
+    Json(RequestRecord {
+        max_used_mib,
+        ..shared.record.get()
+    })
 }
 
-#[post("/v1/chat/completions", data = "<body>")]
-fn chat(body: Json<Value>, shared: &State<EngineShared>) -> Result<Completion, Status> {
-    let messages = body["messages"].as_array();
-    let last = messages.and_then(|messages| messages.last());
-    let text = last
-        .and_then(|message| message["content"].as_str())
-        .unwrap_or_default()
-        .to_owned();
-    answer(&body, &text, shared)
+/// Echoes `X-Request-Id`, or another id when that fault is due.
+pub struct IdEcho {
+    /// Whether ids are echoed.
+    pub switch: Switch,
+    /// Faults to commit.
+    pub faults: FaultPlan,
 }
 
-fn answer(body: &Value, text: &str, shared: &EngineShared) -> Result<Completion, Status> {
-    let model = body["model"].as_str().unwrap_or_default().to_owned();
-    let state = shared.state.lock().unwrap_or_else(PoisonError::into_inner);
-    if !state
-        .copies
-        .iter()
-        .any(|copy| copy.model == model && copy.ready)
-    {
-        return Err(Status::NotFound);
-    }
-    drop(state);
-    if !body["stream"].as_bool().unwrap_or_default() {
-        return Ok(Completion::Whole(json!({
-            "model": model,
-            "choices": [{ "index": 0, "text": text, "finish_reason": "stop" }],
-        })));
+#[rocket::async_trait]
+impl Fairing for IdEcho {
+    fn info(&self) -> Info {
+        Info {
+            name: "request id echo",
+            kind: Kind::Response,
+        }
     }
-    let words: Vec<String> = text.split_whitespace().map(str::to_owned).collect();
-    Ok(Completion::Stream(token_events(words, model)))
-}
 
-fn token_events(words: Vec<String>, model: String) -> BoxStream<'static, Event> {
-    let tokens = futures::stream::iter(words).then(move |word| {
-        let model = model.clone();
-        async move {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-            Event::json(&json!({ "model": model, "choices": [{ "index": 0, "text": word }] }))
+    async fn on_response<'r>(&self, request: &'r Request<'_>, response: &mut Response<'r>) {
+        let Some(id) = request.headers().get_one("x-request-id") else {
+            return;
+        };
+        if self.faults.take_wrong_id() {
+            response.set_header(Header::new("x-request-id", format!("{id}-of-another")));
+        } else if self.switch.is_on() {
+            response.set_header(Header::new("x-request-id", id.to_owned()));
         }
-    });
-    tokens
-        .chain(futures::stream::once(async { Event::data("[DONE]") }))
-        .boxed()
+    }
 }
