--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,8 @@
 pub mod ids;
 pub mod logger;
 pub mod order;
+pub mod place;
+pub mod raft;
 pub mod route;
 pub mod server;
 pub mod state;
