--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,7 +21,6 @@
 pub mod order;
 pub mod place;
 pub mod raft;
-pub mod route;
 pub mod server;
 pub mod state;
 pub mod sync;
