Queue requests fairly and choose targets by the replica table

Cause: the policy parts are there, and the entry drew targets by its own in-flight counts. Change: each pool has a fair queue; a request enters it after its tokens are reserved and leaves when a target has room. Loads, service elsewhere and availability come from each sync; responses correct the beliefs about prefix caches. Retries use the shared budget.

--- a/src/config/entry.rs
+++ b/src/config/entry.rs
@@ -1,4 +1,4 @@
-use std::{net::SocketAddr, path::PathBuf};
+use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf};
 
 use serde::{Deserialize, Serialize};
 
@@ -44,6 +44,9 @@
     /// Mean time between tokens that counts as attained, in milliseconds.
     #[serde(default = "default_inter_token_target_ms")]
     pub inter_token_target_ms: u64,
+    /// Round trips from this entry to data centres, in milliseconds.
+    #[serde(default)]
+    pub data_centre_rtt_ms: BTreeMap<DataCentreId, u64>,
     /// Format of the log.
     #[serde(default)]
     pub log: LogFormat,
--- a/src/dev/settings.rs
+++ b/src/dev/settings.rs
@@ -1,4 +1,5 @@
 use std::{
+    collections::BTreeMap,
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
 };
@@ -110,6 +111,7 @@
             manage_listen: None,
             first_token_target_ms: 320,
             inter_token_target_ms: 36,
+            data_centre_rtt_ms: BTreeMap::new(),
             log: LogFormat::Text,
         }
     }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -32,8 +32,10 @@
 mod refusal;
 mod request;
 mod retries;
+mod scheduler;
 mod service;
-mod target_pool;
+mod slot;
+mod target_sync;
 mod view;
 
 pub use allowance::{ReservedTokens, SharedAllowance};
--- a/src/entry/candidates.rs
+++ b/src/entry/candidates.rs
@@ -1,53 +1,29 @@
-use std::sync::Arc;
+//! Which targets the view names for a request, whatever their load.
 
 use smallvec::SmallVec;
 
 use super::view::EntryView;
-use crate::{
-    border::TargetConfig,
-    ids::{ModelId, ServiceId, TargetId},
-};
+use crate::{ids::TargetId, route::PoolId};
 
 /// Targets that a request was sent to already.
 pub type TriedTargets = SmallVec<[TargetId; 2]>;
 
-/// The targets that can run a request.
-#[derive(Clone, Debug)]
-pub enum CandidatePool {
-    /// Engines with a copy of the model or adapter.
-    Model(ModelId),
-    /// Targets of a plain service.
-    Service(ServiceId),
-}
-
-impl CandidatePool {
-    /// Targets that hold what the request needs and were not tried.
-    pub fn candidates(&self, view: &EntryView, tried: &TriedTargets) -> Vec<Arc<TargetConfig>> {
-        let usable = |target: &Arc<TargetConfig>| {
-            !target.draining && !view.avoided.contains(&target.id) && !tried.contains(&target.id)
-        };
-        match self {
-            Self::Model(model) => {
-                let copies = view.residency.get(model).map_or(&[][..], Vec::as_slice);
-                copies
-                    .iter()
-                    .filter_map(|(target, _)| view.index.target(target).cloned())
-                    .filter(usable)
-                    .collect()
-            }
-            Self::Service(service) => {
-                let targets = view.index.service(service);
-                targets
-                    .iter()
-                    .filter(|target| usable(target))
-                    .cloned()
-                    .collect()
-            }
+/// Whether a target of the pool is left that was not tried.
+pub fn has_candidate(pool: &PoolId, view: &EntryView, tried: &TriedTargets) -> bool {
+    let is_usable = |target: &TargetId| {
+        let known = view.index.target(target);
+        known.is_some_and(|target| !target.draining)
+            && !view.avoided.contains(target)
+            && !tried.contains(target)
+    };
+    match pool {
+        PoolId::Model(model) => {
+            let copies = view.residency.get(model).map_or(&[][..], Vec::as_slice);
+            copies.iter().any(|(target, _)| is_usable(target))
+        }
+        PoolId::Service(service) => {
+            let targets = view.index.service(service);
+            targets.iter().any(|target| is_usable(&target.id))
         }
-    }
-
-    /// Whether a target may appear while the request waits; a model is loaded on demand.
-    pub fn can_appear(&self) -> bool {
-        matches!(self, Self::Model(_))
     }
 }
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -23,7 +23,8 @@
     poll::{PolledReports, ReportPoller},
     proxy::CallerProxy,
     retries::RetryLimits,
-    target_pool::TargetPool,
+    scheduler::Scheduler,
+    target_sync::TargetSync,
     view::SharedView,
 };
 use crate::{
@@ -122,6 +123,14 @@
         };
         let metrics = Arc::new(EntryMetrics::new(config));
         let counter = ConnectCounter::new(metrics.upstream_connections.clone());
+        let distances: Vec<_> = config
+            .data_centre_rtt_ms
+            .iter()
+            .map(|(name, rtt)| (name.clone(), Duration::from_millis(*rtt)))
+            .collect();
+        let scheduler = Scheduler::new(Arc::clone(&view), counter, &distances)?;
+        let scheduler = Arc::new(scheduler);
+        let targets = TargetSync::new(Arc::clone(&view), Arc::clone(&scheduler));
         let in_flight = InFlight::new(metrics.in_flight.clone());
         let phase = watch::channel(EntryPhase::Serving).0;
         let freshness_bound = Duration::from_millis(config.freshness_bound_ms);
@@ -132,7 +141,7 @@
             hasher,
             demand,
             allowance,
-            targets: Arc::new(TargetPool::new(counter)?),
+            scheduler,
             crashes: CrashRegistry::new(Arc::clone(&control), &hash_secret),
             control,
             retries: RetryLimits::new(),
@@ -166,7 +175,9 @@
             stop,
             callers: tokio::spawn(port.run(stopping)),
             following: tokio::spawn(Arc::clone(&follower).run()),
-            polling: tokio::spawn(engine_poller.run()),
+            polling: tokio::spawn(async move {
+                tokio::join!(engine_poller.run(), targets.run());
+            }),
             follower,
             management,
         })
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -6,7 +6,7 @@
 use tokio::time::sleep_until;
 
 use super::{
-    candidates::{CandidatePool, TriedTargets},
+    candidates::has_candidate,
     context::RequestContext,
     crash,
     demand::DemandCounter,
@@ -16,9 +16,13 @@
     outgoing::Outgoing,
     proxy::CallerProxy,
     refusal::{CallerError, RunState},
-    target_pool::TargetSlot,
+    scheduler::ScheduledRequest,
+    slot::TargetSlot,
+};
+use crate::{
+    border::RouteIdempotency, code::ResultCode, fair::PushRefusal, ids::ModelId, route::PoolId,
+    state::BlockState,
 };
-use crate::{border::RouteIdempotency, code::ResultCode, ids::ModelId, state::BlockState};
 
 impl CallerProxy {
     /// Sends a request to targets of the pool until one responds, as far as retries are allowed.
@@ -28,10 +32,9 @@
     pub async fn dispatch(
         &self,
         context: &RequestContext,
-        pool: &CandidatePool,
+        scheduled: &mut ScheduledRequest,
         outgoing: &mut Outgoing,
         guard: &mut StreamGuard,
-        tried: &mut TriedTargets,
     ) -> Result<TargetAnswer, CallerError> {
         let mut attempt = 0;
         let mut run_state = RunState::NotRun;
@@ -45,7 +48,7 @@
                     RunState::MayHaveRun => error.with_run_state(run_state),
                     RunState::NotRun => error,
                 })?;
-            let slot = match (self.wait_for_slot(context, pool, tried).await, last) {
+            let slot = match (self.wait_for_slot(context, scheduled).await, last) {
                 (Ok(slot), _) => slot,
                 (Err(_), Some(earlier)) => return Err(earlier.with_run_state(run_state)),
                 (Err(error), None) => return Err(error),
@@ -53,15 +56,18 @@
             self.check_again(context)
                 .map_err(|error| error.with_run_state(run_state))?;
             info!(
-                "route: {} {} to {} attempt {}",
+                "route: {} {} to {} attempt {} cost {:.1} ms load {:.1} cached {}",
                 context.id,
                 context.route.id,
                 slot.target.id,
-                attempt + 1
+                attempt + 1,
+                slot.choice.cost_ms,
+                slot.choice.load,
+                slot.choice.cached_tokens
             );
             self.metrics.count_upstream_request();
             let target = Arc::clone(&slot.target);
-            tried.push(target.id.clone());
+            scheduled.tried.push(target.id.clone());
             let error = match exchange(slot, turn, outgoing, context, guard).await {
                 Ok(answer) => return Ok(answer),
                 Err(error) => error,
@@ -120,51 +126,45 @@
     pub async fn wait_for_slot(
         &self,
         context: &RequestContext,
-        pool: &CandidatePool,
-        tried: &TriedTargets,
+        scheduled: &ScheduledRequest,
     ) -> Result<TargetSlot, CallerError> {
         let queued = Instant::now();
-        let mut absent = None;
-        let mut residency = self.view.watch_residency();
-        let mut revisions = self.view.watch_revision();
-        loop {
-            let released = self.targets.released();
-            tokio::pin!(released);
-            released.as_mut().enable();
-            let candidates = pool.candidates(&self.view.get(), tried);
-            if let Some(slot) = self.targets.choose(&candidates, Instant::now()) {
-                self.metrics
-                    .observe_queue(&context.route.id, queued.elapsed());
-                return Ok(slot);
+        let id = &context.id;
+        let refuse = |code: ResultCode, message: &str| Err(CallerError::not_run(code, message, id));
+        let no_target = "no target can take the request";
+        let pool = &scheduled.pool;
+        let absent = match pool {
+            pool if has_candidate(pool, &self.view.get(), &scheduled.tried) => None,
+            // A model is loaded on demand while the request waits.
+            PoolId::Model(model) if scheduled.tried.is_empty() => {
+                Some(AbsentModel::new(&self.demand, model))
             }
-            if candidates.is_empty() && (!pool.can_appear() || !tried.is_empty()) {
-                let message = "no target can take the request";
-                return Err(CallerError::not_run(
-                    ResultCode::NoTarget,
-                    message,
-                    &context.id,
-                ));
+            _ => return refuse(ResultCode::NoTarget, no_target),
+        };
+        let mut ticket = match self.scheduler.enter(scheduled.clone(), context.deadline) {
+            Ok(ticket) => ticket,
+            Err(PushRefusal::TooLate) => {
+                let message = "the queue is too long for the request's deadline";
+                return refuse(ResultCode::DeadlineExceeded, message);
             }
-            if let CandidatePool::Model(model) = pool
-                && candidates.is_empty()
-                && absent.is_none()
-            {
-                absent = Some(AbsentModel::new(&self.demand, model));
+            Err(PushRefusal::TeamFull | PushRefusal::QueueFull) => {
+                return refuse(ResultCode::QueueFull, "the queue is full");
             }
-            tokio::select! {
-                () = &mut released => {}
-                _ = residency.changed() => {}
-                _ = revisions.changed() => {}
-                () = sleep_until(context.deadline.into()) => {
-                    let message = "no target had a free place before the request's deadline";
-                    return Err(CallerError::not_run(
-                        ResultCode::DeadlineExceeded,
-                        message,
-                        &context.id,
-                    ));
-                }
+        };
+        let placed = tokio::select! {
+            placed = ticket.placed() => placed,
+            () = sleep_until(context.deadline.into()) => {
+                let message = "no target had a free place before the request's deadline";
+                return refuse(ResultCode::DeadlineExceeded, message);
             }
-        }
+        };
+        drop(absent);
+        let Some(slot) = placed else {
+            return refuse(ResultCode::NoTarget, no_target);
+        };
+        self.metrics
+            .observe_queue(&context.route.id, queued.elapsed());
+        Ok(slot)
     }
 }
 
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -4,12 +4,14 @@
 
 use super::{
     context::RequestContext, crash::SuspectTurn, guard::StreamGuard, outgoing::Outgoing,
-    refusal::CallerError, target_pool::TargetSlot,
+    refusal::CallerError, slot::TargetSlot,
 };
 use crate::code::ResultCode;
 
 /// Header with which a target says that it refused a request before it started.
 pub const NOT_STARTED_HEADER: &str = "x-not-started";
+/// Header with which an engine tells how many prompt tokens were in its cache.
+const CACHED_TOKENS_HEADER: &str = "x-cached-tokens";
 /// Header that names the request.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
 
@@ -28,7 +30,7 @@
 /// # Errors
 /// An error whose run state tells whether a byte of the request can have reached the target.
 pub async fn exchange(
-    slot: TargetSlot,
+    mut slot: TargetSlot,
     turn: Option<SuspectTurn>,
     outgoing: &mut Outgoing,
     context: &RequestContext,
@@ -106,6 +108,8 @@
             id,
         ));
     }
+    let cached_tokens = header(CACHED_TOKENS_HEADER).and_then(|value| value.parse().ok());
+    slot.report_answer(cached_tokens);
     Ok(TargetAnswer {
         response,
         slot,
--- a/src/entry/model.rs
+++ b/src/entry/model.rs
@@ -15,7 +15,6 @@
 use super::{
     admission::settle_failure,
     body::{self, CallerBody},
-    candidates::{CandidatePool, TriedTargets},
     context::RequestContext,
     exchange::TargetAnswer,
     guard::StreamGuard,
@@ -25,8 +24,13 @@
     proxy::CallerProxy,
     refusal::CallerError,
     request::{ModelRequest, TokenCost},
+    scheduler::ScheduledRequest,
+};
+use crate::{
+    code::ResultCode,
+    ids::{ModelId, VersionId},
+    route::PoolId,
 };
-use crate::code::ResultCode;
 
 /// Largest response that is read as a whole, in bytes; the longest contexts stay below it.
 const MAX_WHOLE_RESPONSE: usize = 64 * 1024 * 1024;
@@ -59,7 +63,12 @@
         let cost = self.cost(&context, &request)?;
         self.demand.record_arrival(&request.model, cost.total());
         let reserved = self.admit(&context, cost.total()).await?;
-        let pool = CandidatePool::Model(request.model.clone());
+        let mut scheduled = ScheduledRequest {
+            prompt_tokens: u32::try_from(cost.prompt).unwrap_or(u32::MAX),
+            prefix: request.prefix(),
+            version: self.version(&request.model),
+            ..self.scheduled(&context, PoolId::Model(request.model.clone()), cost.total())
+        };
         let mut outgoing = Outgoing {
             method: Method::POST,
             path_and_query: path,
@@ -71,9 +80,8 @@
             body: OutgoingBody::Whole(body),
         };
         let mut guard = self.guard(&context);
-        let mut tried = TriedTargets::new();
         let answer = self
-            .dispatch(&context, &pool, &mut outgoing, &mut guard, &mut tried)
+            .dispatch(&context, &mut scheduled, &mut outgoing, &mut guard)
             .await;
         let answer = match answer {
             Ok(answer) => answer,
@@ -95,9 +103,8 @@
                 Arc::clone(self),
                 Arc::clone(&context),
                 StreamRequest {
-                    pool,
+                    scheduled,
                     outgoing,
-                    tried,
                     prompt_tokens: cost.prompt,
                     reserved,
                 },
@@ -140,6 +147,14 @@
         Ok(request.cost(model.max_tokens_default))
     }
 
+    /// Version that the configuration names for a model or adapter.
+    fn version(&self, model: &ModelId) -> Option<VersionId> {
+        let view = self.view.get();
+        let index = &view.index;
+        let version = index.model(model).map(|model| model.version.clone());
+        version.or_else(|| Some(index.adapter(model)?.version.clone()))
+    }
+
     fn list_models(&self) -> Response<CallerBody> {
         let view = self.view.get();
         let mut names: Vec<(&str, Option<&str>)> = view
@@ -183,7 +198,7 @@
 ) -> Result<Bytes, CallerError> {
     let TargetAnswer {
         response,
-        slot,
+        mut slot,
         turn: _turn,
     } = answer;
     let id = &context.id;
@@ -206,8 +221,9 @@
         match chunk {
             None => return Ok(bytes.freeze()),
             Some(Err(error)) => {
+                let error = cut(error.without_url().to_string());
                 slot.report_failure();
-                return Err(cut(error.without_url().to_string()));
+                return Err(error);
             }
             Some(Ok(chunk)) if bytes.len() + chunk.len() > MAX_WHOLE_RESPONSE => {
                 return Err(cut("it is too large".to_owned()));
--- a/src/entry/model_stream.rs
+++ b/src/entry/model_stream.rs
@@ -16,7 +16,7 @@
 
 use super::{
     allowance::ReservedTokens,
-    candidates::{CandidatePool, TriedTargets},
+    candidates::has_candidate,
     context::RequestContext,
     crash::{self, SuspectTurn},
     event::EventSplitter,
@@ -26,7 +26,8 @@
     outgoing::{Outgoing, OutgoingBody},
     proxy::CallerProxy,
     refusal::{CallerError, RunState},
-    target_pool::TargetSlot,
+    scheduler::ScheduledRequest,
+    slot::TargetSlot,
 };
 use crate::{code::ResultCode, state::BlockState};
 
@@ -55,12 +56,10 @@
 
 /// The request behind a stream, kept so that it can be resumed.
 pub struct StreamRequest {
-    /// Targets that can run it.
-    pub pool: CandidatePool,
+    /// The request as the scheduler sees it.
+    pub scheduled: ScheduledRequest,
     /// The request as it was sent.
     pub outgoing: Outgoing,
-    /// Targets that it was sent to.
-    pub tried: TriedTargets,
     /// Estimated tokens of the prompt.
     pub prompt_tokens: u64,
     /// Tokens reserved for it.
@@ -170,11 +169,11 @@
             Ok(None) => "the end mark is missing".to_owned(),
             Err(_elapsed) => "no token arrived in time".to_owned(),
         };
-        source.slot.report_failure();
         let message = format!(
             "the response of target {} ended early: {reason}",
             source.slot.target.id
         );
+        source.slot.report_failure();
         Err(CallerError::may_have_run(
             ResultCode::AnswerCut,
             message,
@@ -202,11 +201,9 @@
         };
         loop {
             let proxy = &self.proxy;
-            let candidates = self
-                .request
-                .pool
-                .candidates(&proxy.view.get(), &self.request.tried);
-            if candidates.is_empty()
+            let scheduled = &self.request.scheduled;
+            let view = proxy.view.get();
+            if !has_candidate(&scheduled.pool, &view, &scheduled.tried)
                 || proxy.check_again(&self.context).is_err()
                 || !proxy.retries.try_spend(self.context.team())
             {
@@ -223,7 +220,7 @@
                     .crashes
                     .admit(fingerprint, &context, &proxy.view.get())
                     .await?;
-                let slot = proxy.wait_for_slot(&context, &self.request.pool, &self.request.tried);
+                let slot = proxy.wait_for_slot(&context, scheduled);
                 Ok::<_, CallerError>((turn, slot.await?))
             };
             let (turn, slot) = tokio::select! {
@@ -235,7 +232,7 @@
                 "route: {} {} resumes at token {} on {}",
                 context.id, context.route.id, self.delivered, target.id
             );
-            self.request.tried.push(target.id.clone());
+            self.request.scheduled.tried.push(target.id.clone());
             proxy.metrics.count_retry(RetryKind::Resume);
             proxy.metrics.count_upstream_request();
             match exchange(slot, turn, &mut outgoing, &context, &mut self.guard).await {
@@ -289,6 +286,11 @@
 
     fn note_complete(&mut self) {
         let used = self.request.prompt_tokens + self.delivered;
+        let ScheduledRequest {
+            pool, team, cost, ..
+        } = &self.request.scheduled;
+        let unused = cost.saturating_sub(used);
+        self.proxy.scheduler.refund(pool, team, unused);
         if let Some(reserved) = self.request.reserved.take() {
             reserved.settle(used);
         }
--- a/src/entry/proxy.rs
+++ b/src/entry/proxy.rs
@@ -12,6 +12,7 @@
 use super::{
     allowance::SharedAllowance,
     body::{self, CallerBody},
+    candidates::TriedTargets,
     context::{Caller, RequestContext},
     control_client::ControlClient,
     crash::CrashRegistry,
@@ -23,7 +24,7 @@
     phase::{EntryPhase, PhaseReceiver},
     refusal::CallerError,
     retries::RetryLimits,
-    target_pool::TargetPool,
+    scheduler::{ScheduledRequest, Scheduler},
     view::{EntryView, SharedView},
 };
 use crate::{
@@ -31,6 +32,7 @@
     code::ResultCode,
     fleet::KeyHasher,
     ids::RequestId,
+    route::PoolId,
 };
 
 /// Serves every caller's request on every path.
@@ -39,8 +41,8 @@
     pub view: Arc<SharedView>,
     /// Hashes callers' keys.
     pub hasher: KeyHasher,
-    /// Connections and slots of the targets.
-    pub targets: Arc<TargetPool>,
+    /// Queues requests and chooses targets.
+    pub scheduler: Arc<Scheduler>,
     /// Demand per model, reported with each sync.
     pub demand: Arc<DemandCounter>,
     /// The entry's share of every team's allowance.
@@ -178,6 +180,26 @@
     }
 }
 
+impl CallerProxy {
+    /// Describes a request to the scheduler; `cost` is in tokens.
+    pub fn scheduled(&self, context: &RequestContext, pool: PoolId, cost: u64) -> ScheduledRequest {
+        let team = context.team().cloned().unwrap_or_default();
+        let view = self.view.get();
+        ScheduledRequest {
+            pool,
+            weight: view.index.team(&team).map_or(1, |team| team.weight),
+            team,
+            priority: context.caller.as_ref().map_or(0, |caller| caller.priority),
+            // A request without a cost still takes a place in turn.
+            cost: cost.max(1),
+            prompt_tokens: 0,
+            prefix: Vec::new(),
+            version: None,
+            tried: TriedTargets::new(),
+        }
+    }
+}
+
 /// Refuses request targets that could leave their route when the path is normalised on the way.
 fn check_target(parts: &Parts) -> Result<(), &'static str> {
     if parts.method == Method::CONNECT {
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -1,7 +1,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 
-use crate::ids::ModelId;
+use crate::{ids::ModelId, route::PrefixBlock};
 
 /// The fields of a model request that routing and admission need; the rest passes through.
 #[derive(Debug, Deserialize)]
@@ -42,7 +42,35 @@
     }
 }
 
+/// Bytes of a prompt between two prefixes that routing looks at; 64 tokens.
+const PREFIX_BYTES: usize = 256;
+/// Prefixes that routing looks at.
+const MAX_PREFIXES: usize = 16;
+
 impl ModelRequest {
+    /// Hashes the prefixes of the prompt, so that requests with a common start meet a warm cache.
+    #[must_use]
+    pub fn prefix(&self) -> Vec<PrefixBlock> {
+        let mut text = Vec::new();
+        for value in [&self.prompt, &self.messages].into_iter().flatten() {
+            add_text(value, &mut text);
+        }
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(self.model.as_bytes());
+        let mut tokens = 0;
+        text.chunks_exact(PREFIX_BYTES)
+            .take(MAX_PREFIXES)
+            .map(|block| {
+                hasher.update(block);
+                tokens += u32::try_from(PREFIX_BYTES).unwrap_or(u32::MAX) / 4;
+                let mut hash = [0; 8];
+                hash.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+                let hash = u64::from_le_bytes(hash);
+                PrefixBlock { hash, tokens }
+            })
+            .collect()
+    }
+
     /// Estimates the tokens of the request; `max_tokens_default` applies when it does not say.
     #[must_use]
     pub fn cost(&self, max_tokens_default: u64) -> TokenCost {
@@ -72,3 +100,23 @@
         _ => 0,
     }
 }
+
+/// Appends the text of a prompt, as far as prefixes reach.
+fn add_text(value: &Value, text: &mut Vec<u8>) {
+    if text.len() >= PREFIX_BYTES * MAX_PREFIXES {
+        return;
+    }
+    match value {
+        Value::String(part) => text.extend_from_slice(part.as_bytes()),
+        Value::Array(items) => items.iter().for_each(|item| add_text(item, text)),
+        Value::Object(fields) => {
+            for field in ["role", "content"] {
+                if let Some(value) = fields.get(field) {
+                    add_text(value, text);
+                }
+            }
+        }
+        Value::Number(number) => text.extend_from_slice(number.to_string().as_bytes()),
+        _ => {}
+    }
+}
--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -16,7 +16,6 @@
 use super::{
     admission::settle_failure,
     body::{self, CallerBody},
-    candidates::{CandidatePool, TriedTargets},
     claim::{self, ClaimResult, OpenClaim},
     context::RequestContext,
     exchange::TargetAnswer,
@@ -25,8 +24,9 @@
     plain_stream::plain_stream,
     proxy::CallerProxy,
     refusal::{CallerError, RunState},
+    scheduler::ScheduledRequest,
 };
-use crate::{code::ResultCode, ids::BodyHash, state::RecordedResponse};
+use crate::{code::ResultCode, ids::BodyHash, route::PoolId, state::RecordedResponse};
 
 /// Header of a response that was recorded when the request ran.
 const REPLAYED_HEADER: &str = "idempotent-replayed";
@@ -126,6 +126,15 @@
         }
     }
 
+    fn service_request(&self, context: &RequestContext) -> ScheduledRequest {
+        let service = context.route.service.clone().unwrap_or_default();
+        self.scheduled(
+            context,
+            PoolId::Service(service),
+            context.route.request_tokens,
+        )
+    }
+
     async fn forward(
         self: &Arc<Self>,
         context: &RequestContext,
@@ -136,10 +145,9 @@
         let answer = self
             .dispatch(
                 context,
-                &service_pool(context),
+                &mut self.service_request(context),
                 &mut outgoing,
                 &mut guard,
-                &mut TriedTargets::new(),
             )
             .await?;
         let status = answer.response.status();
@@ -159,14 +167,12 @@
         open: OpenClaim,
     ) -> Result<Response<CallerBody>, CallerError> {
         let mut guard = self.guard(context);
-        let pool = service_pool(context);
         let answer = self
             .dispatch(
                 context,
-                &pool,
+                &mut self.service_request(context),
                 &mut outgoing,
                 &mut guard,
-                &mut TriedTargets::new(),
             )
             .await;
         let answer = match answer {
@@ -184,7 +190,7 @@
         let headers = response_headers(answer.response.headers(), context);
         let TargetAnswer {
             response: answer,
-            slot,
+            mut slot,
             turn,
         } = answer;
         let mut chunks = answer.bytes_stream().boxed();
@@ -222,10 +228,6 @@
     }
 }
 
-fn service_pool(context: &RequestContext) -> CandidatePool {
-    CandidatePool::Service(context.route.service.clone().unwrap_or_default())
-}
-
 /// Whether a response has a body; HEAD, 1xx, 204 and 304 have none, whatever their headers say.
 fn has_body(method: &Method, status: StatusCode) -> bool {
     method != Method::HEAD
--- /dev/null
+++ b/src/entry/slot.rs
@@ -0,0 +1,94 @@
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use reqwest::Client;
+use spdlog::prelude::*;
+
+use super::scheduler::Scheduler;
+use crate::{
+    border::TargetConfig,
+    route::{Exchange, RouteChoice},
+};
+
+/// A place at a target, given back when dropped.
+pub struct TargetSlot {
+    scheduler: Arc<Scheduler>,
+    /// Target of the slot.
+    pub target: Arc<TargetConfig>,
+    /// Client with the connections to the target.
+    pub client: Client,
+    /// Why this target was chosen.
+    pub choice: RouteChoice,
+    taken_at: Instant,
+    is_observed: bool,
+}
+
+impl TargetSlot {
+    /// Wraps a place that the scheduler has counted.
+    pub fn new(
+        scheduler: Arc<Scheduler>,
+        target: Arc<TargetConfig>,
+        client: Client,
+        choice: RouteChoice,
+    ) -> Self {
+        Self {
+            scheduler,
+            target,
+            client,
+            choice,
+            taken_at: Instant::now(),
+            is_observed: false,
+        }
+    }
+
+    /// Notes the head of a response and what it says of the target's prefix cache.
+    pub fn report_answer(&mut self, cached_tokens: Option<u32>) {
+        let first_byte = self.taken_at.elapsed();
+        self.observe(Exchange::Answered { first_byte });
+        if let Some(tokens) = cached_tokens {
+            let mut tables = self.scheduler.tables();
+            tables.replicas.correct(&self.choice, tokens);
+        }
+    }
+
+    /// Notes that the target failed.
+    pub fn report_failure(&mut self) {
+        self.observe(Exchange::Failed);
+    }
+
+    /// Stops the use of all connections to the target that are open now.
+    ///
+    /// A connection that carried another request's response may carry more of them, and the client
+    /// does not tell which connection that was.
+    pub fn abandon_connections(&self) {
+        if let Err(error) = self.scheduler.abandon_connections(&self.target.id) {
+            error!("entry: no new client for {}: {error}", self.target.id);
+        }
+    }
+
+    fn observe(&mut self, exchange: Exchange) {
+        self.is_observed = true;
+        let now: Duration = self.scheduler.now();
+        let mut tables = self.scheduler.tables();
+        tables.replicas.observe(&self.target.id, exchange, now);
+    }
+}
+
+impl Drop for TargetSlot {
+    fn drop(&mut self) {
+        if !self.is_observed {
+            self.observe(Exchange::Cancelled);
+        }
+        let now = self.scheduler.now();
+        {
+            let mut tables = self.scheduler.tables();
+            tables.replicas.end(&self.target.id, now);
+            if let Some(running) = tables.running.get_mut(&self.target.id) {
+                *running = running.saturating_sub(1);
+            }
+        }
+        self.scheduler.pump_all();
+    }
+}
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -1,6 +1,6 @@
 use std::{
     collections::{HashMap, HashSet},
-    sync::{Arc, PoisonError, RwLock},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock},
     time::{Duration, Instant},
 };
 
@@ -9,8 +9,8 @@
 use super::crashes::CrashTable;
 use crate::{
     fleet::FleetIndex,
-    ids::{ModelId, Revision, TargetId, VersionId},
-    sync::{ConfigSection, ResidencySection, ResidentModel, SyncReply},
+    ids::{ModelId, Revision, TargetId, TeamId, Term, VersionId},
+    sync::{ConfigSection, ResidencySection, ResidentModel, SyncReply, TargetLoad},
 };
 
 /// Copies of each model that may receive requests.
@@ -105,6 +105,21 @@
     current: RwLock<Arc<EntryView>>,
     revisions: watch::Sender<Revision>,
     residency: watch::Sender<u64>,
+    syncs: watch::Sender<u64>,
+    news: Mutex<Vec<SyncNews>>,
+}
+
+/// Parts of a reply that are applied once.
+#[derive(Debug)]
+pub struct SyncNews {
+    /// Moment at which the reply arrived.
+    pub received: Instant,
+    /// Term of the leader that replied.
+    pub term: Term,
+    /// Loads that changed.
+    pub loads: Vec<TargetLoad>,
+    /// Cumulative tokens that other entries served to each team in this term.
+    pub served_elsewhere: Vec<(TeamId, u64)>,
 }
 
 impl Default for SharedView {
@@ -113,6 +128,8 @@
             current: RwLock::default(),
             revisions: watch::channel(0).0,
             residency: watch::channel(0).0,
+            syncs: watch::channel(0).0,
+            news: Mutex::default(),
         }
     }
 }
@@ -124,7 +141,14 @@
     }
 
     /// Applies a reply to a sync that was asked at `asked`, and returns the revision if it is new.
-    pub fn update(&self, reply: SyncReply, asked: Instant) -> Option<Revision> {
+    pub fn update(&self, mut reply: SyncReply, asked: Instant) -> Option<Revision> {
+        let news = SyncNews {
+            received: Instant::now(),
+            term: reply.term,
+            loads: std::mem::take(&mut reply.loads),
+            served_elsewhere: std::mem::take(&mut reply.served_elsewhere),
+        };
+        self.lock_news().push(news);
         let mut current = self.current.write().unwrap_or_else(PoisonError::into_inner);
         let before = current.revision;
         let next = EntryView::clone(&current).with_reply(reply, asked);
@@ -133,9 +157,24 @@
         drop(current);
         notify(&self.revisions, revision);
         notify(&self.residency, residency);
+        self.syncs.send_modify(|count| *count += 1);
         (revision != before).then_some(revision)
     }
 
+    /// Takes what the replies since the last call brought.
+    pub fn take_news(&self) -> Vec<SyncNews> {
+        std::mem::take(&mut *self.lock_news())
+    }
+
+    fn lock_news(&self) -> MutexGuard<'_, Vec<SyncNews>> {
+        self.news.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns a receiver that changes with each sync.
+    pub fn watch_syncs(&self) -> watch::Receiver<u64> {
+        self.syncs.subscribe()
+    }
+
     /// Returns a receiver that changes with the revision in force.
     pub fn watch_revision(&self) -> watch::Receiver<Revision> {
         self.revisions.subscribe()
