--- /dev/null
+++ b/tests/entry_keys.rs
@@ -0,0 +1,114 @@
+//! Guards against a caller's key reaching a target or a log line.
+
+mod harness;
+
+use harness::{CALLER_KEY, entry_fleet::EntryFleet};
+use reqwest::{RequestBuilder, StatusCode};
+use rstest::rstest;
+use waxwinglatch::fake::RequestRecord;
+
+fn assert_no_key(record: &RequestRecord) {
+    assert!(!record.requests.is_empty(), "the target saw no request");
+    for seen in &record.requests {
+        let text = format!("{} {:?}", seen.target, seen.headers);
+        assert!(!text.contains(CALLER_KEY), "the target saw the key: {text}");
+    }
+}
+
+#[rstest]
+#[case::bearer(&["bearer"])]
+#[case::header(&["header"])]
+#[case::query(&["query"])]
+#[case::cookie(&["cookie"])]
+#[case::everywhere(&["bearer", "header", "query", "cookie"])]
+#[case::twice_in_one_place(&["bearer", "bearer", "query", "query"])]
+#[case::also_where_no_route_looks(&["bearer", "stray header", "stray query"])]
+#[case::escaped_in_the_query(&["escaped query"])]
+#[tokio::test(flavor = "multi_thread")]
+async fn no_target_sees_the_key(#[case] places: &[&str]) {
+    let fleet = EntryFleet::start(&[]).await;
+    for path in ["/stock/a", "/open/a"] {
+        let mut url = format!("{}?size=2", fleet.url(path));
+        for place in places {
+            match *place {
+                "query" => url += &format!("&key={CALLER_KEY}"),
+                "stray query" => url += &format!("&other=x{CALLER_KEY}"),
+                "escaped query" => url += &format!("&ke%79={}", CALLER_KEY.replace('-', "%2D")),
+                _ => {}
+            }
+        }
+        let mut call: RequestBuilder = fleet.client.get(format!("{url}&colour=red"));
+        for place in places {
+            call = match *place {
+                "bearer" => call.header("Authorization", format!("bEARER {CALLER_KEY}")),
+                "header" => call.header("x-api-key", CALLER_KEY),
+                "cookie" => call.header("cookie", format!("a=1; session={CALLER_KEY}; b=2")),
+                "stray header" => call.header("x-stray", format!("token {CALLER_KEY}")),
+                _ => call,
+            };
+        }
+        let answer = call.send().await.expect("the entry replies");
+        assert_eq!(answer.status(), StatusCode::OK, "{path}");
+    }
+    let record = fleet.service.record(&fleet.client).await;
+    assert_no_key(&record);
+    let seen = record
+        .requests
+        .iter()
+        .find(|seen| seen.target.starts_with("/stock"))
+        .expect("the request is recorded");
+    assert!(seen.target.contains("size=2&"), "{}", seen.target);
+    assert!(seen.target.ends_with("colour=red"), "{}", seen.target);
+    if places.contains(&"cookie") {
+        let cookies = seen.headers.iter().find(|(name, _)| name == "cookie");
+        assert_eq!(cookies.expect("other cookies stay").1, "a=1; b=2");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn engines_do_not_see_the_key_and_log_lines_do_not_contain_it() {
+    let fleet =
+        EntryFleet::with_settings(&[&[]], |settings| settings["log"] = "json".into(), |_| {}).await;
+    let text = fleet.stream_text("one two", 2).await;
+    assert!(text.contains("[DONE]"), "{text}");
+    // Refusals log more than served requests do.
+    for path in ["/stock/a", "/nowhere/a", "/v1/nothing"] {
+        let url = format!("{}?key={CALLER_KEY}&key=other", fleet.url(path));
+        let answer = fleet.client.get(url).send().await;
+        assert!(!answer.expect("the entry replies").status().is_success());
+    }
+    assert_no_key(&fleet.engines[0].record(&fleet.client).await);
+    let log = fleet.log();
+    assert!(log.contains("entry:") && log.contains("route:"), "{log}");
+    assert!(!log.contains(CALLER_KEY), "{log}");
+    for line in log.lines() {
+        let parsed = serde_json::from_str::<serde_json::Value>(line);
+        assert!(parsed.is_ok(), "not a JSON line: {line}");
+    }
+}
+
+#[rstest]
+#[case::none(&[], 1005)]
+#[case::unknown(&[("x-api-key", "wl-unknown")], 1006)]
+#[case::two_known_keys(&[("x-api-key", CALLER_KEY), ("authorization", "Bearer wl-test-key-2")], 1006)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_without_one_valid_key_is_not_run(
+    #[case] headers: &[(&str, &str)],
+    #[case] code: u64,
+) {
+    let fleet = EntryFleet::start(&[]).await;
+    let mut call = fleet.client.post(fleet.url("/stock/a"));
+    for (name, value) in headers {
+        call = call.header(*name, *value);
+    }
+    let answer = call.send().await.expect("the entry replies");
+    assert_eq!(answer.status(), StatusCode::UNAUTHORIZED);
+    let body: serde_json::Value = answer.json().await.expect("errors are JSON");
+    assert_eq!(body["code"], code);
+    assert_eq!(body["not_run"], true);
+    let record = fleet.service.record(&fleet.client).await;
+    assert!(
+        record.requests.is_empty(),
+        "the target saw a refused request"
+    );
+}
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -1,6 +1,9 @@
 //! Starts a small fleet of real processes on loopback ports for the tests.
 #![allow(dead_code)] // Each test program uses a part of the harness.
 
+pub mod entry_fleet;
+pub mod stub_control;
+
 use std::{
     fs,
     net::TcpListener,
@@ -24,6 +27,17 @@
 impl TestProcess {
     /// Starts a program of this package.
     pub fn start(program: &str, arguments: &[&str]) -> Self {
+        Self::start_with_output(program, arguments, Stdio::null(), Stdio::inherit())
+    }
+
+    /// Starts a program of this package that writes everything it prints to a file.
+    pub fn start_logged(program: &str, arguments: &[&str], path: &Path) -> Self {
+        let file = fs::File::create(path).expect("the file is writable");
+        let errors = file.try_clone().expect("the file can be shared");
+        Self::start_with_output(program, arguments, file.into(), errors.into())
+    }
+
+    fn start_with_output(program: &str, arguments: &[&str], output: Stdio, errors: Stdio) -> Self {
         let path = match program {
             "waxwing-entry" => env!("CARGO_BIN_EXE_waxwing-entry"),
             "waxwing-control" => env!("CARGO_BIN_EXE_waxwing-control"),
@@ -33,7 +47,8 @@
         let child = Command::new(path)
             .args(arguments)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(output)
+            .stderr(errors)
             .spawn()
             .expect("the program starts");
         Self(child)
@@ -45,6 +60,25 @@
         let _ = self.0.wait();
     }
 
+    /// Asks the process to stop as a platform does.
+    pub fn terminate(&self) {
+        let id = self.id().to_string();
+        let sent = Command::new("kill").args(["-TERM", &id]).status();
+        assert!(sent.expect("kill runs").success());
+    }
+
+    /// Waits until the process has ended by itself, and returns its exit code.
+    pub async fn exit_code(&mut self, limit: Duration) -> Option<i32> {
+        let started = Instant::now();
+        while started.elapsed() < limit {
+            if let Some(status) = self.0.try_wait().expect("the process can be waited for") {
+                return status.code();
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        panic!("the process still runs after {limit:?}");
+    }
+
     /// Returns the process id.
     pub fn id(&self) -> u32 {
         self.0.id()
