Test the entry against failing targets, bad input and its own changes of state

Change: a target that takes no connection gets no request for 1 s. Ports of tests no longer collide.

--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -74,7 +74,11 @@
             ));
         }
         Ok(Err(error)) => {
-            slot.report_failure();
+            if error.is_connect() {
+                slot.report_unreachable();
+            } else {
+                slot.report_failure();
+            }
             return Err(connection_error(error, &target, context));
         }
         Ok(Ok(response)) => response,
--- a/src/entry/scheduler.rs
+++ b/src/entry/scheduler.rs
@@ -17,7 +17,9 @@
     error::Result,
     fair::{FairLimits, FairQueue, PushRefusal, TicketId},
     ids::{DataCentreId, TargetId, TeamId, VersionId},
-    route::{PoolId, PrefixBlock, ReplicaTable, RouteChoice, RouteRequest, RouteTuning},
+    route::{
+        Availability, PoolId, PrefixBlock, ReplicaTable, RouteChoice, RouteRequest, RouteTuning,
+    },
 };
 
 /// Choices made to find a target with a free place, since two draws may both meet full ones.
@@ -42,6 +44,8 @@
     pub running: HashMap<TargetId, u32>,
     /// Pools whose queue is not empty.
     pub waiting: HashSet<PoolId>,
+    /// Targets that took no connection, and the time until which they get no request.
+    pub unreachable: HashMap<TargetId, Duration>,
     /// Clients that replace the shared one, after a connection of a target lost its order.
     pub clients: HashMap<TargetId, Client>,
 }
@@ -103,6 +107,7 @@
                 replicas: ReplicaTable::new(RouteTuning::default(), distances),
                 running: HashMap::new(),
                 waiting: HashSet::new(),
+                unreachable: HashMap::new(),
                 clients: HashMap::new(),
             }),
         })
@@ -217,6 +222,28 @@
 }
 
 impl SchedulerTables {
+    /// Sends no request to a target for a while.
+    pub fn set_unreachable(&mut self, target: &TargetId, until: Duration) {
+        self.replicas.set_availability(target, Availability::Down);
+        self.unreachable.insert(target.clone(), until);
+    }
+
+    /// Takes targets back whose time is over.
+    pub fn end_unreachable(&mut self, now: Duration) {
+        let Self {
+            unreachable,
+            replicas,
+            ..
+        } = self;
+        unreachable.retain(|target, until| {
+            let is_over = *until <= now;
+            if is_over {
+                replicas.set_availability(target, Availability::Up);
+            }
+            !is_over
+        });
+    }
+
     fn has_waiting(&mut self, pool: &PoolId, now: Duration) -> bool {
         let Some(queue) = self.queues.get_mut(pool) else {
             return false;
--- a/src/entry/slot.rs
+++ b/src/entry/slot.rs
@@ -12,6 +12,9 @@
     route::{Exchange, RouteChoice},
 };
 
+/// Time for which a target that took no connection gets no request.
+const UNREACHABLE_TIME: Duration = Duration::from_secs(1);
+
 /// A place at a target, given back when dropped.
 pub struct TargetSlot {
     scheduler: Arc<Scheduler>,
@@ -58,6 +61,15 @@
         self.observe(Exchange::Failed);
     }
 
+    /// Notes that the target takes no connections, so that no other request spends a retry to learn
+    /// the same.
+    pub fn report_unreachable(&mut self) {
+        self.observe(Exchange::Failed);
+        let until = self.scheduler.now() + UNREACHABLE_TIME;
+        let mut tables = self.scheduler.tables();
+        tables.set_unreachable(&self.target.id, until);
+    }
+
     /// Stops the use of all connections to the target that are open now.
     ///
     /// A connection that carried another request's response may carry more of them, and the client
--- a/src/entry/target_sync.rs
+++ b/src/entry/target_sync.rs
@@ -54,7 +54,11 @@
                     self.apply(&view, news);
                     self.scheduler.pump_all();
                 }
-                _ = pumps.tick() => self.scheduler.pump_all(),
+                _ = pumps.tick() => {
+                    let now = self.scheduler.now();
+                    self.scheduler.tables().end_unreachable(now);
+                    self.scheduler.pump_all();
+                }
                 _ = evaluations.tick() => {
                     let now = self.scheduler.now();
                     self.scheduler.tables().replicas.evaluate(now);
@@ -71,10 +75,10 @@
         }
         let mut tables = self.scheduler.tables();
         for target in view.index.targets() {
-            let availability = if target.draining || view.avoided.contains(&target.id) {
-                Availability::Draining
-            } else {
-                Availability::Up
+            let availability = match &target.id {
+                id if target.draining || view.avoided.contains(id) => Availability::Draining,
+                id if tables.unreachable.contains_key(id) => Availability::Down,
+                _ => Availability::Up,
             };
             tables.replicas.set_availability(&target.id, availability);
         }
--- a/src/fake/engine_calls.rs
+++ b/src/fake/engine_calls.rs
@@ -16,6 +16,7 @@
 
 use super::{
     engine::EngineShared,
+    fault::cut_body,
     prompt::PromptTokens,
     record::{RecordedRequest, RequestState},
     token_stream::TokenStream,
@@ -89,12 +90,19 @@
                 is_short,
             } => {
                 let text = body.to_string();
-                let length = text.len() + usize::from(is_short) * 10;
-                Response::build()
+                let mut response = Response::build();
+                response
                     .header(ContentType::JSON)
-                    .raw_header("x-cached-tokens", cached_tokens.to_string())
-                    .raw_header("Content-Length", length.to_string())
-                    .streamed_body(std::io::Cursor::new(text))
+                    .raw_header("x-cached-tokens", cached_tokens.to_string());
+                if is_short {
+                    let length = text.len() + 10;
+                    return response
+                        .raw_header("Content-Length", length.to_string())
+                        .streamed_body(cut_body(text))
+                        .ok();
+                }
+                response
+                    .sized_body(text.len(), std::io::Cursor::new(text))
                     .ok()
             }
             Self::NotStarted => Response::build()
@@ -169,7 +177,7 @@
     if body["stream"].as_bool().unwrap_or_default() {
         let stream = TokenStream {
             shared: shared.clone(),
-            fault: shared.faults.take_stream_fault(&prompt.text),
+            fault: shared.faults.take_stream_fault(&prompt.text, offset),
             prompt,
             next: offset.unwrap_or_default(),
             priority: call.priority,
--- a/src/fake/fault.rs
+++ b/src/fake/fault.rs
@@ -1,6 +1,13 @@
-use std::sync::{Arc, Mutex, PoisonError};
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
 
+use bytes::Bytes;
+use futures::StreamExt;
 use serde::{Deserialize, Serialize};
+use tokio::io::AsyncRead;
+use tokio_util::io::StreamReader;
 
 /// Faults that a stand-in commits on demand; set with `PUT /fake/v1/faults`, for tests only.
 ///
@@ -63,11 +70,15 @@
         }
     }
 
-    /// Takes the fault of a stream for the prompt `text`.
-    pub fn take_stream_fault(&self, text: &str) -> Option<StreamFault> {
+    /// Takes the fault of a stream for the prompt `text`. Only crashes hit resumed streams, since
+    /// cuts and stalls are faults of an engine and crashes are faults of a prompt.
+    pub fn take_stream_fault(&self, text: &str, resumed_at: Option<u64>) -> Option<StreamFault> {
         if let Some(tokens) = self.crash_due(text) {
             return Some(StreamFault::Crash(tokens));
         }
+        if resumed_at.is_some() {
+            return None;
+        }
         let mut faults = self.lock();
         let faults = &mut *faults;
         if take(&mut faults.cuts) {
@@ -113,3 +124,14 @@
     *count = count.saturating_sub(1);
     is_left
 }
+
+/// A body that ends a moment after `text`, so that the head is sent before the server notices that
+/// the body is shorter than its length.
+pub fn cut_body(text: String) -> impl AsyncRead + Send {
+    let first = futures::stream::once(async { Ok::<_, std::io::Error>(Bytes::from(text)) });
+    let end = futures::stream::once(async {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        Ok(Bytes::new())
+    });
+    StreamReader::new(first.chain(end).boxed())
+}
--- a/src/fake/service.rs
+++ b/src/fake/service.rs
@@ -17,7 +17,7 @@
 
 use super::{
     engine::IdEcho,
-    fault::{FaultPlan, Faults},
+    fault::{FaultPlan, Faults, cut_body},
     options::ServiceOptions,
     record::{RequestRecord, RequestState, SharedRecord},
 };
@@ -168,7 +168,7 @@
             let length = text.len() + 10;
             return response
                 .raw_header("Content-Length", length.to_string())
-                .streamed_body(std::io::Cursor::new(text))
+                .streamed_body(cut_body(text))
                 .ok();
         }
         response
--- /dev/null
+++ b/tests/entry_http.rs
@@ -0,0 +1,298 @@
+//! Guards against responses and requests that are changed, cut or unbounded on their way.
+
+mod harness;
+
+use harness::{CALLER_KEY, entry_fleet::EntryFleet, raw_target::RawTarget};
+use reqwest::{Method, StatusCode};
+use rstest::rstest;
+use serde_json::{Value, json};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+use waxwinglatch::fake::Faults;
+
+/// Sends raw bytes and returns everything until the entry closes the connection.
+async fn raw_exchange(fleet: &EntryFleet, request: &str) -> String {
+    let mut stream = TcpStream::connect(("127.0.0.1", fleet.entry_port))
+        .await
+        .expect("the entry accepts");
+    stream
+        .write_all(request.as_bytes())
+        .await
+        .expect("the request is sent");
+    let mut text = Vec::new();
+    stream.read_to_end(&mut text).await.expect("a response");
+    String::from_utf8_lossy(&text).into_owned()
+}
+
+#[rstest]
+#[case::get(Method::GET)]
+#[case::post(Method::POST)]
+#[case::put(Method::PUT)]
+#[case::patch(Method::PATCH)]
+#[case::delete(Method::DELETE)]
+#[case::options(Method::OPTIONS)]
+#[tokio::test(flavor = "multi_thread")]
+async fn any_method_reaches_the_service_unchanged(#[case] method: Method) {
+    let fleet = EntryFleet::start(&[]).await;
+    let answer = fleet
+        .client
+        .request(method.clone(), fleet.url("/stock/a%20b/c?x=1&y=%26"))
+        .bearer_auth(CALLER_KEY)
+        .body("fourteen bytes")
+        .send()
+        .await
+        .expect("the entry replies");
+    let body: Value = answer.json().await.expect("the body is JSON");
+    assert_eq!(body["method"], method.as_str());
+    assert_eq!(body["bytes"], 14);
+    let record = fleet.service.record(&fleet.client).await;
+    assert_eq!(record.requests[0].target, "/stock/a%20b/c?x=1&y=%26");
+}
+
+/// Frameworks that read the field `_method` of forms would send another method.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_method_of_a_form_is_not_changed() {
+    let target = RawTarget::start("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").await;
+    let address = target.address();
+    let fleet = EntryFleet::with_settings(
+        &[],
+        |_| {},
+        |config| {
+            config["targets"][0]["address"] = json!(address);
+        },
+    )
+    .await;
+    let answer = fleet
+        .client
+        .post(fleet.url("/stock/a"))
+        .bearer_auth(CALLER_KEY)
+        .header("content-type", "application/x-www-form-urlencoded")
+        .body("_method=delete")
+        .send()
+        .await;
+    assert!(answer.expect("the entry replies").status().is_success());
+    let seen = target.received();
+    assert!(seen.starts_with("POST /stock/a HTTP/1.1\r\n"), "{seen}");
+    assert!(!seen.contains(CALLER_KEY), "{seen}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn hop_by_hop_headers_are_dropped_both_ways() {
+    let fleet = EntryFleet::start(&[]).await;
+    let answer = raw_exchange(
+        &fleet,
+        &format!(
+            "GET /stock/a HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer {CALLER_KEY}\r\n\
+             Connection: close, X-Private\r\nX-Private: 1\r\nKeep-Alive: 5\r\nTE: trailers\r\n\
+             Upgrade: h2c\r\nX-Waxwing-Secret: guess\r\nX-Kept: 2\r\n\r\n"
+        ),
+    )
+    .await;
+    // The service names a header of its own in `Connection`.
+    assert!(
+        !answer.to_lowercase().contains("x-of-connection"),
+        "{answer}"
+    );
+    let record = fleet.service.record(&fleet.client).await;
+    let names: Vec<&str> = record.requests[0]
+        .headers
+        .iter()
+        .map(|(name, _)| name.as_str())
+        .collect();
+    for dropped in [
+        "x-private",
+        "keep-alive",
+        "te",
+        "upgrade",
+        "x-waxwing-secret",
+        "connection",
+    ] {
+        assert!(!names.contains(&dropped), "{dropped} reached the service");
+    }
+    assert!(names.contains(&"x-kept"), "{names:?}");
+}
+
+#[rstest]
+#[case::head("HEAD", "200", Some("content-length: "), false)]
+#[case::no_content("GET", "204", None, false)]
+#[case::not_modified("GET", "304", None, false)]
+#[case::created("POST", "201", Some("content-length: "), true)]
+#[tokio::test(flavor = "multi_thread")]
+async fn responses_without_a_body_keep_their_form(
+    #[case] method: &str,
+    #[case] status: &str,
+    #[case] header: Option<&str>,
+    #[case] has_body: bool,
+) {
+    let fleet = EntryFleet::start(&[]).await;
+    let answer = raw_exchange(
+        &fleet,
+        &format!(
+            "{method} /stock/a HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer {CALLER_KEY}\r\n\
+             X-Want-Status: {status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+        ),
+    )
+    .await;
+    let (head, body) = answer.split_once("\r\n\r\n").expect("a whole head");
+    assert!(head.starts_with(&format!("HTTP/1.1 {status}")), "{head}");
+    assert_eq!(!body.is_empty(), has_body, "{answer}");
+    let head = head.to_lowercase();
+    assert!(!head.contains("transfer-encoding"), "{head}");
+    if let Some(header) = header {
+        assert!(head.contains(header), "{head}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn large_and_chunked_bodies_pass_both_ways() {
+    let fleet = EntryFleet::start(&[]).await;
+    let parts: Vec<Result<Vec<u8>, std::io::Error>> =
+        (0..15).map(|_| Ok(vec![7; 10_000])).collect();
+    let answer = fleet
+        .client
+        .post(fleet.url("/stock/a"))
+        .bearer_auth(CALLER_KEY)
+        .body(reqwest::Body::wrap_stream(futures::stream::iter(parts)))
+        .send()
+        .await
+        .expect("the entry replies");
+    let body: Value = answer.json().await.expect("the body is JSON");
+    assert_eq!(body["bytes"], 150_000);
+    let answer = fleet
+        .client
+        .get(fleet.url("/stock/a"))
+        .bearer_auth(CALLER_KEY)
+        .header("x-want-chunked", "20000000")
+        .send()
+        .await
+        .expect("the entry replies");
+    let bytes = answer.bytes().await.expect("the body is whole");
+    assert_eq!(bytes.len(), 20_000_000);
+    assert!(bytes.iter().all(|byte| *byte == b'x'));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_short_body_aborts_the_connection() {
+    let fleet = EntryFleet::start(&[]).await;
+    let faults = Faults {
+        short_bodies: 1,
+        ..Faults::default()
+    };
+    fleet.service.set_faults(&fleet.client, &faults).await;
+    let call = fleet.client.get(fleet.url("/stock/a"));
+    let answer = call.bearer_auth(CALLER_KEY).send().await;
+    let body = answer.expect("the head arrives").bytes().await;
+    assert!(body.is_err(), "a cut response ended cleanly: {body:?}");
+}
+
+#[rstest]
+#[case::declared(true, 1004, true)]
+#[case::chunked(false, 1004, false)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_beyond_the_bound_is_refused(
+    #[case] is_declared: bool,
+    #[case] code: u64,
+    #[case] not_run: bool,
+) {
+    let fleet = EntryFleet::start(&[]).await;
+    let call = fleet.client.post(fleet.url("/stock/a"));
+    let call = call.bearer_auth(CALLER_KEY);
+    let call = if is_declared {
+        call.body(vec![0; 200_001])
+    } else {
+        let parts: Vec<Result<Vec<u8>, std::io::Error>> =
+            (0..3).map(|_| Ok(vec![7; 100_000])).collect();
+        call.body(reqwest::Body::wrap_stream(futures::stream::iter(parts)))
+    };
+    let answer = call.send().await.expect("the entry replies");
+    assert_eq!(answer.status(), StatusCode::PAYLOAD_TOO_LARGE);
+    let body: Value = answer.json().await.expect("errors are JSON");
+    assert_eq!(body["code"], code);
+    assert_eq!(body["not_run"], not_run);
+}
+
+#[rstest]
+#[case::malformed("/v1/completions", "{\"model\":", 1001)]
+#[case::no_model("/v1/completions", "{}", 1001)]
+#[case::unknown_model("/v1/completions", "{\"model\":\"nothing\"}", 1003)]
+#[case::unknown_call("/v1/nothing", "{}", 1002)]
+#[case::unknown_route("/nowhere", "{}", 1002)]
+#[case::beyond_burst(
+    "/v1/completions",
+    "{\"model\":\"reply-small\",\"max_tokens\":2000000}",
+    1102
+)]
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_input_is_refused_with_a_code(
+    #[case] path: &str,
+    #[case] body: &'static str,
+    #[case] code: u64,
+) {
+    let fleet = EntryFleet::start(&[&[]]).await;
+    let call = fleet.client.post(fleet.url(path)).bearer_auth(CALLER_KEY);
+    let answer = call.body(body).send().await.expect("the entry replies");
+    let id = answer.headers()["x-request-id"].clone();
+    let body: Value = answer.json().await.expect("errors are JSON");
+    assert_eq!(body["code"], code, "{body}");
+    assert_eq!(body["not_run"], true);
+    assert_eq!(body["request_id"], id.to_str().expect("an id"));
+    let record = fleet.engines[0].record(&fleet.client).await;
+    assert!(
+        record.requests.is_empty(),
+        "the engine saw a refused request"
+    );
+}
+
+#[rstest]
+#[case::plain("/stock/../admin")]
+#[case::escaped("/stock/%2e%2E/admin")]
+#[case::backslash("/stock/..\\admin")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_path_does_not_leave_its_route(#[case] path: &str) {
+    let fleet = EntryFleet::start(&[]).await;
+    let answer = raw_exchange(
+        &fleet,
+        &format!(
+            "GET {path} HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer {CALLER_KEY}\r\n\
+             Connection: close\r\n\r\n"
+        ),
+    )
+    .await;
+    assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+    let record = fleet.service.record(&fleet.client).await;
+    assert!(
+        record.requests.is_empty(),
+        "the service saw {:?}",
+        record.requests
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn models_and_adapters_are_listed() {
+    let fleet = EntryFleet::with_settings(
+        &[&[]],
+        |_| {},
+        |config| {
+            config["adapters"] = json!([
+                { "id": "warranty", "model": "reply-small", "version": "1", "memory_mib": 10 },
+            ]);
+        },
+    )
+    .await;
+    let call = fleet.client.get(fleet.url("/v1/models"));
+    let answer = call.bearer_auth(CALLER_KEY).send().await;
+    let body: Value = answer
+        .expect("the entry replies")
+        .json()
+        .await
+        .expect("JSON");
+    let names: Vec<&str> = body["data"]
+        .as_array()
+        .expect("a list")
+        .iter()
+        .filter_map(|model| model["id"].as_str())
+        .collect();
+    assert_eq!(names, ["reply-small", "warranty"]);
+}
--- a/tests/entry_keys.rs
+++ b/tests/entry_keys.rs
@@ -31,9 +31,11 @@
         let mut url = format!("{}?size=2", fleet.url(path));
         for place in places {
             match *place {
-                "query" => url += &format!("&key={CALLER_KEY}"),
-                "stray query" => url += &format!("&other=x{CALLER_KEY}"),
-                "escaped query" => url += &format!("&ke%79={}", CALLER_KEY.replace('-', "%2D")),
+                "query" => url = format!("{url}&key={CALLER_KEY}"),
+                "stray query" => url = format!("{url}&other=x{CALLER_KEY}"),
+                "escaped query" => {
+                    url = format!("{url}&ke%79={}", CALLER_KEY.replace('-', "%2D"));
+                }
                 _ => {}
             }
         }
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)] // Each test program uses a part of the harness.
 
 pub mod entry_fleet;
+pub mod raw_target;
 pub mod stub_control;
 
 use std::{
@@ -9,6 +10,10 @@
     net::TcpListener,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    sync::{
+        OnceLock,
+        atomic::{AtomicU32, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -91,13 +96,25 @@
     }
 }
 
-/// Returns a loopback port that was free a moment ago.
+/// Lowest port that [`free_port`] returns.
+const FIRST_PORT: u32 = 10_000;
+/// Number of ports that [`free_port`] chooses from. They lie below the range from which the system
+/// takes ports of outgoing connections, since one of those may take a port before its process
+/// listens.
+const PORTS: u32 = 22_000;
+
+/// Returns a loopback port that was free a moment ago and that no other test of this program got.
 pub fn free_port() -> u16 {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    listener
-        .local_addr()
-        .expect("the listener has an address")
-        .port()
+    static FIRST: OnceLock<u32> = OnceLock::new();
+    static TAKEN: AtomicU32 = AtomicU32::new(0);
+    let first = FIRST.get_or_init(|| rand::random_range(0..PORTS));
+    loop {
+        let offset = (first + TAKEN.fetch_add(1, Ordering::Relaxed)) % PORTS;
+        let port = u16::try_from(FIRST_PORT + offset).expect("the range fits");
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            return port;
+        }
+    }
 }
 
 /// A folder with the secrets that the daemons' settings name.
--- a/tests/harness/stub_control.rs
+++ b/tests/harness/stub_control.rs
@@ -119,11 +119,16 @@
     };
     let teams = state.config.teams.iter();
     let grants = teams
-        .map(|team| ShareGrant {
-            team: team.id.clone(),
-            epoch: 1 << 40,
-            granted: 1_000_000_000,
-            recall: 0,
+        .map(|team| {
+            // Tokens that were handed back are granted anew.
+            let share = request.shares.iter().find(|share| share.team == team.id);
+            let spent = share.map_or(0, |share| share.used + share.returned);
+            ShareGrant {
+                team: team.id.clone(),
+                epoch: 1 << 40,
+                granted: spent + 1_000_000,
+                recall: 0,
+            }
         })
         .collect();
     sync::encode(&SyncReply {
