--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod fleet;
 pub mod hub;
 pub mod ids;
+pub mod journal;
 pub mod logger;
 pub mod order;
 pub mod place;
