Test claims and crashing requests with a real control daemon

Cause: a second run of an order, or a request that takes target after target down, must be impossible also when the entry is killed.

--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod entry_fleet;
 pub mod raw_target;
+pub mod real_fleet;
 pub mod stub_control;
 
 use std::{
