--- a/src/control/crashes.rs
+++ b/src/control/crashes.rs
@@ -1,20 +1,35 @@
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
 use rocket::{State, data::Data, http::Status, post};
 
-use super::{commands::propose_message, system::SystemPeer};
+use super::{commands::propose_message, hub::SyncHub, system::SystemPeer};
 use crate::{state::Command, sync::CrashMessage, voter::VoterHandle};
 
+/// Longest time that the reply to a report is held.
+const HOLD_LIMIT: Duration = Duration::from_secs(2);
+/// Time between two looks at what the entries know.
+const POLL_PERIOD: Duration = Duration::from_millis(10);
+
 /// Commits a crash report or a turn of a suspect; see docs/design.md, section 10.
 #[post("/crashes/v1", data = "<body>")]
 pub async fn take_crash(
     _peer: SystemPeer,
     body: Data<'_>,
     voter: &State<VoterHandle>,
+    hub: &State<Arc<SyncHub>>,
 ) -> Result<Vec<u8>, Status> {
-    propose_message("crash message", body, voter, |message| match message {
-        CrashMessage::Report(fingerprint, target) => Command::ReportCrash {
-            fingerprint,
-            target,
-        },
+    let mut is_report = false;
+    let reply = propose_message("crash message", body, voter, |message| match message {
+        CrashMessage::Report(fingerprint, target) => {
+            is_report = true;
+            Command::ReportCrash {
+                fingerprint,
+                target,
+            }
+        }
         CrashMessage::TakeTurn(fingerprint, holder, attempt) => Command::TakeTurn {
             fingerprint,
             holder,
@@ -26,5 +41,22 @@
             attempt,
         },
     })
-    .await
+    .await?;
+    if is_report {
+        wait_until_known(hub, voter).await;
+    }
+    Ok(reply)
+}
+
+/// Waits until every live entry has the suspect, since the caller can send the request again, to
+/// any entry, as soon as the reporting entry responds.
+async fn wait_until_known(hub: &SyncHub, voter: &VoterHandle) {
+    let until = Instant::now() + HOLD_LIMIT;
+    while Instant::now() < until {
+        match voter.lease() {
+            Some(lease) if !hub.all_know_crashes(lease) => {}
+            _ => return,
+        }
+        tokio::time::sleep(POLL_PERIOD).await;
+    }
 }
--- a/src/control/hub.rs
+++ b/src/control/hub.rs
@@ -23,6 +23,9 @@
     voter::{LeaderLease, VoterHandle},
 };
 
+/// Greatest age of a proof with which entries serve keyed routes; settings may only lower it.
+const FRESHNESS_BOUND: Duration = Duration::from_secs(3);
+
 /// Soft state that the leader keeps about entries and engines, and the replies made from it.
 pub struct SyncHub {
     voter: VoterHandle,
@@ -331,6 +334,16 @@
         self.tables(lease.term).demand.take(now)
     }
 
+    /// Tells whether every entry that may serve knows the crash table as applied here.
+    pub fn all_know_crashes(&self, lease: LeaderLease) -> bool {
+        let version = self.voter.local(|state| state.crashes().version());
+        let now = self.now();
+        let tables = self.tables(lease.term);
+        tables
+            .registry
+            .all_know_crashes(version, FRESHNESS_BOUND, now)
+    }
+
     /// Returns a receiver that changes with the residency table.
     pub fn watch(&self) -> watch::Receiver<u64> {
         self.changes.subscribe()
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -29,12 +29,14 @@
 mod plain_stream;
 mod poll;
 mod proxy;
+mod recorded;
 mod refusal;
 mod request;
 mod retries;
 mod scheduler;
 mod service;
 mod slot;
+mod stream_request;
 mod target_sync;
 mod view;
 
--- a/src/entry/control_client.rs
+++ b/src/entry/control_client.rs
@@ -18,6 +18,8 @@
 
 /// Time after which a message counts as lost and another control daemon is tried.
 const MESSAGE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// The same for crash messages; the leader holds the reply to a report for up to 2 s.
+const CRASH_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Wait between two rounds, so that a fleet without a leader is not flooded.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -59,7 +61,8 @@
     /// # Errors
     /// [`Error::Transport`] when no leader replied; the command may be committed later.
     pub async fn send_claim(&self, message: &ClaimMessage, limit: Duration) -> Result<Outcome> {
-        self.send(CLAIMS_PATH, message, limit).await
+        self.send(CLAIMS_PATH, message, MESSAGE_TIMEOUT, limit)
+            .await
     }
 
     /// Sends a crash message until the leader replies or `limit` has passed.
@@ -67,13 +70,14 @@
     /// # Errors
     /// [`Error::Transport`] when no leader replied; the command may be committed later.
     pub async fn send_crash(&self, message: &CrashMessage, limit: Duration) -> Result<Outcome> {
-        self.send(CRASHES_PATH, message, limit).await
+        self.send(CRASHES_PATH, message, CRASH_TIMEOUT, limit).await
     }
 
     async fn send<M: Serialize>(
         &self,
         path: &str,
         message: &M,
+        timeout: Duration,
         limit: Duration,
     ) -> Result<Outcome> {
         let body = sync::encode(message)?;
@@ -81,7 +85,11 @@
         loop {
             let turn = self.leader.load(Ordering::Relaxed) % self.control.len();
             let control = self.control[turn];
-            match self.send_once(control, path, body.clone(), deadline).await {
+            let remaining = deadline.saturating_duration_since(Instant::now());
+            match self
+                .send_once(control, path, body.clone(), timeout.min(remaining))
+                .await
+            {
                 Ok(outcome) => return Ok(outcome),
                 Err(error) if Instant::now() + RETRY_DELAY >= deadline => return Err(error),
                 Err(_) => {
@@ -97,18 +105,17 @@
         control: SocketAddr,
         path: &str,
         body: Vec<u8>,
-        deadline: Instant,
+        timeout: Duration,
     ) -> Result<Outcome> {
         let transport = |error: reqwest::Error| Error::Transport {
             peer: control.to_string(),
             reason: error.to_string(),
         };
-        let remaining = deadline.saturating_duration_since(Instant::now());
         let answer = self
             .client
             .post(format!("http://{control}{path}"))
             .header(SECRET_HEADER, &self.secret)
-            .timeout(MESSAGE_TIMEOUT.min(remaining))
+            .timeout(timeout)
             .body(body)
             .send()
             .await
--- a/src/entry/crash.rs
+++ b/src/entry/crash.rs
@@ -32,8 +32,8 @@
 const PROBES: u32 = 2;
 /// Time that a target has to accept a probe.
 const PROBE_LIMIT: Duration = Duration::from_millis(300);
-/// Time that a crash report or a turn may take.
-const MESSAGE_LIMIT: Duration = Duration::from_secs(2);
+/// Time that a crash report or a turn may take; the leader holds a report for up to 2 s.
+const MESSAGE_LIMIT: Duration = Duration::from_secs(3);
 /// Wait before a busy turn is asked for again.
 const TURN_DELAY: Duration = Duration::from_millis(100);
 
--- a/src/entry/model.rs
+++ b/src/entry/model.rs
@@ -19,12 +19,13 @@
     exchange::TargetAnswer,
     guard::StreamGuard,
     header::strip_hop_by_hop,
-    model_stream::{ModelStream, StreamRequest},
+    model_stream::ModelStream,
     outgoing::{Outgoing, OutgoingBody, collect},
     proxy::CallerProxy,
     refusal::CallerError,
     request::{ModelRequest, TokenCost},
     scheduler::ScheduledRequest,
+    stream_request::StreamRequest,
 };
 use crate::{
     code::ResultCode,
--- a/src/entry/model_stream.rs
+++ b/src/entry/model_stream.rs
@@ -6,16 +6,11 @@
 
 use bytes::Bytes;
 use futures::{Stream, StreamExt, stream::BoxStream};
-use hyper::{
-    Method, StatusCode,
-    header::{CONTENT_TYPE, HeaderMap, HeaderValue},
-};
-use serde_json::{json, value::RawValue};
+use hyper::StatusCode;
 use spdlog::prelude::*;
 use tokio::time::timeout;
 
 use super::{
-    allowance::ReservedTokens,
     candidates::has_candidate,
     context::RequestContext,
     crash::{self, SuspectTurn},
@@ -23,16 +18,14 @@
     exchange::{TargetAnswer, exchange},
     guard::StreamGuard,
     metrics::RetryKind,
-    outgoing::{Outgoing, OutgoingBody},
     proxy::CallerProxy,
     refusal::{CallerError, RunState},
     scheduler::ScheduledRequest,
     slot::TargetSlot,
+    stream_request::StreamRequest,
 };
 use crate::{code::ResultCode, state::BlockState};
 
-/// Path of the call that continues a broken stream; see docs/engine-interface.md.
-const RESUME_PATH: &str = "/engine/v1/resume";
 /// Header in which an engine confirms the token offset at which it resumes.
 const RESUME_OFFSET_HEADER: &str = "x-resume-offset";
 /// Time to wait for the end of the body after the end mark, so that the connection can be reused.
@@ -54,18 +47,6 @@
     phase: StreamPhase,
 }
 
-/// The request behind a stream, kept so that it can be resumed.
-pub struct StreamRequest {
-    /// The request as the scheduler sees it.
-    pub scheduled: ScheduledRequest,
-    /// The request as it was sent.
-    pub outgoing: Outgoing,
-    /// Estimated tokens of the prompt.
-    pub prompt_tokens: u64,
-    /// Tokens reserved for it.
-    pub reserved: Option<ReservedTokens>,
-}
-
 struct EventSource {
     chunks: BoxStream<'static, reqwest::Result<Bytes>>,
     slot: TargetSlot,
@@ -196,7 +177,7 @@
         }
         // A part of an event that was received is generated again by the next engine.
         self.splitter = EventSplitter::default();
-        let Some(mut outgoing) = self.resume_request() else {
+        let Some(mut outgoing) = self.request.to_resume(self.delivered) else {
             return Err(cause);
         };
         loop {
@@ -254,27 +235,6 @@
         }
     }
 
-    fn resume_request(&self) -> Option<Outgoing> {
-        let OutgoingBody::Whole(body) = &self.request.outgoing.body else {
-            return None;
-        };
-        let request: &RawValue = serde_json::from_slice(body).ok()?;
-        let body = json!({
-            "path": self.request.outgoing.path_and_query,
-            "offset": self.delivered,
-            "request": request,
-        });
-        let mut headers: HeaderMap = self.request.outgoing.headers.clone();
-        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        Some(Outgoing {
-            method: Method::POST,
-            path_and_query: RESUME_PATH.to_owned(),
-            headers,
-            body: OutgoingBody::Whole(Bytes::from(body.to_string())),
-            fingerprint: self.request.outgoing.fingerprint,
-        })
-    }
-
     fn note_tokens(&mut self, tokens: u64) {
         if tokens > 0 && self.first_token_at.is_none() {
             self.first_token_at = Some(Instant::now());
--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -2,16 +2,11 @@
 
 use std::sync::Arc;
 
-use bytes::{Bytes, BytesMut};
-use compact_str::{CompactString, ToCompactString};
+use bytes::BytesMut;
 use futures::{StreamExt, TryStreamExt};
 use hyper::{
-    Method, Response, StatusCode,
-    body::Incoming,
-    header::{HeaderMap, HeaderName, HeaderValue},
-    http::request::Parts,
+    Method, Response, StatusCode, body::Incoming, header::HeaderMap, http::request::Parts,
 };
-use serde_bytes::ByteBuf;
 
 use super::{
     admission::settle_failure,
@@ -23,14 +18,12 @@
     outgoing::{Outgoing, OutgoingBody, collect},
     plain_stream::plain_stream,
     proxy::CallerProxy,
+    recorded::{record, replay},
     refusal::{CallerError, RunState},
     scheduler::ScheduledRequest,
 };
 use crate::{code::ResultCode, ids::BodyHash, route::PoolId, state::RecordedResponse};
 
-/// Header of a response that was recorded when the request ran.
-const REPLAYED_HEADER: &str = "idempotent-replayed";
-
 impl CallerProxy {
     /// Serves a request to a plain service.
     pub async fn serve_service(
@@ -249,59 +242,8 @@
     BodyHash::new(*hasher.finalize().as_bytes())
 }
 
-fn record(status: StatusCode, headers: &HeaderMap, body: Option<&Bytes>) -> RecordedResponse {
-    let mut size = 0;
-    let headers = headers
-        .iter()
-        .filter(|(name, _)| name.as_str() != "x-request-id")
-        .filter_map(|(name, value)| {
-            let value = value.to_str().ok()?;
-            Some((name.as_str().to_compact_string(), value.to_owned()))
-        })
-        .take_while(|(name, value): &(CompactString, String)| {
-            size += name.len() + value.len();
-            size <= RecordedResponse::MAX_HEADER_BYTES
-        })
-        .collect();
-    RecordedResponse {
-        status: status.as_u16(),
-        headers,
-        body: body.map(|bytes| ByteBuf::from(bytes.to_vec())),
-    }
-}
-
-fn replay(
-    recorded: RecordedResponse,
-    context: &RequestContext,
-) -> Result<Response<CallerBody>, CallerError> {
-    let Some(body) = recorded.body else {
-        let message = format!(
-            "the request ran with status {}, but its response was too large to keep",
-            recorded.status
-        );
-        return Err(CallerError::may_have_run(
-            ResultCode::OutcomeUnknown,
-            message,
-            &context.id,
-        ));
-    };
-    let mut headers: HeaderMap = recorded
-        .headers
-        .iter()
-        .filter_map(|(name, value)| {
-            let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
-            Some((name, HeaderValue::from_str(value).ok()?))
-        })
-        .collect();
-    headers.insert(REPLAYED_HEADER, HeaderValue::from_static("true"));
-    if let Ok(id) = HeaderValue::from_str(&context.id) {
-        headers.insert("x-request-id", id);
-    }
-    let status = StatusCode::from_u16(recorded.status).unwrap_or(StatusCode::OK);
-    Ok(response(status, headers, body::whole(body.into_vec())))
-}
-
-fn response(status: StatusCode, headers: HeaderMap, body: CallerBody) -> Response<CallerBody> {
+/// Assembles a response.
+pub fn response(status: StatusCode, headers: HeaderMap, body: CallerBody) -> Response<CallerBody> {
     let mut response = Response::new(body);
     *response.status_mut() = status;
     *response.headers_mut() = headers;
--- a/src/hub/registry.rs
+++ b/src/hub/registry.rs
@@ -101,6 +101,14 @@
             .collect()
     }
 
+    /// Tells whether every entry that may serve has this version of the crash table.
+    #[must_use]
+    pub fn all_know_crashes(&self, version: u64, freshness_bound: Duration, now: Duration) -> bool {
+        self.entries.values().all(|status| {
+            status.crashes >= version || now.saturating_sub(status.seen_at) > freshness_bound
+        })
+    }
+
     /// Returns the number of live entries.
     #[must_use]
     pub fn len(&self) -> usize {
