--- a/src/entry.rs
+++ b/src/entry.rs
@@ -1,14 +1,43 @@
 //! The entry daemon: authenticates, admits, routes and streams callers' requests.
 
+mod admission;
 mod allowance;
+mod body;
+mod caller_port;
+mod candidates;
+mod claim;
+mod context;
+mod control_client;
+mod crash;
 mod crashes;
+mod credential;
 mod daemon;
 mod demand;
+mod dispatch;
+mod event;
+mod exchange;
 mod follow;
+mod guard;
+mod header;
+mod in_flight;
+mod management;
+mod metrics;
+mod model;
+mod model_stream;
+mod outgoing;
+mod phase;
+mod plain_stream;
 mod poll;
 mod proxy;
+mod recorded;
 mod refusal;
 mod request;
+mod retries;
+mod scheduler;
+mod service;
+mod slot;
+mod stream_request;
+mod target_sync;
 mod view;
 
 pub use allowance::{ReservedTokens, SharedAllowance};
--- /dev/null
+++ b/src/entry/dispatch.rs
@@ -0,0 +1,198 @@
+//! Sends an admitted request: waits for a target, checks the request again, and retries.
+
+use std::{sync::Arc, time::Instant};
+
+use spdlog::prelude::*;
+use tokio::time::sleep_until;
+
+use super::{
+    candidates::has_candidate,
+    context::RequestContext,
+    crash,
+    demand::DemandCounter,
+    exchange::{TargetAnswer, backoff, exchange},
+    guard::StreamGuard,
+    metrics::RetryKind,
+    outgoing::Outgoing,
+    proxy::CallerProxy,
+    refusal::{CallerError, RunState},
+    scheduler::ScheduledRequest,
+    slot::TargetSlot,
+};
+use crate::{
+    border::RouteIdempotency, code::ResultCode, fair::PushRefusal, ids::ModelId, route::PoolId,
+    state::BlockState,
+};
+
+impl CallerProxy {
+    /// Sends a request to targets of the pool until one responds, as far as retries are allowed.
+    ///
+    /// # Errors
+    /// The last failure; its run state covers all attempts.
+    pub async fn dispatch(
+        &self,
+        context: &RequestContext,
+        scheduled: &mut ScheduledRequest,
+        outgoing: &mut Outgoing,
+        guard: &mut StreamGuard,
+    ) -> Result<TargetAnswer, CallerError> {
+        let mut attempt = 0;
+        let mut run_state = RunState::NotRun;
+        let mut last: Option<CallerError> = None;
+        loop {
+            let turn = self
+                .crashes
+                .admit(outgoing.fingerprint, context, &self.view.get())
+                .await
+                .map_err(|error| match run_state {
+                    RunState::MayHaveRun => error.with_run_state(run_state),
+                    RunState::NotRun => error,
+                })?;
+            let slot = match (self.wait_for_slot(context, scheduled).await, last) {
+                (Ok(slot), _) => slot,
+                (Err(_), Some(earlier)) => return Err(earlier.with_run_state(run_state)),
+                (Err(error), None) => return Err(error),
+            };
+            self.check_again(context)
+                .map_err(|error| error.with_run_state(run_state))?;
+            info!(
+                "route: {} {} to {} attempt {} cost {:.1} ms load {:.1} cached {}",
+                context.id,
+                context.route.id,
+                slot.target.id,
+                attempt + 1,
+                slot.choice.cost_ms,
+                slot.choice.load,
+                slot.choice.cached_tokens
+            );
+            self.metrics.count_upstream_request();
+            let target = Arc::clone(&slot.target);
+            scheduled.tried.push(target.id.clone());
+            let error = match exchange(slot, turn, outgoing, context, guard).await {
+                Ok(answer) => return Ok(answer),
+                Err(error) => error,
+            };
+            if error.run_state() == RunState::MayHaveRun {
+                run_state = RunState::MayHaveRun;
+                let crashes = &self.crashes;
+                let state = match error.code() {
+                    ResultCode::TargetUnreachable => {
+                        crashes.report_if_down(outgoing.fingerprint, &target).await
+                    }
+                    _ => None,
+                };
+                if state == Some(BlockState::Blocked) {
+                    return Err(crash::blocked(context));
+                }
+            }
+            if !self.may_retry(context, outgoing, &error) {
+                return Err(error.with_run_state(run_state));
+            }
+            attempt += 1;
+            let wake = Instant::now() + backoff(attempt);
+            if wake >= context.deadline {
+                return Err(error.with_run_state(run_state));
+            }
+            sleep_until(wake.into()).await;
+            self.metrics.count_retry(RetryKind::Retry);
+            last = Some(error);
+        }
+    }
+
+    /// Checks key, route and freshness just before a request leaves.
+    pub fn check_again(&self, context: &RequestContext) -> Result<(), CallerError> {
+        context
+            .check_again(&self.view.get(), self.freshness_bound)
+            .map_err(|(code, message)| CallerError::not_run(code, message, &context.id))
+    }
+
+    fn may_retry(
+        &self,
+        context: &RequestContext,
+        outgoing: &Outgoing,
+        error: &CallerError,
+    ) -> bool {
+        let repeatable = match error.code() {
+            ResultCode::TargetUnreachable | ResultCode::TargetRefused => {
+                error.run_state() == RunState::NotRun || is_idempotent(context, outgoing)
+            }
+            ResultCode::AnswerMismatch => is_idempotent(context, outgoing),
+            _ => false,
+        };
+        repeatable && outgoing.body.is_replayable() && self.retries.try_spend(context.team())
+    }
+
+    /// Waits in the queue until a target has a slot, at most until the request's deadline.
+    pub async fn wait_for_slot(
+        &self,
+        context: &RequestContext,
+        scheduled: &ScheduledRequest,
+    ) -> Result<TargetSlot, CallerError> {
+        let queued = Instant::now();
+        let id = &context.id;
+        let refuse = |code: ResultCode, message: &str| Err(CallerError::not_run(code, message, id));
+        let no_target = "no target can take the request";
+        let pool = &scheduled.pool;
+        let absent = match pool {
+            pool if has_candidate(pool, &self.view.get(), &scheduled.tried) => None,
+            // A model is loaded on demand while the request waits.
+            PoolId::Model(model) if scheduled.tried.is_empty() => {
+                Some(AbsentModel::new(&self.demand, model))
+            }
+            _ => return refuse(ResultCode::NoTarget, no_target),
+        };
+        let mut ticket = match self.scheduler.enter(scheduled.clone(), context.deadline) {
+            Ok(ticket) => ticket,
+            Err(PushRefusal::TooLate) => {
+                let message = "the queue is too long for the request's deadline";
+                return refuse(ResultCode::DeadlineExceeded, message);
+            }
+            Err(PushRefusal::TeamFull | PushRefusal::QueueFull) => {
+                return refuse(ResultCode::QueueFull, "the queue is full");
+            }
+        };
+        let placed = tokio::select! {
+            placed = ticket.placed() => placed,
+            () = sleep_until(context.deadline.into()) => {
+                let message = "no target had a free place before the request's deadline";
+                return refuse(ResultCode::DeadlineExceeded, message);
+            }
+        };
+        drop(absent);
+        let Some(slot) = placed else {
+            return refuse(ResultCode::NoTarget, no_target);
+        };
+        self.metrics
+            .observe_queue(&context.route.id, queued.elapsed());
+        Ok(slot)
+    }
+}
+
+/// A request that waits until its model is loaded, as the planner sees it.
+struct AbsentModel<'d> {
+    demand: &'d DemandCounter,
+    model: &'d ModelId,
+}
+
+impl<'d> AbsentModel<'d> {
+    fn new(demand: &'d DemandCounter, model: &'d ModelId) -> Self {
+        demand.begin_wait(model);
+        Self { demand, model }
+    }
+}
+
+impl Drop for AbsentModel<'_> {
+    fn drop(&mut self) {
+        self.demand.end_wait(self.model);
+    }
+}
+
+/// Whether a second run of the request changes nothing.
+fn is_idempotent(context: &RequestContext, outgoing: &Outgoing) -> bool {
+    match context.route.idempotency {
+        RouteIdempotency::Idempotent => true,
+        RouteIdempotency::NonIdempotent => false,
+        RouteIdempotency::ByMethod => outgoing.method.is_idempotent(),
+        RouteIdempotency::Claimed => outgoing.method.is_safe(),
+    }
+}
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -1,15 +1,17 @@
 use std::{
     collections::{HashMap, HashSet},
-    sync::{Arc, PoisonError, RwLock},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock},
     time::{Duration, Instant},
 };
 
+use tokio::sync::watch;
+
 use super::crashes::CrashTable;
 use crate::{
     border::FleetConfig,
     fleet::FleetIndex,
-    ids::{ModelId, Revision, TargetId, VersionId},
-    sync::{ConfigSection, ResidencySection, ResidentModel, SyncReply},
+    ids::{ModelId, Revision, TargetId, TeamId, Term, VersionId},
+    sync::{ConfigSection, ResidencySection, ResidentModel, SyncReply, TargetLoad},
 };
 
 /// Copies of each model that may receive requests.
@@ -117,9 +119,37 @@
 }
 
 /// The current view, shared by all requests.
-#[derive(Default)]
 pub struct SharedView {
     current: RwLock<Arc<EntryView>>,
+    revisions: watch::Sender<Revision>,
+    residency: watch::Sender<u64>,
+    syncs: watch::Sender<u64>,
+    news: Mutex<Vec<SyncNews>>,
+}
+
+/// Parts of a reply that are applied once.
+#[derive(Debug)]
+pub struct SyncNews {
+    /// Moment at which the reply arrived.
+    pub received: Instant,
+    /// Term of the leader that replied.
+    pub term: Term,
+    /// Loads that changed.
+    pub loads: Vec<TargetLoad>,
+    /// Cumulative tokens that other entries served to each team in this term.
+    pub served_elsewhere: Vec<(TeamId, u64)>,
+}
+
+impl Default for SharedView {
+    fn default() -> Self {
+        Self {
+            current: RwLock::default(),
+            revisions: watch::channel(0).0,
+            residency: watch::channel(0).0,
+            syncs: watch::channel(0).0,
+            news: Mutex::default(),
+        }
+    }
 }
 
 impl SharedView {
@@ -129,11 +159,56 @@
     }
 
     /// Applies a reply to a sync that was asked at `asked`, and returns the revision if it is new.
-    pub fn update(&self, reply: SyncReply, asked: Instant) -> Option<Revision> {
+    pub fn update(&self, mut reply: SyncReply, asked: Instant) -> Option<Revision> {
+        let news = SyncNews {
+            received: Instant::now(),
+            term: reply.term,
+            loads: std::mem::take(&mut reply.loads),
+            served_elsewhere: std::mem::take(&mut reply.served_elsewhere),
+        };
+        self.lock_news().push(news);
         let mut current = self.current.write().unwrap_or_else(PoisonError::into_inner);
         let before = current.revision;
         let next = EntryView::clone(&current).with_reply(reply, asked);
+        let (revision, residency) = (next.revision, next.residency_version);
         *current = Arc::new(next);
-        (current.revision != before).then_some(current.revision)
+        drop(current);
+        notify(&self.revisions, revision);
+        notify(&self.residency, residency);
+        self.syncs.send_modify(|count| *count += 1);
+        (revision != before).then_some(revision)
     }
+
+    /// Takes what the replies since the last call brought.
+    pub fn take_news(&self) -> Vec<SyncNews> {
+        std::mem::take(&mut *self.lock_news())
+    }
+
+    fn lock_news(&self) -> MutexGuard<'_, Vec<SyncNews>> {
+        self.news.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns a receiver that changes with each sync.
+    pub fn watch_syncs(&self) -> watch::Receiver<u64> {
+        self.syncs.subscribe()
+    }
+
+    /// Returns a receiver that changes with the revision in force.
+    pub fn watch_revision(&self) -> watch::Receiver<Revision> {
+        self.revisions.subscribe()
+    }
+
+    /// Returns a receiver that changes with the residency table.
+    pub fn watch_residency(&self) -> watch::Receiver<u64> {
+        self.residency.subscribe()
+    }
+}
+
+/// Wakes the receivers only when the value differs, since each sync updates the view.
+fn notify(sender: &watch::Sender<u64>, value: u64) {
+    sender.send_if_modified(|current| {
+        let differs = *current != value;
+        *current = value;
+        differs
+    });
 }
