--- a/src/voter/driver.rs
+++ b/src/voter/driver.rs
@@ -19,8 +19,8 @@
     ids::{CommandLevel, LogIndex, Term},
     journal::{Journal, Snapshot},
     raft::{
-        Membership, RaftCore, RaftEffect, RaftInput, RaftRole, RefuseReason, RestoredState,
-        SnapshotMeta, VoterId,
+        Membership, MessageBody, RaftCore, RaftEffect, RaftInput, RaftRole, RefuseReason,
+        RestoredState, SnapshotMeta, VoterId,
     },
     state::{Command, StampedCommand},
     sync,
@@ -46,10 +46,14 @@
     pub levels: LevelReports,
     /// Index of the latest snapshot; `None` before this voter takes part.
     pub snapshot: Option<LogIndex>,
+    /// Bytes of the state in the latest snapshot.
+    pub state_bytes: usize,
     /// Bytes of entries that were appended since the latest snapshot was begun.
     pub appended_bytes: usize,
     /// Last entry that was in the log at the start of the process.
     pub restored_last: LogIndex,
+    /// Commit index of the first leader that this process heard.
+    pub heard_commit: Option<LogIndex>,
     /// Last entry of the batch that is not yet reported to the core as durable.
     pub appended: Option<(LogIndex, Term)>,
     pub effects: Vec<RaftEffect>,
@@ -142,6 +146,12 @@
             return;
         }
         for message in batch.messages {
+            if let MessageBody::AppendRequest { commit, .. } = &message.body
+                && message.to == self.id
+                && message.term >= self.core.term()
+            {
+                self.heard_commit.get_or_insert(*commit);
+            }
             self.step(RaftInput::Message(message));
         }
     }
@@ -189,12 +199,6 @@
             self.save_snapshot(index, state)?;
         }
         self.raise_level(now);
-        let membership = self.core.membership();
-        self.shared.update_status(|status| {
-            if status.membership != *membership {
-                status.membership = membership.clone();
-            }
-        });
         Ok(())
     }
 
@@ -267,14 +271,23 @@
             term,
             until: self.started + until,
         }));
-        // An entry of the current term tells that everything committed in earlier terms is applied.
         let applied = self.shared.state().applied();
-        let shown = applied >= self.restored_last || self.applier.last_term() == term;
-        let known = self.core.leader().is_some();
+        // An entry of the current term tells that everything committed in earlier terms is applied.
+        let is_of_term = self.applier.last_term() == term;
+        let shown = is_of_term || applied >= self.restored_last;
+        let caught_up = match self.core.role() {
+            RaftRole::Leader => is_of_term,
+            _ => shown && self.heard_commit.is_some_and(|commit| applied >= commit),
+        };
+        let membership = self.core.membership();
+        let takes_part = self.core.leader().is_some() && membership.contains(&self.id);
         self.shared.update_status(|status| {
-            if status.phase == VoterPhase::CatchingUp && shown && known {
+            if status.phase == VoterPhase::CatchingUp && caught_up && takes_part {
                 status.phase = VoterPhase::Ready;
             }
+            if status.membership != *membership {
+                status.membership = membership.clone();
+            }
             status.role = self.core.role();
             status.term = term;
             if status.leader.as_ref() != self.core.leader() {
--- a/src/voter/make_snapshot.rs
+++ b/src/voter/make_snapshot.rs
@@ -17,7 +17,9 @@
     /// Starts to make a snapshot when the log has grown by the set size.
     pub fn begin_snapshot(&mut self) -> Result<()> {
         let applied = self.shared.state().applied();
-        let wanted = self.appended_bytes > self.settings.snapshot_bytes;
+        // A large state is written less often, as far as the log in memory allows.
+        let large = (self.state_bytes / 2).min(self.settings.limits.log_bytes / 4);
+        let wanted = self.appended_bytes > self.settings.snapshot_bytes.max(large);
         if wanted && !self.snapshots.is_encoding() && self.snapshot.is_some_and(|at| at < applied) {
             self.appended_bytes = 0;
             self.applier.set_paused(true);
@@ -41,6 +43,7 @@
             state,
         };
         self.journal.save_snapshot(&snapshot, index)?;
+        self.state_bytes = bytes;
         info!(
             "journal: saved a snapshot of {bytes} bytes up to entry {index} in {:?}",
             begun.elapsed()
@@ -70,6 +73,7 @@
             meta.index
         );
         self.snapshot = Some(meta.index);
+        self.state_bytes = snapshot.state.len();
         self.appended_bytes = 0;
         self.applier.replace(meta.index, restored);
         self.pending.replaced_by_snapshot(meta.index);
--- a/src/voter/thread.rs
+++ b/src/voter/thread.rs
@@ -83,6 +83,7 @@
         let started = Instant::now();
         let driver = VoterDriver {
             snapshot: snapshot.is_some().then_some(meta.index),
+            state_bytes: snapshot.as_ref().map_or(0, |found| found.state.len()),
             appended_bytes: entries.iter().map(crate::raft::LogEntry::size).sum(),
             applier: StateApplier::new(Arc::clone(&shared), entries.clone()),
             core: RaftCore::new(
@@ -109,6 +110,7 @@
             snapshots: SnapshotDesk::default(),
             levels: LevelReports::default(),
             restored_last,
+            heard_commit: None,
             appended: None,
             effects: Vec::new(),
             raised: None,
