Answer proposals as unconfirmed when their sync fails

Cause: tests on in-memory disks showed that a proposal whose sync failed was answered with NotLeader, which says that it is certainly not committed. The voter stopped before it had recorded that the core had appended an entry, and a later start may find that entry on the disk.

Change: a proposal counts as possibly appended from the moment it is handed to the core. Only reads end in NotLeader without a word of the core.

--- a/src/voter/driver.rs
+++ b/src/voter/driver.rs
@@ -9,7 +9,7 @@
     AddressBook, LeaderLease, PeerMessages, PeerSender, VoterPhase, VoterSettings,
     applier::StateApplier,
     level_reports::LevelReports,
-    pending::{PendingTable, answer},
+    pending::{PendingPlace, PendingTable, answer},
     request::{Answer, VoterRequest},
     shared::SharedVoter,
     snapshots::SnapshotDesk,
@@ -94,7 +94,8 @@
                 answer,
             } => self.propose(*command, deadline, answer)?,
             VoterRequest::Read { deadline, answer } => {
-                let token = self.pending.add(answer, deadline);
+                let place = PendingPlace::ReadAsked;
+                let token = self.pending.add(answer, deadline, place);
                 self.step(RaftInput::Read { token });
             }
             VoterRequest::Change {
@@ -102,7 +103,8 @@
                 deadline,
                 answer,
             } => {
-                let token = self.pending.add(answer, deadline);
+                let place = PendingPlace::Proposed;
+                let token = self.pending.add(answer, deadline, place);
                 self.step(RaftInput::Change { token, change });
             }
             VoterRequest::Messages(batch) => self.receive(*batch),
@@ -133,7 +135,8 @@
             answer(waiting, refuse(reason));
             return Ok(());
         }
-        let token = self.pending.add(waiting, deadline);
+        let place = PendingPlace::Proposed;
+        let token = self.pending.add(waiting, deadline, place);
         let payload = payload.into();
         self.step(RaftInput::Propose { token, payload });
         Ok(())
--- a/src/voter/pending.rs
+++ b/src/voter/pending.rs
@@ -14,14 +14,20 @@
 struct PendingAnswer {
     answer: Answer,
     deadline: Instant,
-    /// Whether an entry was appended, which may be committed later.
     place: PendingPlace,
 }
 
-enum PendingPlace {
-    Asked,
+/// What a request waits for.
+#[derive(Clone, Copy)]
+pub enum PendingPlace {
+    /// A proposal or change was handed to the core, which may have appended an entry.
+    Proposed,
+    /// An entry was appended here, which may be committed later.
     Appended(LogIndex),
-    Read(LogIndex),
+    /// A read was handed to the core.
+    ReadAsked,
+    /// A read waits until this entry is applied.
+    ReadAt(LogIndex),
 }
 
 /// Requests that wait for an answer, by token.
@@ -35,9 +41,8 @@
 
 impl PendingTable {
     /// Adds a request and returns its token.
-    pub fn add(&mut self, answer: Answer, deadline: Instant) -> u64 {
+    pub fn add(&mut self, answer: Answer, deadline: Instant, place: PendingPlace) -> u64 {
         self.next += 1;
-        let place = PendingPlace::Asked;
         let pending = PendingAnswer {
             answer,
             deadline,
@@ -63,7 +68,7 @@
     /// Records the index that a read must see.
     pub fn read_at(&mut self, token: u64, index: LogIndex) {
         if let Some(pending) = self.answers.get_mut(&token) {
-            pending.place = PendingPlace::Read(index);
+            pending.place = PendingPlace::ReadAt(index);
             self.reads.insert((index, token));
         }
     }
@@ -138,16 +143,17 @@
             return;
         };
         let error = match pending.place {
+            PendingPlace::Proposed => unconfirmed(),
             PendingPlace::Appended(index) => {
                 self.appended.remove(&index);
                 unconfirmed()
             }
-            PendingPlace::Read(index) => {
+            // A read has no effect, so its outcome is never in doubt.
+            PendingPlace::ReadAsked => Error::NotLeader { leader: None },
+            PendingPlace::ReadAt(index) => {
                 self.reads.remove(&(index, token));
                 Error::NotLeader { leader: None }
             }
-            // The core answers a proposal at once, so this is a read that has had no effect.
-            PendingPlace::Asked => Error::NotLeader { leader: None },
         };
         let _ = pending.answer.send(Err(error));
     }
--- a/tests/voter_freeze.rs
+++ b/tests/voter_freeze.rs
@@ -2,13 +2,15 @@
 
 #[path = "harness/control_fleet.rs"]
 mod control_fleet;
+#[path = "harness/freshness_probe.rs"]
+mod freshness_probe;
 mod harness;
 
 use std::time::Duration;
 
 use control_fleet::{ControlFleet, apply_request};
+use freshness_probe::prove;
 use reqwest::StatusCode;
-use waxwinglatch::sync::{self, SECRET_HEADER, SYNC_PATH, SyncRequest};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_leader_that_was_frozen_proves_and_accepts_nothing() {
@@ -24,7 +26,10 @@
             before + 1
         );
         // Connections are open before the freeze, so that the requests wait at the frozen process.
-        assert_eq!(prove(&fleet, frozen).await, Some(StatusCode::OK));
+        assert_eq!(
+            prove(&fleet.client, fleet.ports[frozen].system).await,
+            Some(StatusCode::OK)
+        );
         fleet.signal(frozen, "STOP");
         fleet.leader_among(&rest).await;
         assert_eq!(
@@ -34,7 +39,9 @@
             before + 2
         );
         let waiting = async {
-            let proofs = futures::future::join_all((0..8).map(|_| prove(&fleet, frozen)));
+            let proofs = futures::future::join_all(
+                (0..8).map(|_| prove(&fleet.client, fleet.ports[frozen].system)),
+            );
             // It starts from the revision that the frozen leader still shows.
             let stale = apply_request(before + 1)
                 .to_string()
@@ -61,32 +68,3 @@
         }
     }
 }
-
-/// Asks a daemon for a proof of freshness, as an entry does.
-async fn prove(fleet: &ControlFleet, number: usize) -> Option<StatusCode> {
-    let request = SyncRequest {
-        vm: "vm-9".into(),
-        data_centre: "dc-1".into(),
-        incarnation: 1,
-        serial: 1,
-        revision: 0,
-        residency: 0,
-        crashes: 0,
-        leaving: false,
-        shares: Vec::new(),
-        demand: Vec::new(),
-        reports: Vec::new(),
-        observations: Vec::new(),
-        hold_ms: 0,
-    };
-    let call = fleet
-        .client
-        .post(format!(
-            "http://127.0.0.1:{}{SYNC_PATH}",
-            fleet.ports[number].system
-        ))
-        .header(SECRET_HEADER, "system-secret")
-        .timeout(Duration::from_secs(3))
-        .body(sync::encode(&request).unwrap());
-    Some(call.send().await.ok()?.status())
-}
