--- a/src/control/daemon.rs
+++ b/src/control/daemon.rs
@@ -14,6 +14,7 @@
     health,
     hub::SyncHub,
     members,
+    orders::OrderDesk,
     peer_sender::HttpPeerSender,
     placer::ModelPlacer,
     raft_api,
@@ -126,7 +127,8 @@
                 ],
             );
         let founder = FleetFounder::new(config.clone(), voter.clone(), client.clone(), secret);
-        let placer = ModelPlacer::new(voter.clone(), hub, client);
+        let desk = Arc::new(OrderDesk::new(voter.clone(), client));
+        let placer = ModelPlacer::new(voter.clone(), hub, desk);
         info!(
             "control: {} serves entries at {}",
             config.vm,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod journal;
 pub mod logger;
 pub mod order;
+pub mod place;
 pub mod raft;
 pub mod server;
 pub mod state;
