Record a new life of an engine before an order is settled by its report

Cause: the search of orders found a sequence in which an engine's memory is overcommitted (P1). An engine restarts while an order is open; the order is settled by a report of the new life, but the log still holds the old life. A report of the new life that was read before the next order and arrives after it is then taken as the first report of that life, and the reservation of a copy that was loaded since is dropped. Change: the follow-up of an order proposes ConfirmReport before Settle when the report is of a life that the log does not know. The loop in control/orders.rs itself has no test of this sequence. Conclusion: late reports of a known life are refused by the check on last_fencing that the state already makes.

--- a/src/control/orders.rs
+++ b/src/control/orders.rs
@@ -222,9 +222,11 @@
             }
             match judge_order(action, fencing, check, &delivery, &report) {
                 OrderVerdict::Confirmed => {
+                    self.record_life(target, &report).await?;
                     return self.settle(target, fencing, SettleResult::Confirmed).await;
                 }
                 OrderVerdict::Dropped => {
+                    self.record_life(target, &report).await?;
                     return self.settle(target, fencing, SettleResult::Dropped).await;
                 }
                 OrderVerdict::Resend
@@ -323,6 +325,26 @@
         call.map_err(transport)?.json().await.map_err(transport)
     }
 
+    /// Records a new life of the engine before an order is settled by its report. Otherwise an
+    /// older report of that life that arrives late would later count as news, and the copies that
+    /// were loaded since would lose their reservations; see docs/model-checking.md.
+    async fn record_life(&self, target: &TargetConfig, report: &EngineReport) -> Result<()> {
+        let known = self.voter.local(|state| {
+            let memory = state.memory().target(&target.id);
+            memory.and_then(crate::state::TargetMemory::incarnation)
+        });
+        if known == Some(report.incarnation) {
+            return Ok(());
+        }
+        let confirm = Command::ConfirmReport {
+            target: target.id.clone(),
+            incarnation: report.incarnation,
+            last_fencing: report.last_fencing,
+            copies: report.copies.clone(),
+        };
+        self.voter.propose(confirm).await.map(drop)
+    }
+
     async fn settle(
         &self,
         target: &TargetConfig,
