--- a/tests/raft_sim/mod.rs
+++ b/tests/raft_sim/mod.rs
@@ -13,9 +13,9 @@
 use waxwinglatch::{
     ids::{LogIndex, Term},
     raft::{
-        EntryPayload, LogEntry, MemberChange, Membership, RaftCore, RaftEffect, RaftInput,
-        RaftLimits, RaftMessage, RaftRole, RaftTiming, RefuseReason, RestoredState, SnapshotMeta,
-        VoterId,
+        AppendOutcome, EntryPayload, LogEntry, MemberChange, Membership, MessageBody, RaftCore,
+        RaftEffect, RaftInput, RaftLimits, RaftMessage, RaftRole, RaftTiming, RefuseReason,
+        RestoredState, SnapshotMeta, VoterId,
     },
 };
 
@@ -76,6 +76,8 @@
     /// Term in which each entry was first committed.
     committed_in: BTreeMap<LogIndex, Term>,
     pub snapshots_installed: usize,
+    /// Append requests that a member rejected.
+    pub rejections: usize,
     queue: BTreeMap<(Duration, u64), RaftMessage>,
     serial: u64,
     read_floor: BTreeMap<u64, LogIndex>,
@@ -127,6 +129,7 @@
             committed: BTreeMap::new(),
             committed_in: BTreeMap::new(),
             snapshots_installed: 0,
+            rejections: 0,
             queue: BTreeMap::new(),
             serial: 0,
             read_floor: BTreeMap::new(),
@@ -353,6 +356,14 @@
     }
 
     fn transmit(&mut self, message: RaftMessage) {
+        let rejected = matches!(
+            message.body,
+            MessageBody::AppendReply {
+                outcome: AppendOutcome::Rejected { .. },
+                ..
+            }
+        );
+        self.rejections += usize::from(rejected);
         if self.rng.random_bool(self.network.loss) {
             return;
         }
