--- a/src/control/daemon.rs
+++ b/src/control/daemon.rs
@@ -10,6 +10,7 @@
 
 use super::{
     admin::{self, AdminToken},
+    claims, crashes,
     founder::{self, FleetFounder},
     health,
     hub::SyncHub,
@@ -101,7 +102,10 @@
             .manage(SystemSecret(secret.clone()))
             .manage(voter.clone())
             .manage(Arc::clone(&hub))
-            .mount("/", routes![system::sync_entry])
+            .mount(
+                "/",
+                routes![system::sync_entry, claims::take_claim, crashes::take_crash],
+            )
             .mount(
                 "/",
                 routes![
@@ -115,7 +119,7 @@
             .manage(SystemSecret(secret.clone()))
             .manage(voter.clone())
             .manage(client.clone())
-            .mount("/", routes![admin::get_config, admin::apply_config])
+            .manage(Arc::clone(&hub))
             .mount("/", routes![health::health, health::readiness])
             .mount(
                 "/",
@@ -126,6 +130,7 @@
                     members::remove_member
                 ],
             );
+        let admin = admin::mount(admin);
         let founder = FleetFounder::new(config.clone(), voter.clone(), client.clone(), secret);
         let desk = Arc::new(OrderDesk::new(voter.clone(), client));
         let placer = ModelPlacer::new(voter.clone(), hub, desk);
