--- a/src/control/daemon.rs
+++ b/src/control/daemon.rs
@@ -10,6 +10,7 @@
 
 use super::{
     admin::{self, AdminToken},
+    claims, crashes,
     founder::{self, FleetFounder},
     health,
     hub::SyncHub,
@@ -101,7 +102,10 @@
             .manage(SystemSecret(secret.clone()))
             .manage(voter.clone())
             .manage(Arc::clone(&hub))
-            .mount("/", routes![system::sync_entry])
+            .mount(
+                "/",
+                routes![system::sync_entry, claims::take_claim, crashes::take_crash],
+            )
             .mount(
                 "/",
                 routes![
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -1,10 +1,122 @@
 use serde::Deserialize;
+use serde_json::Value;
 
-use crate::ids::ModelId;
+use crate::{ids::ModelId, route::PrefixBlock};
 
 /// The fields of a model request that routing and admission need; the rest passes through.
 #[derive(Debug, Deserialize)]
 pub struct ModelRequest {
     /// Model or adapter.
     pub model: ModelId,
+    /// Most tokens to generate.
+    #[serde(default)]
+    pub max_tokens: Option<u64>,
+    /// Newer name of `max_tokens` on the chat path.
+    #[serde(default)]
+    pub max_completion_tokens: Option<u64>,
+    /// Prompt of a completion.
+    #[serde(default)]
+    pub prompt: Option<Value>,
+    /// Messages of a chat.
+    #[serde(default)]
+    pub messages: Option<Value>,
+}
+
+/// Bytes of a prompt that count as one token.
+const BYTES_PER_TOKEN: u64 = 4;
+
+/// Tokens that a request needs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TokenCost {
+    /// Estimate of the prompt.
+    pub prompt: u64,
+    /// Most that may be generated.
+    pub generated: u64,
+}
+
+impl TokenCost {
+    /// Tokens to reserve.
+    #[must_use]
+    pub fn total(&self) -> u64 {
+        self.prompt.saturating_add(self.generated)
+    }
+}
+
+/// Bytes of a prompt between two prefixes that routing looks at; 64 tokens.
+const PREFIX_BYTES: usize = 256;
+/// Prefixes that routing looks at.
+const MAX_PREFIXES: usize = 16;
+
+impl ModelRequest {
+    /// Hashes the prefixes of the prompt, so that requests with a common start meet a warm cache.
+    #[must_use]
+    pub fn prefix(&self) -> Vec<PrefixBlock> {
+        let mut text = Vec::new();
+        for value in [&self.prompt, &self.messages].into_iter().flatten() {
+            add_text(value, &mut text);
+        }
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(self.model.as_bytes());
+        let mut tokens = 0;
+        text.chunks_exact(PREFIX_BYTES)
+            .take(MAX_PREFIXES)
+            .map(|block| {
+                hasher.update(block);
+                tokens += u32::try_from(PREFIX_BYTES).unwrap_or(u32::MAX) / 4;
+                let mut hash = [0; 8];
+                hash.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+                let hash = u64::from_le_bytes(hash);
+                PrefixBlock { hash, tokens }
+            })
+            .collect()
+    }
+
+    /// Estimates the tokens of the request; `max_tokens_default` applies when it does not say.
+    #[must_use]
+    pub fn cost(&self, max_tokens_default: u64) -> TokenCost {
+        let bytes = [&self.prompt, &self.messages]
+            .into_iter()
+            .flatten()
+            .map(text_bytes)
+            .sum::<u64>();
+        let generated = self
+            .max_tokens
+            .or(self.max_completion_tokens)
+            .unwrap_or(max_tokens_default);
+        TokenCost {
+            prompt: bytes.div_ceil(BYTES_PER_TOKEN),
+            generated,
+        }
+    }
+}
+
+fn text_bytes(value: &Value) -> u64 {
+    match value {
+        Value::String(text) => text.len() as u64,
+        Value::Array(items) => items.iter().map(text_bytes).sum(),
+        Value::Object(fields) => fields.get("content").map_or(0, text_bytes),
+        // A prompt can also be a list of token ids.
+        Value::Number(_) => BYTES_PER_TOKEN,
+        _ => 0,
+    }
+}
+
+/// Appends the text of a prompt, as far as prefixes reach.
+fn add_text(value: &Value, text: &mut Vec<u8>) {
+    if text.len() >= PREFIX_BYTES * MAX_PREFIXES {
+        return;
+    }
+    match value {
+        Value::String(part) => text.extend_from_slice(part.as_bytes()),
+        Value::Array(items) => items.iter().for_each(|item| add_text(item, text)),
+        Value::Object(fields) => {
+            for field in ["role", "content"] {
+                if let Some(value) = fields.get(field) {
+                    add_text(value, text);
+                }
+            }
+        }
+        Value::Number(number) => text.extend_from_slice(number.to_string().as_bytes()),
+        _ => {}
+    }
 }
