--- a/src/entry/model.rs
+++ b/src/entry/model.rs
@@ -55,7 +55,7 @@
                 return Err(CallerError::not_run(ResultCode::UnknownRoute, message, id));
             }
         };
-        let body = collect(incoming, context.route.max_body_bytes)
+        let body = collect(incoming, context.route.max_body_bytes, context.deadline)
             .await
             .map_err(|(code, message)| CallerError::not_run(code, message, id))?;
         let request: ModelRequest = serde_json::from_slice(&body).map_err(|error| {
--- a/src/entry/outgoing.rs
+++ b/src/entry/outgoing.rs
@@ -4,6 +4,7 @@
         Arc,
         atomic::{AtomicBool, Ordering},
     },
+    time::Instant,
 };
 
 use bytes::{Bytes, BytesMut};
@@ -15,6 +16,7 @@
     header::{CONTENT_LENGTH, HeaderMap, HeaderValue},
 };
 use reqwest::Url;
+use tokio::time::timeout_at;
 
 use super::context::RequestContext;
 use crate::{border::TargetConfig, code::ResultCode, ids::Fingerprint};
@@ -57,11 +59,15 @@
 impl OutgoingBody {
     /// Reads a small body as a whole and leaves a larger one, or one of unknown length, to be
     /// streamed.
-    pub async fn receive(incoming: Incoming, limit: u64) -> Result<Self, BodyRefusal> {
+    pub async fn receive(
+        incoming: Incoming,
+        limit: u64,
+        deadline: Instant,
+    ) -> Result<Self, BodyRefusal> {
         match incoming.size_hint().exact() {
             Some(length) if length > limit => Err(too_large(limit)),
             Some(length) if length <= REPLAYABLE_BYTES => {
-                collect(incoming, limit).await.map(Self::Whole)
+                collect(incoming, limit, deadline).await.map(Self::Whole)
             }
             _ => Ok(Self::Streamed(Some(StreamedBody {
                 incoming,
@@ -77,11 +83,23 @@
     }
 }
 
-/// Reads a body as a whole.
-pub async fn collect(mut incoming: Incoming, limit: u64) -> Result<Bytes, BodyRefusal> {
+/// Reads a body as a whole, so that a caller who sends slowly holds nothing but its connection.
+pub async fn collect(
+    incoming: Incoming,
+    limit: u64,
+    deadline: Instant,
+) -> Result<Bytes, BodyRefusal> {
     if incoming.size_hint().lower() > limit {
         return Err(too_large(limit));
     }
+    let reading = read_all(incoming, limit);
+    timeout_at(deadline.into(), reading).await.map_err(|_| {
+        let message = "the body did not arrive within the request's deadline";
+        (ResultCode::DeadlineExceeded, message.to_owned())
+    })?
+}
+
+async fn read_all(mut incoming: Incoming, limit: u64) -> Result<Bytes, BodyRefusal> {
     let mut bytes = BytesMut::new();
     while let Some(frame) = incoming.frame().await {
         let frame = frame.map_err(|error| {
--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -44,9 +44,13 @@
         };
         let body = if is_claimed {
             // The whole body is hashed before the request may leave.
-            OutgoingBody::Whole(collect(incoming, limit).await.map_err(refuse)?)
+            OutgoingBody::Whole(
+                collect(incoming, limit, context.deadline)
+                    .await
+                    .map_err(refuse)?,
+            )
         } else {
-            OutgoingBody::receive(incoming, limit)
+            OutgoingBody::receive(incoming, limit, context.deadline)
                 .await
                 .map_err(refuse)?
         };
--- a/src/fake/engine_calls.rs
+++ b/src/fake/engine_calls.rs
@@ -194,7 +194,10 @@
     call.recorded.note(RequestState::Started);
     let count = prompt.count();
     let duration = shared.options.token_ms.saturating_mul(count);
-    tokio::time::sleep(Duration::from_millis(duration)).await;
+    // Even a sleep of no time waits for the next tick of the timer.
+    if duration > 0 {
+        tokio::time::sleep(Duration::from_millis(duration)).await;
+    }
     let words: Vec<String> = (0..count).map(|index| prompt.token(index)).collect();
     call.recorded.note(RequestState::Finished);
     let body = json!({
