--- a/src/entry/in_flight.rs
+++ b/src/entry/in_flight.rs
@@ -10,7 +10,10 @@
 }
 
 /// One request in flight; it ends when this is dropped.
-pub struct RunningRequest(Arc<InFlight>);
+pub struct RunningRequest {
+    in_flight: Arc<InFlight>,
+    gauge: Option<IntGauge>,
+}
 
 impl InFlight {
     pub fn new(gauge: IntGauge) -> Arc<Self> {
@@ -22,7 +25,20 @@
     pub fn enter(self: &Arc<Self>) -> RunningRequest {
         self.count.send_modify(|count| *count += 1);
         self.gauge.inc();
-        RunningRequest(Arc::clone(self))
+        RunningRequest {
+            in_flight: Arc::clone(self),
+            gauge: Some(self.gauge.clone()),
+        }
+    }
+
+    /// Keeps the process from stopping until the returned value is dropped, for work that goes on
+    /// after its caller has left.
+    pub fn hold(self: &Arc<Self>) -> RunningRequest {
+        self.count.send_modify(|count| *count += 1);
+        RunningRequest {
+            in_flight: Arc::clone(self),
+            gauge: None,
+        }
     }
 
     /// Waits until no request is in flight.
@@ -40,7 +56,9 @@
 
 impl Drop for RunningRequest {
     fn drop(&mut self) {
-        self.0.count.send_modify(|count| *count -= 1);
-        self.0.gauge.dec();
+        self.in_flight.count.send_modify(|count| *count -= 1);
+        if let Some(gauge) = &self.gauge {
+            gauge.dec();
+        }
     }
 }
--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -104,7 +104,9 @@
                 // The task goes on when the caller leaves, so that the outcome is recorded.
                 let proxy = Arc::clone(self);
                 let id = context.id.clone();
+                let held = self.in_flight.hold();
                 let running = tokio::spawn(async move {
+                    let _held = held;
                     let result = proxy.run_claimed(&context, outgoing, open).await;
                     if let Err(error) = &result {
                         settle_failure(reserved, error);
