--- a/tests/harness/entry_fleet.rs
+++ b/tests/harness/entry_fleet.rs
@@ -148,11 +148,19 @@
 
     /// Waits until the entry is ready.
     pub async fn wait_ready(&self) {
-        wait_for("ready entry", START_LIMIT, async || {
-            let answer = self.manage("/readyz").await?;
-            answer.status().is_success().then_some(())
-        })
-        .await;
+        let started = std::time::Instant::now();
+        loop {
+            let answer = self.manage("/readyz").await;
+            if answer.is_some_and(|answer| answer.status().is_success()) {
+                return;
+            }
+            let log = self.log();
+            assert!(
+                started.elapsed() < START_LIMIT,
+                "no ready entry; it printed: {log}"
+            );
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
     }
 
     /// Reads from the management port; `None` when it does not reply.
@@ -252,6 +260,9 @@
         for (name, value) in extra.as_object().expect("an object") {
             route[name] = value.clone();
         }
+        if route["kind"] == "model" {
+            route.as_object_mut().expect("an object").remove("service");
+        }
         route
     };
     json!({
@@ -261,7 +272,7 @@
             { "id": "counter-2", "team": "counter", "hash": key_hash("wl-test-key-2") },
         ],
         "routes": [
-            route("v1", json!({ "kind": "model", "service": null })),
+            route("v1", json!({ "kind": "model" })),
             route("stock", json!({})),
             route("lookup", json!({ "idempotency": "idempotent" })),
             route("open", json!({ "access": "open" })),
--- a/tests/harness/real_fleet.rs
+++ b/tests/harness/real_fleet.rs
@@ -72,13 +72,18 @@
         config["routes"][0]["timeout_ms"] = json!(10_000);
         // Both engines hold the model, so that a request can go to another one.
         config["models"][0]["residency"] = json!("pinned");
-        config["models"][0]["min_copies"] = json!(self.engines.len().max(1));
+        config["models"][0]["min_copies"] = json!(self.engines.len());
+        if self.engines.is_empty() {
+            config["models"] = json!([]);
+        }
         let apply = json!({ "request_id": "apply-1", "expected": 0, "config": config });
         wait_for("accepted configuration", START_LIMIT, async || {
             let url = format!("http://127.0.0.1:{}/admin/v1/config", self.admin_port);
             let call = self.client.put(url).bearer_auth(ADMIN_TOKEN).json(&apply);
             let answer = call.send().await.ok()?;
-            answer.status().is_success().then_some(())
+            let status = answer.status();
+            assert_ne!(status, 422, "{:?}", answer.text().await);
+            status.is_success().then_some(())
         })
         .await;
         for index in 0..self.entries.len() {
