--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -44,9 +44,13 @@
         };
         let body = if is_claimed {
             // The whole body is hashed before the request may leave.
-            OutgoingBody::Whole(collect(incoming, limit).await.map_err(refuse)?)
+            OutgoingBody::Whole(
+                collect(incoming, limit, context.deadline)
+                    .await
+                    .map_err(refuse)?,
+            )
         } else {
-            OutgoingBody::receive(incoming, limit)
+            OutgoingBody::receive(incoming, limit, context.deadline)
                 .await
                 .map_err(refuse)?
         };
@@ -100,7 +104,9 @@
                 // The task goes on when the caller leaves, so that the outcome is recorded.
                 let proxy = Arc::clone(self);
                 let id = context.id.clone();
+                let held = self.in_flight.hold();
                 let running = tokio::spawn(async move {
+                    let _held = held;
                     let result = proxy.run_claimed(&context, outgoing, open).await;
                     if let Err(error) = &result {
                         settle_failure(reserved, error);
