--- a/src/allowance/share.rs
+++ b/src/allowance/share.rs
@@ -114,7 +114,8 @@
         }
     }
 
-    /// Tells whether a waiting request lacks tokens, so that the entry should sync at once.
+    /// Tells whether a waiting request lacks tokens that no report under way asks for, so that the
+    /// entry should send [`Self::report_short`] at once.
     #[must_use]
     pub fn is_short(&self, team: &TeamId, now: Duration) -> bool {
         self.teams
@@ -122,6 +123,19 @@
             .is_some_and(|share| share.is_short(now))
     }
 
+    /// Returns the reports of teams with a waiting request that lacks tokens. They go into an
+    /// extra sync between the periodic ones, which stays small because it leaves out other teams.
+    pub fn report_short(&mut self, now: Duration) -> Vec<ShareReport> {
+        let leaving = self.leaving;
+        let short = self
+            .teams
+            .iter_mut()
+            .filter(|(_, share)| share.is_short(now));
+        short
+            .map(|(team, share)| share.report(team, leaving, now))
+            .collect()
+    }
+
     /// Hands everything back from the next report on, because the process is shutting down.
     pub fn leave(&mut self) {
         self.leaving = true;
--- a/src/allowance/team_share.rs
+++ b/src/allowance/team_share.rs
@@ -24,6 +24,8 @@
     demand: DemandRate,
     first_waiting: u64,
     all_waiting: u64,
+    /// `urgent` of the latest report, until it is answered.
+    asked_urgent: u64,
 }
 
 impl TeamShare {
@@ -60,9 +62,9 @@
         self.closed_at = None;
     }
 
-    /// Tells whether a waiting request lacks tokens.
+    /// Tells whether a waiting request lacks tokens that no report under way asks for.
     pub fn is_short(&self, now: Duration) -> bool {
-        self.first_waiting > self.usable(now)
+        self.first_waiting.saturating_sub(self.usable(now)) > self.asked_urgent
     }
 
     pub fn report(&mut self, team: &TeamId, leaving: bool, now: Duration) -> ShareReport {
@@ -85,6 +87,7 @@
             self.closed_at.get_or_insert(now);
         }
         self.first_asked.get_or_insert(now);
+        self.asked_urgent = urgent;
         ShareReport {
             team: team.clone(),
             epoch: self.epoch,
@@ -110,6 +113,7 @@
             self.granted = grant.granted;
             self.closed_at = None;
         }
+        self.asked_urgent = 0;
         self.valid_until = self.valid_until.max(asked_at + GRANT_VALIDITY);
         if asked_at >= self.accepted_at {
             self.accepted_at = asked_at;
--- /dev/null
+++ b/src/route/replica_pool.rs
@@ -0,0 +1,63 @@
+use smallvec::SmallVec;
+
+use crate::ids::TargetId;
+
+/// Points of each member on the ring; enough to spread prefixes within about 30% of the mean.
+const POINTS: u64 = 16;
+
+/// The targets of one pool and their places on a hash ring.
+///
+/// All entries build the same ring from the same targets, so they send a prefix that none of them
+/// has evidence for to the same few targets, without telling each other.
+#[derive(Debug, Default)]
+pub(super) struct ReplicaPool {
+    pub members: Vec<u32>,
+    /// Sorted by the hash.
+    ring: Vec<(u64, u32)>,
+}
+
+impl ReplicaPool {
+    pub fn insert(&mut self, index: u32, target: &TargetId) {
+        self.members.push(index);
+        self.ring
+            .extend((0..POINTS).map(|point| (ring_hash(target, point), index)));
+        self.ring.sort_unstable();
+    }
+
+    pub fn remove(&mut self, index: u32) {
+        self.members.retain(|member| *member != index);
+        self.ring.retain(|(_, member)| *member != index);
+    }
+
+    /// Returns the first `count` distinct members from the place of `hash` on.
+    pub fn homes(&self, hash: u64, count: usize) -> SmallVec<[u32; 4]> {
+        let mut homes = SmallVec::new();
+        // The engines' hashes may be weak in the upper bits, which decide the place.
+        let place = self.ring.partition_point(|(at, _)| *at < mix(hash));
+        let from_place = self.ring[place..].iter().chain(&self.ring[..place]);
+        // A bound, because one member can have many points in a row.
+        for (_, index) in from_place.take(count * 8) {
+            if homes.len() == count {
+                break;
+            }
+            if !homes.contains(index) {
+                homes.push(*index);
+            }
+        }
+        homes
+    }
+}
+
+/// FNV-1a with a final mix: the same in all releases and processes, unlike the standard hasher.
+fn ring_hash(target: &TargetId, point: u64) -> u64 {
+    let step = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
+    let hash = target.as_bytes().iter().fold(0xcbf2_9ce4_8422_2325, step);
+    mix(hash.wrapping_add(point.wrapping_mul(0x9e37_79b9_7f4a_7c15)))
+}
+
+/// The finaliser of splitmix64.
+fn mix(hash: u64) -> u64 {
+    let hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^ (hash >> 31)
+}
