Send unknown prefixes to shared homes and discount old load reports

Cause: with 9 and 400 entries each entry learned prefixes alone, so the hit rate fell to that of a random choice; old reports made all entries move together. Change: a hash ring gives each prefix the same homes at every entry, more for frequent prefixes; differences between reported loads fade with the age of the report and the share of other entries; outliers are judged by time over what was expected; prompts on their way count as load. send and observe take the choice.

--- a/examples/route_compare/policy.rs
+++ b/examples/route_compare/policy.rs
@@ -141,12 +141,12 @@
                     .position(|name| *name == chosen.target)
                     .unwrap();
                 self.table.learn(&chosen.target, &blocks, now);
-                self.table.send(&chosen.target, now);
+                self.table.send(&chosen, now);
                 choice = Some(chosen);
                 index
             }
         };
-        self.loads[index].send(now);
+        self.loads[index].send(0, now);
         (index, choice)
     }
 
@@ -160,7 +160,7 @@
         self.table.correct(choice, cached_tokens);
         let first_byte = now.saturating_sub(sent_at);
         self.table
-            .observe(&choice.target, Exchange::Answered { first_byte }, now);
+            .observe(choice, Exchange::Answered { first_byte }, now);
     }
 
     pub fn end(&mut self, engine: usize, now: Duration) {
--- a/src/route/health.rs
+++ b/src/route/health.rs
@@ -38,12 +38,13 @@
 pub(super) struct TargetHealth {
     pub state: HealthState,
     first_byte_ms: f32,
+    normal_ms: f32,
     failures: f32,
     failures_in_a_row: u32,
     samples: u32,
     ejections: u32,
     probe_sent: Option<Duration>,
-    /// First-byte time over the median of the pool; 1 while unknown.
+    /// Relative time over the median of the pool; 1 while unknown.
     pub slowness: f32,
 }
 
@@ -52,6 +53,7 @@
         Self {
             state: HealthState::Healthy,
             first_byte_ms: 0.0,
+            normal_ms: 0.0,
             failures: 0.0,
             failures_in_a_row: 0,
             samples: 0,
@@ -77,9 +79,11 @@
         self.state != HealthState::Healthy
     }
 
-    /// Mean time to the first byte once it is known.
-    pub fn first_byte_ms(&self) -> Option<f32> {
-        (self.samples >= ENOUGH_SAMPLES && self.first_byte_ms > 0.0).then_some(self.first_byte_ms)
+    /// Mean time to the first byte over what was expected, once it is known. Expectations differ
+    /// with the prompt and its cached part, so that plain times would show the mix of requests.
+    pub fn relative_time(&self) -> Option<f32> {
+        let is_known = self.samples >= ENOUGH_SAMPLES && self.normal_ms > 0.0;
+        is_known.then(|| self.first_byte_ms / self.normal_ms)
     }
 
     pub fn send(&mut self, now: Duration) {
@@ -94,7 +98,7 @@
         }
     }
 
-    pub fn observe(&mut self, exchange: Exchange, now: Duration) {
+    pub fn observe(&mut self, exchange: Exchange, normal_ms: f32, now: Duration) {
         self.probe_sent = None;
         let failed = match exchange {
             Exchange::Cancelled => return,
@@ -103,6 +107,7 @@
                 let sample = first_byte.as_secs_f32() * 1000.0;
                 let weight = SAMPLE_WEIGHT.max(1.0 / f32::from(self.sample_count()));
                 self.first_byte_ms += (sample - self.first_byte_ms) * weight;
+                self.normal_ms += (normal_ms - self.normal_ms) * weight;
                 0.0
             }
         };
--- a/src/route/load.rs
+++ b/src/route/load.rs
@@ -19,6 +19,8 @@
 pub struct LoadEstimate {
     report: LoadReport,
     in_flight: u32,
+    /// Prompt tokens of this entry's requests that have no first byte yet.
+    prefill_tokens: u32,
     sends: VecDeque<Duration>,
     ends: VecDeque<Duration>,
 }
@@ -37,18 +39,36 @@
         }
     }
 
-    /// Counts a request sent by this entry.
-    pub fn send(&mut self, now: Duration) {
+    /// Counts a request sent by this entry, of which so many prompt tokens are to be processed.
+    pub fn send(&mut self, prefill_tokens: u32, now: Duration) {
         self.in_flight += 1;
+        self.prefill_tokens = self.prefill_tokens.saturating_add(prefill_tokens);
         log(&mut self.sends, now);
     }
 
+    /// Counts the first byte or the failure of a request that was sent with these tokens.
+    pub fn answer(&mut self, prefill_tokens: u32) {
+        self.prefill_tokens = self.prefill_tokens.saturating_sub(prefill_tokens);
+    }
+
+    /// Prompt tokens of this entry's requests that wait or are being processed.
+    #[must_use]
+    pub fn prefill_tokens(&self) -> u32 {
+        self.prefill_tokens
+    }
+
     /// Counts a request of this entry that has ended.
     pub fn end(&mut self, now: Duration) {
         self.in_flight = self.in_flight.saturating_sub(1);
         log(&mut self.ends, now);
     }
 
+    /// Moment that the last report describes.
+    #[must_use]
+    pub fn reported_at(&self) -> Duration {
+        self.report.at
+    }
+
     /// Requests of this entry that have not ended.
     #[must_use]
     pub fn in_flight(&self) -> u32 {
--- a/src/route/outlier.rs
+++ b/src/route/outlier.rs
@@ -9,14 +9,15 @@
     /// Compares the targets of each pool and ejects slow ones; called about once a second.
     pub fn evaluate(&mut self, now: Duration) {
         let mut worst = vec![f32::INFINITY; self.replicas.len()];
-        for members in self.pools.values() {
+        for pool in self.pools.values() {
+            let members = &pool.members;
             let mut times: Vec<f32> = members
                 .iter()
                 .filter_map(|index| {
                     self.replicas[*index as usize]
                         .as_ref()?
                         .health
-                        .first_byte_ms()
+                        .relative_time()
                 })
                 .collect();
             // Two targets do not tell which of them is the odd one.
@@ -30,7 +31,7 @@
                 let Some(replica) = &self.replicas[place] else {
                     continue;
                 };
-                if let Some(time) = replica.health.first_byte_ms() {
+                if let Some(time) = replica.health.relative_time() {
                     worst[place] = worst[place].min(time / median);
                 }
             }
@@ -55,7 +56,7 @@
             return;
         }
         let has_room = replica.pools.iter().all(|(pool, _)| {
-            let members = self.pools.get(pool).map_or(&[][..], Vec::as_slice);
+            let members = self.pools.get(pool).map_or(&[][..], |pool| &pool.members);
             let is_ejected = |index: &&u32| {
                 let other = self.replicas[**index as usize].as_ref();
                 other.is_some_and(|other| other.health.is_ejected())
--- a/src/route/replica_pool.rs
+++ b/src/route/replica_pool.rs
@@ -30,7 +30,7 @@
     }
 
     /// Returns the first `count` distinct members from the place of `hash` on.
-    pub fn homes(&self, hash: u64, count: usize) -> SmallVec<[u32; 4]> {
+    pub fn homes(&self, hash: u64, count: usize) -> SmallVec<[u32; 8]> {
         let mut homes = SmallVec::new();
         // The engines' hashes may be weak in the upper bits, which decide the place.
         let place = self.ring.partition_point(|(at, _)| *at < mix(hash));
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -5,12 +5,16 @@
 use super::{
     Availability, Exchange, HealthState, LoadEstimate, LoadReport, PoolId, PrefixBelief,
     PrefixBlock, ReplicaSpec, RouteChoice, RouteTuning, belief::PrefixHolder, health::TargetHealth,
-    replica::Replica,
+    prefix_share::PrefixShare, replica::Replica, replica_pool::ReplicaPool,
 };
 use crate::ids::{DataCentreId, TargetId};
 
 /// Prefixes of a prompt that are looked up; bounds the time of a choice.
 pub(super) const LONGEST_PREFIX: usize = 16;
+/// Expectation before the first answer.
+const FIRST_HOME_HITS: f32 = 0.5;
+/// Weight of a new sample in the average.
+const HOME_SAMPLE_WEIGHT: f32 = 0.05;
 /// Distance to a data centre that the settings do not name.
 const UNKNOWN_DISTANCE_MS: f32 = 2.0;
 
@@ -22,10 +26,16 @@
     pub(super) replicas: Vec<Option<Replica>>,
     vacant: Vec<u32>,
     places: HashMap<TargetId, u32>,
-    pub(super) pools: HashMap<PoolId, Vec<u32>>,
+    pub(super) pools: HashMap<PoolId, ReplicaPool>,
     pub(super) belief: PrefixBelief,
     /// Requests of all entries that one send of this entry stands for.
     pub(super) scale: f32,
+    /// Share of the load that other entries cause.
+    pub(super) others_share: f32,
+    pub(super) popularity: PrefixShare,
+    /// Part of a prompt's prefixes that targets were found to have without evidence, because other
+    /// entries sent them there.
+    pub(super) home_hits: f32,
     last_generation: u32,
 }
 
@@ -44,6 +54,9 @@
             places: HashMap::new(),
             pools: HashMap::new(),
             scale: 1.0,
+            others_share: 0.0,
+            popularity: PrefixShare::default(),
+            home_hits: FIRST_HOME_HITS,
             last_generation: 0,
         }
     }
@@ -51,7 +64,9 @@
     /// Sets the number of live entries that share the targets.
     #[allow(clippy::cast_precision_loss)] // Counts are far below 2^24.
     pub fn set_entries(&mut self, entries: usize) {
-        self.scale = (entries.max(1) as f32).powf(self.tuning.others_exponent);
+        let entries = entries.max(1) as f32;
+        self.scale = entries.powf(self.tuning.others_exponent);
+        self.others_share = 1.0 - 1.0 / entries;
     }
 
     /// Adds a target or changes its slots, data centre and pools; load and health stay.
@@ -89,7 +104,8 @@
             self.leave_pool(pool, index);
         }
         for (pool, _) in &spec.pools {
-            self.pools.entry(pool.clone()).or_default().push(index);
+            let pool = self.pools.entry(pool.clone()).or_default();
+            pool.insert(index, &spec.target);
         }
     }
 
@@ -120,22 +136,24 @@
         }
     }
 
-    /// Counts a request that is sent to a target. Every call is followed by one of [`Self::end`].
-    pub fn send(&mut self, target: &TargetId, now: Duration) {
-        if let Some(replica) = self.replica_mut(target) {
-            replica.load.send(now);
+    /// Counts a request that is sent to the chosen target. Every call is followed by one of
+    /// [`Self::observe`] and one of [`Self::end`].
+    pub fn send(&mut self, choice: &RouteChoice, now: Duration) {
+        if let Some(replica) = self.replica_mut(&choice.target) {
+            replica.load.send(choice.prefill_tokens, now);
             replica.health.send(now);
         }
     }
 
     /// Notes how the start of an exchange went. A target that fails or is slow is ejected, unless
     /// a third of one of its pools is ejected already.
-    pub fn observe(&mut self, target: &TargetId, exchange: Exchange, now: Duration) {
-        let Some(index) = self.places.get(target).copied() else {
+    pub fn observe(&mut self, choice: &RouteChoice, exchange: Exchange, now: Duration) {
+        let Some(index) = self.places.get(&choice.target).copied() else {
             return;
         };
         if let Some(replica) = &mut self.replicas[index as usize] {
-            replica.health.observe(exchange, now);
+            replica.load.answer(choice.prefill_tokens);
+            replica.health.observe(exchange, choice.normal_ms, now);
         }
         self.eject_outlier(index, now);
     }
@@ -152,6 +170,9 @@
         let Some(index) = self.places.get(target).copied() else {
             return;
         };
+        if let Some(first) = prefix.first() {
+            self.popularity.record(first.hash);
+        }
         let Some(replica) = &self.replicas[index as usize] else {
             return;
         };
@@ -168,7 +189,12 @@
     /// Takes over how many prompt tokens a target found in its cache. Caches drop what was not
     /// used for longest: if less than half of what was believed is there, the target has dropped
     /// everything last used before the evidence for it.
+    #[allow(clippy::cast_precision_loss)] // Token counts are far below 2^24.
     pub fn correct(&mut self, choice: &RouteChoice, cached_tokens: u32) {
+        if let Some(tokens) = choice.home_tokens {
+            let found = (cached_tokens as f32 / tokens.max(1) as f32).min(1.0);
+            self.home_hits += (found - self.home_hits) * HOME_SAMPLE_WEIGHT;
+        }
         let Some((believed, seen_at)) = choice.evidence else {
             return;
         };
@@ -208,8 +234,8 @@
 
     fn leave_pool(&mut self, pool: &PoolId, index: u32) {
         if let Some(members) = self.pools.get_mut(pool) {
-            members.retain(|member| *member != index);
-            if members.is_empty() {
+            members.remove(index);
+            if members.members.is_empty() {
                 self.pools.remove(pool);
             }
         }
--- a/src/route/tuning.rs
+++ b/src/route/tuning.rs
@@ -18,6 +18,11 @@
     pub prefill_ms_per_token: f32,
     /// Time that a request occupies a slot, in milliseconds.
     pub slot_ms: f32,
+    /// Time after which a difference between reported loads counts half.
+    pub load_half_life: Duration,
+    /// Targets to which all entries send a prefix that they have no evidence for, however rare the
+    /// prefix is; frequent ones have more, up to 8.
+    pub homes: usize,
     /// Prefixes remembered over all pools.
     pub belief_capacity: usize,
 }
@@ -27,11 +32,13 @@
         Self {
             sample: 8,
             draws: 2,
-            temperature_ms: 20.0,
-            others_exponent: 0.5,
-            belief_half_life: Duration::from_secs(60),
+            temperature_ms: 40.0,
+            others_exponent: 1.0,
+            belief_half_life: Duration::from_secs(300),
             prefill_ms_per_token: 0.1,
-            slot_ms: 1000.0,
+            slot_ms: 3000.0,
+            load_half_life: Duration::from_secs(1),
+            homes: 2,
             belief_capacity: 32_768,
         }
     }
