--- a/src/entry/scheduler.rs
+++ b/src/entry/scheduler.rs
@@ -297,7 +297,7 @@
     }
 
     fn take(&mut self, choice: &RouteChoice, request: &ScheduledRequest, now: Duration) {
-        self.replicas.send(&choice.target, now);
+        self.replicas.send(choice, now);
         self.replicas.learn(&choice.target, &request.prefix, now);
         *self.running.entry(choice.target.clone()).or_default() += 1;
     }
--- a/src/entry/slot.rs
+++ b/src/entry/slot.rs
@@ -84,7 +84,7 @@
         self.is_observed = true;
         let now: Duration = self.scheduler.now();
         let mut tables = self.scheduler.tables();
-        tables.replicas.observe(&self.target.id, exchange, now);
+        tables.replicas.observe(&self.choice, exchange, now);
     }
 }
 
