--- a/src/entry/model.rs
+++ b/src/entry/model.rs
@@ -22,7 +22,7 @@
     model_stream::ModelStream,
     outgoing::{Outgoing, OutgoingBody, collect},
     proxy::CallerProxy,
-    refusal::CallerError,
+    refusal::{CallerError, RunState},
     request::{ModelRequest, TokenCost},
     scheduler::ScheduledRequest,
     stream_request::StreamRequest,
@@ -55,7 +55,7 @@
                 return Err(CallerError::not_run(ResultCode::UnknownRoute, message, id));
             }
         };
-        let body = collect(incoming, context.route.max_body_bytes)
+        let body = collect(incoming, context.route.max_body_bytes, context.deadline)
             .await
             .map_err(|(code, message)| CallerError::not_run(code, message, id))?;
         let request: ModelRequest = serde_json::from_slice(&body).map_err(|error| {
@@ -87,6 +87,9 @@
         let answer = match answer {
             Ok(answer) => answer,
             Err(error) => {
+                if error.run_state() == RunState::NotRun {
+                    self.refund(&scheduled, scheduled.cost);
+                }
                 settle_failure(reserved, &error);
                 return Err(error);
             }
@@ -119,9 +122,20 @@
             ));
         }
         let bytes = read_whole(answer, &mut guard, &context).await?;
-        self.metrics.observe_first_token(context.started.elapsed());
-        if let Some((reserved, used)) = reserved.zip(used_tokens(&bytes)) {
-            reserved.settle(used);
+        let used = match status {
+            status if status.is_success() => {
+                self.metrics.observe_first_token(context.started.elapsed());
+                used_tokens(&bytes)
+            }
+            // The engine refused the request for what it says.
+            status if status.is_client_error() => Some(0),
+            _ => None,
+        };
+        if let Some(used) = used {
+            self.refund(&scheduled, scheduled.cost.saturating_sub(used));
+            if let Some(reserved) = reserved {
+                reserved.settle(used);
+            }
         }
         Ok(response(status, headers, body::whole(bytes)))
     }
@@ -148,6 +162,12 @@
         Ok(request.cost(model.max_tokens_default))
     }
 
+    /// Moves the team's place in the queue back by tokens that were not used.
+    pub fn refund(&self, scheduled: &ScheduledRequest, tokens: u64) {
+        let ScheduledRequest { pool, team, .. } = scheduled;
+        self.scheduler.refund(pool, team, tokens);
+    }
+
     /// Version that the configuration names for a model or adapter.
     fn version(&self, model: &ModelId) -> Option<VersionId> {
         let view = self.view.get();
--- a/src/entry/model_stream.rs
+++ b/src/entry/model_stream.rs
@@ -20,7 +20,6 @@
     metrics::RetryKind,
     proxy::CallerProxy,
     refusal::{CallerError, RunState},
-    scheduler::ScheduledRequest,
     slot::TargetSlot,
     stream_request::StreamRequest,
 };
@@ -246,11 +245,9 @@
 
     fn note_complete(&mut self) {
         let used = self.request.prompt_tokens + self.delivered;
-        let ScheduledRequest {
-            pool, team, cost, ..
-        } = &self.request.scheduled;
-        let unused = cost.saturating_sub(used);
-        self.proxy.scheduler.refund(pool, team, unused);
+        let scheduled = &self.request.scheduled;
+        let unused = scheduled.cost.saturating_sub(used);
+        self.proxy.refund(scheduled, unused);
         if let Some(reserved) = self.request.reserved.take() {
             reserved.settle(used);
         }
