--- a/src/entry.rs
+++ b/src/entry.rs
@@ -33,6 +33,7 @@
 mod refusal;
 mod request;
 mod retries;
+mod scheduled;
 mod scheduler;
 mod service;
 mod slot;
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -16,7 +16,7 @@
     outgoing::Outgoing,
     proxy::CallerProxy,
     refusal::{CallerError, RunState},
-    scheduler::ScheduledRequest,
+    scheduled::ScheduledRequest,
     slot::TargetSlot,
 };
 use crate::{
--- a/src/entry/model.rs
+++ b/src/entry/model.rs
@@ -24,7 +24,7 @@
     proxy::CallerProxy,
     refusal::{CallerError, RunState},
     request::{ModelRequest, TokenCost},
-    scheduler::ScheduledRequest,
+    scheduled::ScheduledRequest,
     stream_request::StreamRequest,
 };
 use crate::{
--- a/src/entry/proxy.rs
+++ b/src/entry/proxy.rs
@@ -24,7 +24,8 @@
     phase::{EntryPhase, PhaseReceiver},
     refusal::CallerError,
     retries::RetryLimits,
-    scheduler::{ScheduledRequest, Scheduler},
+    scheduled::ScheduledRequest,
+    scheduler::Scheduler,
     view::{EntryView, SharedView},
 };
 use crate::{
--- a/src/entry/scheduler.rs
+++ b/src/entry/scheduler.rs
@@ -8,7 +8,7 @@
 use tokio::sync::oneshot;
 
 use super::{
-    candidates::TriedTargets,
+    scheduled::ScheduledRequest,
     slot::TargetSlot,
     view::{EntryView, SharedView},
 };
@@ -16,10 +16,8 @@
     client::ConnectCounter,
     error::Result,
     fair::{FairLimits, FairQueue, PushRefusal, TicketId},
-    ids::{DataCentreId, TargetId, TeamId, VersionId},
-    route::{
-        Availability, PoolId, PrefixBlock, ReplicaTable, RouteChoice, RouteRequest, RouteTuning,
-    },
+    ids::{DataCentreId, TargetId, TeamId},
+    route::{Availability, PoolId, ReplicaTable, RouteChoice, RouteRequest, RouteTuning},
 };
 
 /// Choices made to find a target with a free place, since two draws may both meet full ones.
@@ -50,29 +48,6 @@
     pub clients: HashMap<TargetId, Client>,
 }
 
-/// A request as queue and choice see it.
-#[derive(Clone, Debug)]
-pub struct ScheduledRequest {
-    /// Targets that can run it.
-    pub pool: PoolId,
-    /// Team that is charged; empty on routes open to all.
-    pub team: TeamId,
-    /// Weight of the team.
-    pub weight: u32,
-    /// Priority within the team and at the engine.
-    pub priority: u8,
-    /// Tokens that it may use.
-    pub cost: u64,
-    /// Tokens of the prompt.
-    pub prompt_tokens: u32,
-    /// Prefixes of the prompt.
-    pub prefix: Vec<PrefixBlock>,
-    /// Version that targets should hold; another one serves while none does.
-    pub version: Option<VersionId>,
-    /// Targets that must not be chosen.
-    pub tried: TriedTargets,
-}
-
 /// A request in a queue.
 pub struct WaitingRequest {
     request: ScheduledRequest,
--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -20,7 +20,7 @@
     proxy::CallerProxy,
     recorded::{record, replay},
     refusal::{CallerError, RunState},
-    scheduler::ScheduledRequest,
+    scheduled::ScheduledRequest,
 };
 use crate::{code::ResultCode, ids::BodyHash, route::PoolId, state::RecordedResponse};
 
--- a/src/entry/stream_request.rs
+++ b/src/entry/stream_request.rs
@@ -8,7 +8,7 @@
 use super::{
     allowance::ReservedTokens,
     outgoing::{Outgoing, OutgoingBody},
-    scheduler::ScheduledRequest,
+    scheduled::ScheduledRequest,
 };
 
 /// Path of the call that continues a broken stream; see docs/engine-interface.md.
