--- a/src/control/hub.rs
+++ b/src/control/hub.rs
@@ -338,16 +338,6 @@
         self.tables(lease.term).demand.take(now)
     }
 
-    /// Tells whether every entry that may serve knows the crash table as applied here.
-    pub fn all_know_crashes(&self, lease: LeaderLease) -> bool {
-        let version = self.voter.local(|state| state.crashes().version());
-        let now = self.now();
-        let tables = self.tables(lease.term);
-        tables
-            .registry
-            .all_know_crashes(version, MAX_FRESHNESS, now)
-    }
-
     /// Returns the entries that sync with this leader, with the age of their last sync.
     pub fn entries(&self, lease: LeaderLease) -> Vec<(EntryKey, EntryStatus, Duration)> {
         let now = self.now();
@@ -370,6 +360,16 @@
         is_known.then(|| tables.registry.lacking(revision, MAX_FRESHNESS, now))
     }
 
+    /// Tells whether every entry that may serve knows the crash table as applied here.
+    pub fn all_know_crashes(&self, lease: LeaderLease) -> bool {
+        let version = self.voter.local(|state| state.crashes().version());
+        let now = self.now();
+        let tables = self.tables(lease.term);
+        tables
+            .registry
+            .all_know_crashes(version, MAX_FRESHNESS, now)
+    }
+
     /// Returns a receiver that changes with the residency table.
     pub fn watch(&self) -> watch::Receiver<u64> {
         self.changes.subscribe()
