Let any daemon show the configuration that it has applied

Cause: reads of the configuration go through the leader, and the tests of the voters read what each daemon has applied. Change: GET /config?local=true answers from the daemon's own state. The harness of the voter tests uses it.

--- a/src/control/admin/config.rs
+++ b/src/control/admin/config.rs
@@ -22,13 +22,18 @@
 /// Time between two looks at what entries have in force.
 const LOOK_PERIOD: Duration = Duration::from_millis(20);
 
-/// Returns the configuration in force.
-#[get("/config")]
+/// Returns the configuration in force. With `local`, any daemon returns what it has applied, which
+/// may be behind; operators see it also when there is no leader.
+#[get("/config?<local>")]
 pub async fn get_config(
     _operator: Operator,
+    local: Option<bool>,
     voter: &State<VoterHandle>,
 ) -> AdminResult<ConfigView> {
-    let (revision, config) = voter.read(ControlState::config).await?;
+    let (revision, config) = match local {
+        Some(true) => voter.local(ControlState::config),
+        _ => voter.read(ControlState::config).await?,
+    };
     let config = config.map(|config| (*config).clone());
     Ok(Json(ConfigView { revision, config }))
 }
--- a/tests/harness/control_fleet.rs
+++ b/tests/harness/control_fleet.rs
@@ -254,7 +254,9 @@
 
     /// Returns the revision that a daemon shows.
     pub async fn revision(&self, number: usize) -> Option<u64> {
-        let call = self.client.get(self.url(number, "/admin/v1/config"));
+        let call = self
+            .client
+            .get(self.url(number, "/admin/v1/config?local=true"));
         let answer = call
             .bearer_auth(ADMIN_TOKEN)
             .timeout(CALL_TIMEOUT)
