--- a/tests/entry_claims.rs
+++ b/tests/entry_claims.rs
@@ -123,6 +123,25 @@
     assert_eq!(runs(&fleet, &key).await, 1);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_waits_for_a_claimed_request_whose_caller_has_left() {
+    let mut fleet = RealFleet::start(2, &[]).await;
+    let late = Faults {
+        late_ms: 1_500,
+        ..Faults::default()
+    };
+    fleet.service.set_faults(&fleet.client, &late).await;
+    let key = Uuid::now_v7().to_string();
+    let call = order(&fleet, 0, &key, "two").timeout(Duration::from_millis(300));
+    assert!(call.send().await.is_err());
+    fleet.entries[0].1.terminate();
+    let code = fleet.entries[0].1.exit_code(Duration::from_secs(10)).await;
+    assert_eq!(code, Some(0));
+    let again = order(&fleet, 1, &key, "two").send().await.expect("a reply");
+    assert_eq!(again.headers()["idempotent-replayed"], "true");
+    assert_eq!(runs(&fleet, &key).await, 1);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_claim_of_a_request_that_was_not_started_is_released() {
     let fleet = RealFleet::start(2, &[]).await;
