--- a/src/control/admin/config.rs
+++ b/src/control/admin/config.rs
@@ -22,8 +22,8 @@
 /// Time between two looks at what entries have in force.
 const LOOK_PERIOD: Duration = Duration::from_millis(20);
 
-/// Returns the configuration in force, or with `local` the one that this daemon has applied, which
-/// any daemon answers, also one that is cut off from the leader.
+/// Returns the configuration in force. With `local`, any daemon returns what it has applied, which
+/// may be behind; operators see it also when there is no leader.
 #[get("/config?<local>")]
 pub async fn get_config(
     _operator: Operator,
