Order the teams of a fair queue by number

Cause: a push and a pop took more than 1 us from about 20 teams on, because the ordered sets compared names. Change: a table gives each team a numeric place; charges move to their own file.

--- a/src/fair.rs
+++ b/src/fair.rs
@@ -1,11 +1,13 @@
 //! Weighted fair queue over teams with priorities within a team; see docs/design.md, section 9,
 //! and docs/policy.md.
 
+mod charge;
 mod limits;
 mod queue;
 mod refusal;
 mod service_rate;
 mod team_queue;
+mod team_table;
 
 use std::time::Duration;
 
--- a/src/fair/queue.rs
+++ b/src/fair/queue.rs
@@ -7,6 +7,7 @@
     FairLimits, HIGHEST_PRIORITY, PushRefusal, RefusedItem,
     service_rate::ServiceRate,
     team_queue::{AgedKey, QueuedItem, TeamQueue},
+    team_table::{TeamIndex, TeamTable},
 };
 use crate::ids::TeamId;
 
@@ -27,19 +28,19 @@
 /// elsewhere moves its tag too, so that shares hold over the fleet. All operations are O(log n).
 #[derive(Debug)]
 pub struct FairQueue<T> {
-    limits: FairLimits,
-    teams: HashMap<TeamId, TeamQueue<T>>,
+    pub(super) limits: FairLimits,
+    pub(super) teams: TeamTable<T>,
     /// Teams with waiting items, by start tag.
-    ready: BTreeSet<(u128, TeamId)>,
+    pub(super) ready: BTreeSet<(u128, TeamIndex)>,
     /// Teams without waiting items whose tag is ahead of virtual time; others are forgotten.
-    idle: BTreeSet<(u128, TeamId)>,
+    idle: BTreeSet<(u128, TeamIndex)>,
     deadlines: BTreeSet<(Duration, TicketId)>,
-    places: HashMap<TicketId, (TeamId, AgedKey)>,
+    places: HashMap<TicketId, (TeamIndex, AgedKey)>,
     expired: Vec<T>,
-    virtual_time: u128,
+    pub(super) virtual_time: u128,
     /// Part of virtual time that comes from charges common to all teams that wait; the rest comes
     /// from this queue's own service.
-    charged_time: u128,
+    pub(super) charged_time: u128,
     ready_weight: u64,
     rate: ServiceRate,
     last_id: TicketId,
@@ -51,7 +52,7 @@
     pub fn new(limits: FairLimits) -> Self {
         Self {
             limits,
-            teams: HashMap::new(),
+            teams: TeamTable::new(),
             ready: BTreeSet::new(),
             idle: BTreeSet::new(),
             deadlines: BTreeSet::new(),
@@ -83,11 +84,15 @@
     ) -> Result<TicketId, RefusedItem<T>> {
         let weight = weight.max(1);
         let priority = priority.min(HIGHEST_PRIORITY);
-        let reason = if self.teams.get(team).map_or(0, TeamQueue::len) >= self.limits.team_items {
+        let known = self
+            .teams
+            .index(team)
+            .and_then(|index| self.teams.get(index));
+        let reason = if known.map_or(0, TeamQueue::len) >= self.limits.team_items {
             Some(PushRefusal::TeamFull)
         } else if self.places.len() >= self.limits.total_items {
             Some(PushRefusal::QueueFull)
-        } else if self.is_too_late(team, weight, priority, deadline, now) {
+        } else if self.is_too_late(known, weight, priority, deadline, now) {
             Some(PushRefusal::TooLate)
         } else {
             None
@@ -95,12 +100,15 @@
         if let Some(reason) = reason {
             return Err(RefusedItem { reason, item });
         }
-        self.detach(team);
         let (virtual_time, own_time) = (self.virtual_time, self.own_time());
-        let queue = self
-            .teams
-            .entry(team.clone())
-            .or_insert_with(|| TeamQueue::new(weight, virtual_time));
+        let index = self.teams.index_or_new(team, weight, virtual_time);
+        self.detach(index);
+        let Some(queue) = self.teams.get_mut(index) else {
+            return Err(RefusedItem {
+                reason: PushRefusal::QueueFull,
+                item,
+            });
+        };
         queue.weight = weight;
         if queue.is_empty() {
             queue.tag = queue.tag.max(virtual_time);
@@ -115,8 +123,8 @@
         };
         let key = queue.push(self.last_id, queued, now);
         self.deadlines.insert((deadline, self.last_id));
-        self.places.insert(self.last_id, (team.clone(), key));
-        self.attach(team);
+        self.places.insert(self.last_id, (index, key));
+        self.attach(index);
         self.rate.start(now);
         Ok(self.last_id)
     }
@@ -125,14 +133,14 @@
     /// [`Self::drain_expired`].
     pub fn pop(&mut self, now: Duration) -> Option<T> {
         self.expire(now);
-        let (_, team) = self.ready.first()?.clone();
-        self.detach(&team);
-        let queue = self.teams.get_mut(&team)?;
+        let (_, team) = *self.ready.first()?;
+        self.detach(team);
+        let queue = self.teams.get_mut(team)?;
         let ((_, id), served) = queue.pop()?;
         self.virtual_time = self.virtual_time.max(queue.tag);
         queue.waiting_since = self.virtual_time - self.charged_time;
         queue.tag += scaled(served.cost, queue.weight);
-        self.attach(&team);
+        self.attach(team);
         self.places.remove(&id);
         self.deadlines.remove(&(served.deadline, id));
         self.rate.record(served.cost, !self.places.is_empty(), now);
@@ -153,67 +161,6 @@
         std::mem::take(&mut self.expired)
     }
 
-    /// Accounts for tokens that teams, with their weights, were served elsewhere in the fleet.
-    ///
-    /// All charges of a sync are given at once: a team falls behind the others here by at most
-    /// [`FairLimits::lead_tokens`] per unit of weight, and what all of them received is no lead.
-    /// However often it is charged, its next item is served after this queue has served the others
-    /// that much.
-    pub fn charge_elsewhere(&mut self, charges: &[(TeamId, u32, u64)]) {
-        let virtual_time = self.virtual_time;
-        let mut common = u128::MAX;
-        let mut charged_teams = 0;
-        for (team, weight, tokens) in charges {
-            self.detach(team);
-            let weight = (*weight).max(1);
-            let queue = self
-                .teams
-                .entry(team.clone())
-                .or_insert_with(|| TeamQueue::new(weight, virtual_time));
-            let charge = scaled(*tokens, weight);
-            queue.uncharged_tag = queue.tag.max(virtual_time);
-            queue.tag = queue.uncharged_tag + charge;
-            if !queue.is_empty() {
-                common = common.min(charge);
-                charged_teams += 1;
-            }
-            self.attach(team);
-        }
-        // What every waiting team received is no lead of any; a team left out received nothing.
-        if charged_teams > 0 && charged_teams == self.ready.len() {
-            self.virtual_time += common;
-            self.charged_time += common;
-        }
-        let lead = scaled(self.limits.lead_tokens, 1);
-        for (team, ..) in charges {
-            let Some(queue) = self.teams.get(team) else {
-                continue;
-            };
-            let mut most = self.virtual_time + lead;
-            if !queue.is_empty() {
-                // Charges of many syncs must not put off a waiting item for ever.
-                let waited = queue.waiting_since + self.charged_time + lead;
-                most = most.min(waited.max(queue.uncharged_tag));
-            }
-            if queue.tag > most {
-                self.move_tag(team, most);
-            }
-        }
-        self.forget_idle();
-    }
-
-    /// Accounts for an item that used fewer tokens than its cost. The team's tag moves back, but
-    /// not behind virtual time.
-    pub fn refund(&mut self, team: &TeamId, tokens: u64) {
-        let Some(queue) = self.teams.get(team) else {
-            return;
-        };
-        let refunded = queue.tag.saturating_sub(scaled(tokens, queue.weight));
-        let tag = queue.tag.min(refunded.max(self.virtual_time));
-        self.move_tag(team, tag);
-        self.forget_idle();
-    }
-
     /// Number of items that wait.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -237,7 +184,7 @@
     #[allow(clippy::cast_precision_loss)] // A rounding error of the estimate is harmless.
     fn is_too_late(
         &self,
-        team: &TeamId,
+        queue: Option<&TeamQueue<T>>,
         weight: u32,
         priority: u8,
         deadline: Duration,
@@ -249,7 +196,7 @@
         let Some(rate) = self.rate.per_second() else {
             return false;
         };
-        let queue = self.teams.get(team).filter(|queue| !queue.is_empty());
+        let queue = queue.filter(|queue| !queue.is_empty());
         let ahead = queue.map_or(0, |queue| queue.tokens_from(priority));
         let own = queue.map_or(0, |queue| u64::from(queue.weight));
         let all = self.ready_weight - own + u64::from(weight);
@@ -269,9 +216,9 @@
 
     fn remove(&mut self, ticket: TicketId) -> Option<T> {
         let (team, key) = self.places.remove(&ticket)?;
-        self.detach(&team);
-        let removed = self.teams.get_mut(&team)?.remove(&key)?;
-        self.attach(&team);
+        self.detach(team);
+        let removed = self.teams.get_mut(team)?.remove(&key)?;
+        self.attach(team);
         self.deadlines.remove(&(removed.deadline, ticket));
         self.forget_idle();
         Some(removed.item)
@@ -288,11 +235,11 @@
     }
 
     /// Takes a team out of the ordered sets before its tag, weight or items change.
-    fn detach(&mut self, team: &TeamId) {
+    pub(super) fn detach(&mut self, team: TeamIndex) {
         let Some(queue) = self.teams.get(team) else {
             return;
         };
-        let place = (queue.tag, team.clone());
+        let place = (queue.tag, team);
         if self.ready.remove(&place) {
             self.ready_weight -= u64::from(queue.weight);
         } else {
@@ -300,7 +247,7 @@
         }
     }
 
-    fn move_tag(&mut self, team: &TeamId, tag: u128) {
+    pub(super) fn move_tag(&mut self, team: TeamIndex, tag: u128) {
         self.detach(team);
         if let Some(queue) = self.teams.get_mut(team) {
             queue.tag = tag;
@@ -308,11 +255,11 @@
         self.attach(team);
     }
 
-    fn attach(&mut self, team: &TeamId) {
+    pub(super) fn attach(&mut self, team: TeamIndex) {
         let Some(queue) = self.teams.get(team) else {
             return;
         };
-        let place = (queue.tag, team.clone());
+        let place = (queue.tag, team);
         if queue.is_empty() {
             self.idle.insert(place);
         } else {
@@ -321,17 +268,17 @@
         }
     }
 
-    fn forget_idle(&mut self) {
+    pub(super) fn forget_idle(&mut self) {
         while let Some((tag, _)) = self.idle.first()
             && *tag <= self.virtual_time
         {
             if let Some((_, team)) = self.idle.pop_first() {
-                self.teams.remove(&team);
+                self.teams.remove(team);
             }
         }
     }
 }
 
-fn scaled(tokens: u64, weight: u32) -> u128 {
+pub(super) fn scaled(tokens: u64, weight: u32) -> u128 {
     u128::from(tokens) * TAG_SCALE / u128::from(weight)
 }
