--- a/src/code.rs
+++ b/src/code.rs
@@ -3,10 +3,10 @@
 use serde::{Deserialize, Serialize};
 
 macro_rules! result_codes {
-    ($($(#[$doc:meta])* $variant:ident = $number:literal, $name:literal, $status:literal;)*) => {
+    ($($(#[doc = $meaning:literal])+ $variant:ident = $number:literal, $name:literal, $status:literal;)*) => {
         /// Result code of a refusal or failure, stable across releases.
         #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-        pub enum ResultCode { $($(#[$doc])* $variant),* }
+        pub enum ResultCode { $($(#[doc = $meaning])+ $variant),* }
 
         impl ResultCode {
             /// Every code, in the order of the numbers.
@@ -23,6 +23,12 @@
             /// HTTP status that goes with the code.
             #[must_use]
             pub const fn status(self) -> u16 { match self { $(Self::$variant => $status),* } }
+
+            /// What the code means, for the documentation.
+            #[must_use]
+            pub const fn meaning(self) -> &'static str {
+                match self { $(Self::$variant => concat!($($meaning),+)),* }
+            }
         }
     };
 }
@@ -82,6 +88,8 @@
     TargetRefused = 1307, "target_refused", 503;
     /// The key was revoked while the answer was streaming.
     KeyRevoked = 1308, "key_revoked", 403;
+    /// The request took a target down and another attempt of it runs.
+    SuspectBusy = 1309, "suspect_busy", 503;
     /// Another configuration was accepted first.
     RevisionConflict = 2001, "revision_conflict", 409;
     /// The configuration has errors and nothing was changed.
@@ -96,6 +104,10 @@
     NotInForce = 2006, "not_in_force", 504;
     /// The request id was used for another change.
     RequestIdReused = 2007, "request_id_reused", 422;
+    /// The membership change does not apply or would put the quorum at risk.
+    ChangeRefused = 2008, "change_refused", 409;
+    /// The revision is not kept or was never accepted.
+    UnknownRevision = 2009, "unknown_revision", 404;
     /// An unexpected condition; the log has the details.
     Internal = 3001, "internal", 500;
 }
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -1,13 +1,17 @@
 use std::{
-    collections::HashMap,
-    sync::{Arc, PoisonError, RwLock},
+    collections::{HashMap, HashSet},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock},
     time::{Duration, Instant},
 };
 
+use tokio::sync::watch;
+
+use super::crashes::CrashTable;
 use crate::{
+    border::FleetConfig,
     fleet::FleetIndex,
-    ids::{ModelId, Revision, TargetId, VersionId},
-    sync::{ConfigSection, ResidencySection, SyncReply},
+    ids::{ModelId, Revision, TargetId, TeamId, Term, VersionId},
+    sync::{ConfigSection, ResidencySection, ResidentModel, SyncReply, TargetLoad},
 };
 
 /// Copies of each model that may receive requests.
@@ -18,53 +22,134 @@
 pub struct EntryView {
     /// Revision in force.
     pub revision: Revision,
+    /// Configuration of the revision; `None` before the first one.
+    pub config: Option<Arc<FleetConfig>>,
     /// Lookup tables of the revision.
     pub index: Arc<FleetIndex>,
     /// Version of the residency table.
     pub residency_version: u64,
     /// Copies of each model.
     pub residency: Arc<ResidencyTable>,
+    /// Targets that get no new requests.
+    pub avoided: Arc<HashSet<TargetId>>,
+    /// Requests that crashed targets.
+    pub crashes: Arc<CrashTable>,
     /// Moment at which the entry asked for the latest proof; `None` before the first one.
     pub proven_at: Option<Instant>,
 }
 
 impl EntryView {
     /// Tells whether the view was proved fresh within `bound`.
+    #[must_use]
     pub fn is_fresh(&self, bound: Duration) -> bool {
         self.proven_at.is_some_and(|asked| asked.elapsed() <= bound)
     }
 
+    fn set_config(&mut self, revision: Revision, config: FleetConfig) {
+        self.revision = revision;
+        self.index = Arc::new(FleetIndex::new(&config));
+        self.config = Some(Arc::new(config));
+    }
+
     /// Returns the view after a reply to a sync that was asked at `asked`.
     #[must_use]
     pub fn with_reply(mut self, reply: SyncReply, asked: Instant) -> Self {
         match reply.config {
             // Revisions only move forward, also when replies overtake each other.
             ConfigSection::Snapshot(revision, config) if revision > self.revision => {
-                self.revision = revision;
-                self.index = Arc::new(FleetIndex::new(&config));
+                self.set_config(revision, *config);
+            }
+            ConfigSection::Delta { from, to, delta } if from == self.revision && to > from => {
+                let changed = self.config.as_ref().map(|config| delta.apply_to(config));
+                // A difference that does not fit leaves the revision as it is, and the next sync
+                // brings the configuration anew; the proof must not cover the old one.
+                let Some(Ok(config)) = changed else {
+                    self.revision = 0;
+                    return self;
+                };
+                self.set_config(to, config);
             }
             _ => {}
         }
-        if let ResidencySection::Snapshot(version, copies) = reply.residency {
-            let mut table = ResidencyTable::new();
-            for copy in copies {
-                table
-                    .entry(copy.model)
-                    .or_default()
-                    .push((copy.target, copy.version));
+        match reply.residency {
+            ResidencySection::Snapshot(version, copies) => {
+                let mut table = ResidencyTable::new();
+                add_copies(&mut table, copies);
+                self.residency_version = version;
+                self.residency = Arc::new(table);
             }
-            self.residency_version = version;
-            self.residency = Arc::new(table);
+            ResidencySection::Delta {
+                from,
+                to,
+                added,
+                removed,
+            } if from == self.residency_version => {
+                let table = Arc::make_mut(&mut self.residency);
+                remove_copies(table, &removed);
+                add_copies(table, added);
+                self.residency_version = to;
+            }
+            _ => {}
+        }
+        self.avoided = Arc::new(reply.avoided.into_iter().collect());
+        if let Some(crashes) = reply.crashes {
+            self.crashes = Arc::new(CrashTable::new(crashes));
         }
         self.proven_at = self.proven_at.max(Some(asked));
         self
     }
 }
 
+fn add_copies(table: &mut ResidencyTable, copies: Vec<ResidentModel>) {
+    for copy in copies {
+        table
+            .entry(copy.model)
+            .or_default()
+            .push((copy.target, copy.version));
+    }
+}
+
+fn remove_copies(table: &mut ResidencyTable, copies: &[ResidentModel]) {
+    for copy in copies {
+        if let Some(held) = table.get_mut(&copy.model) {
+            held.retain(|(target, version)| *target != copy.target || *version != copy.version);
+        }
+    }
+    table.retain(|_, held| !held.is_empty());
+}
+
 /// The current view, shared by all requests.
-#[derive(Default)]
 pub struct SharedView {
     current: RwLock<Arc<EntryView>>,
+    revisions: watch::Sender<Revision>,
+    residency: watch::Sender<u64>,
+    syncs: watch::Sender<u64>,
+    news: Mutex<Vec<SyncNews>>,
+}
+
+/// Parts of a reply that are applied once.
+#[derive(Debug)]
+pub struct SyncNews {
+    /// Moment at which the reply arrived.
+    pub received: Instant,
+    /// Term of the leader that replied.
+    pub term: Term,
+    /// Loads that changed.
+    pub loads: Vec<TargetLoad>,
+    /// Cumulative tokens that other entries served to each team in this term.
+    pub served_elsewhere: Vec<(TeamId, u64)>,
+}
+
+impl Default for SharedView {
+    fn default() -> Self {
+        Self {
+            current: RwLock::default(),
+            revisions: watch::channel(0).0,
+            residency: watch::channel(0).0,
+            syncs: watch::channel(0).0,
+            news: Mutex::default(),
+        }
+    }
 }
 
 impl SharedView {
@@ -73,8 +158,57 @@
         Arc::clone(&self.current.read().unwrap_or_else(PoisonError::into_inner))
     }
 
-    /// Replaces the current view.
-    pub fn set(&self, view: EntryView) {
-        *self.current.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(view);
+    /// Applies a reply to a sync that was asked at `asked`, and returns the revision if it is new.
+    pub fn update(&self, mut reply: SyncReply, asked: Instant) -> Option<Revision> {
+        let news = SyncNews {
+            received: Instant::now(),
+            term: reply.term,
+            loads: std::mem::take(&mut reply.loads),
+            served_elsewhere: std::mem::take(&mut reply.served_elsewhere),
+        };
+        self.lock_news().push(news);
+        let mut current = self.current.write().unwrap_or_else(PoisonError::into_inner);
+        let before = current.revision;
+        let next = EntryView::clone(&current).with_reply(reply, asked);
+        let (revision, residency) = (next.revision, next.residency_version);
+        *current = Arc::new(next);
+        drop(current);
+        notify(&self.revisions, revision);
+        notify(&self.residency, residency);
+        self.syncs.send_modify(|count| *count += 1);
+        (revision != before).then_some(revision)
+    }
+
+    /// Takes what the replies since the last call brought.
+    pub fn take_news(&self) -> Vec<SyncNews> {
+        std::mem::take(&mut *self.lock_news())
+    }
+
+    fn lock_news(&self) -> MutexGuard<'_, Vec<SyncNews>> {
+        self.news.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    /// Returns a receiver that changes with each sync.
+    pub fn watch_syncs(&self) -> watch::Receiver<u64> {
+        self.syncs.subscribe()
+    }
+
+    /// Returns a receiver that changes with the revision in force.
+    pub fn watch_revision(&self) -> watch::Receiver<Revision> {
+        self.revisions.subscribe()
+    }
+
+    /// Returns a receiver that changes with the residency table.
+    pub fn watch_residency(&self) -> watch::Receiver<u64> {
+        self.residency.subscribe()
+    }
+}
+
+/// Wakes the receivers only when the value differs, since each sync updates the view.
+fn notify(sender: &watch::Sender<u64>, value: u64) {
+    sender.send_if_modified(|current| {
+        let differs = *current != value;
+        *current = value;
+        differs
+    });
 }
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -1,10 +1,14 @@
 //! Messages between entry daemons and control daemons; see docs/design.md, section 7.
 
+mod claims;
 mod reply;
 mod report;
 mod request;
 
-pub use reply::{ConfigSection, ResidencySection, ResidentModel, SyncReply};
+pub use claims::{CLAIMS_PATH, CRASHES_PATH, ClaimMessage, CommandReply, CrashMessage};
+pub use reply::{
+    ConfigSection, CrashSection, ResidencySection, ResidentModel, SyncReply, TargetLoad,
+};
 pub use report::{EngineReport, ResidentCopy};
 pub use request::{ModelDemand, SyncRequest, TargetObservation, TargetReport};
 
