Ask urgently only for teams that no sync under way asks for

Cause: a trace of the entry showed 76 syncs for 38 engine calls in 3 s: a request that lacked tokens started a full sync each time it looked, also when one under way asked for the same tokens. Change: an urgent sync carries only teams that lack tokens and for which none is under way; when it ends and tokens still lack, the next one starts.

--- a/src/entry/allowance.rs
+++ b/src/entry/allowance.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, Ordering},
@@ -27,6 +27,8 @@
     lines: HashMap<TeamId, BTreeMap<LinePlace, u64>>,
     last_number: u64,
     last_report: Duration,
+    /// Teams for which a sync is under way that asks for the tokens a request waits for.
+    asking: HashSet<TeamId>,
 }
 
 /// The entry's share of every team's allowance, with the requests that wait for it.
@@ -129,6 +131,35 @@
         }
     }
 
+    /// Returns the reports of the teams whose requests lack tokens that no sync under way asks for;
+    /// `None` when there is no such team. [`Self::end_urgent`] follows each report.
+    #[must_use]
+    pub fn report_urgent(&self) -> Option<(Vec<ShareReport>, Duration)> {
+        let mut tables = self.tables();
+        let now = tables.next_report(self.started.elapsed());
+        let mut shares = tables.share.report_short(now);
+        shares.retain(|share| !tables.asking.contains(&share.team));
+        tables
+            .asking
+            .extend(shares.iter().map(|share| share.team.clone()));
+        (!shares.is_empty()).then_some((shares, now))
+    }
+
+    /// Ends a sync that carried urgent reports, and asks again for what is still lacking.
+    pub fn end_urgent(&self, teams: &[TeamId]) {
+        let mut tables = self.tables();
+        let now = self.started.elapsed();
+        let mut is_lacking = false;
+        for team in teams {
+            tables.asking.remove(team);
+            is_lacking |= tables.share.is_short(team, now);
+        }
+        drop(tables);
+        if is_lacking {
+            self.lacking.notify_one();
+        }
+    }
+
     /// Returns the reports for the next sync and the time that names them.
     #[must_use]
     pub fn report(&self) -> (Vec<ShareReport>, Duration) {
@@ -136,12 +167,7 @@
         if self.is_leaving.load(Ordering::Relaxed) {
             tables.share.leave();
         }
-        // Replies are matched to reports by this time, so that no two reports may share it.
-        let now = self
-            .started
-            .elapsed()
-            .max(tables.last_report + Duration::from_nanos(1));
-        tables.last_report = now;
+        let now = tables.next_report(self.started.elapsed());
         (tables.share.report(now), now)
     }
 
@@ -175,6 +201,12 @@
 }
 
 impl AllowanceTables {
+    /// Replies are matched to reports by their time, so that no two reports may share it.
+    fn next_report(&mut self, now: Duration) -> Duration {
+        self.last_report = now.max(self.last_report + Duration::from_nanos(1));
+        self.last_report
+    }
+
     fn state_waiting(&mut self, team: &TeamId) {
         let line = self.lines.get(team);
         let first = line
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -15,9 +15,10 @@
     allowance::SharedAllowance, demand::DemandCounter, poll::PolledReports, view::SharedView,
 };
 use crate::{
+    allowance::ShareReport,
     config::EntryConfig,
     error::{Error, Result},
-    ids::Incarnation,
+    ids::{Incarnation, TeamId},
     sync::{self, SECRET_HEADER, SYNC_PATH, SyncReply, SyncRequest},
 };
 
@@ -32,6 +33,9 @@
 /// Wait after a failed sync, so that a fleet without a leader is not flooded.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Share reports with the time that names them.
+type TimedReports = (Vec<ShareReport>, Duration);
+
 /// Keeps an entry's view and allowance up to date by syncing with the leader.
 pub struct SyncFollower {
     config: EntryConfig,
@@ -90,7 +94,8 @@
         let urgent = Arc::clone(&self).run_urgent();
         let regular = async {
             loop {
-                if self.sync_once(HOLD).await.is_err() {
+                let shares = self.allowance.report();
+                if self.sync_once(HOLD, shares).await.is_err() {
                     tokio::time::sleep(RETRY_DELAY).await;
                 }
             }
@@ -106,12 +111,17 @@
             let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
                 return;
             };
+            let Some(shares) = self.allowance.report_urgent() else {
+                continue;
+            };
+            let teams: Vec<TeamId> = shares.0.iter().map(|share| share.team.clone()).collect();
             let follower = Arc::clone(&self);
             tokio::spawn(async move {
-                if follower.sync_once(URGENT_HOLD).await.is_err() {
+                if follower.sync_once(URGENT_HOLD, shares).await.is_err() {
                     tokio::time::sleep(RETRY_DELAY).await;
                 }
                 drop(permit);
+                follower.allowance.end_urgent(&teams);
             });
         }
     }
@@ -125,7 +135,9 @@
         self.allowance.leave();
         let mut last = Ok(());
         for _ in &self.config.control {
-            last = self.sync_once(Duration::ZERO).await;
+            last = self
+                .sync_once(Duration::ZERO, self.allowance.report())
+                .await;
             if last.is_ok() {
                 return Ok(());
             }
@@ -133,10 +145,10 @@
         last
     }
 
-    async fn sync_once(&self, hold: Duration) -> Result<()> {
+    async fn sync_once(&self, hold: Duration, shares: TimedReports) -> Result<()> {
         let turn = self.leader.load(Ordering::Relaxed);
         let control = self.config.control[turn % self.config.control.len()];
-        let synced = self.exchange(control, hold).await;
+        let synced = self.exchange(control, hold, shares).await;
         if let Err(error) = &synced {
             debug!("sync: {error}");
             // Another task may have moved on already.
@@ -148,11 +160,15 @@
         synced
     }
 
-    async fn exchange(&self, control: SocketAddr, hold: Duration) -> Result<()> {
+    async fn exchange(
+        &self,
+        control: SocketAddr,
+        hold: Duration,
+        (shares, reported_at): TimedReports,
+    ) -> Result<()> {
         let serial = self.serial.fetch_add(1, Ordering::Relaxed) + 1;
         let view = self.view.get();
         let (reports, observations) = self.polled.take();
-        let (shares, reported_at) = self.allowance.report();
         let request = SyncRequest {
             vm: self.config.vm.clone(),
             data_centre: self.config.data_centre.clone(),
