Work out duties and avoided targets only when they change

Cause: the leader hashed every pair of entry and engine, and passed over every target, for each sync: 98% of a core at 400 entries, 5.7 s from apply to in force. The list of avoided targets travelled with every reply and the engines that do not answer with every request: 36 KB/s for one entry at 800 models. Change: reporters are assigned anew when entries or the configuration change; the residency table is worked out when a report changes copies; avoided targets have a version; an engine that stops answering is told once.

--- a/src/control/hub.rs
+++ b/src/control/hub.rs
@@ -9,16 +9,16 @@
 
 use crate::{
     allowance::{AllowanceLedger, RateLimit, ShareGrant},
-    border::{FleetConfig, TargetConfig, TargetKind},
+    border::{FleetConfig, TargetConfig},
     hub::{
-        DemandTable, EntryRegistry, EntryStatus, ModelLoad, ReportTable, ResidencyLog, ServedTable,
-        TargetHealth, assign_reporter,
+        DemandTable, EntryRegistry, EntryStatus, ModelLoad, ReportTable, ReporterDuties,
+        ResidencyLog, ServedTable, TargetHealth,
     },
     ids::{EntryKey, Fingerprint, ModelId, Revision, TargetId, TeamId, Term, VmId},
     state::{BlockState, ControlState},
     sync::{
-        ConfigSection, CrashSection, EngineReport, ResidentModel, SyncReply, SyncRequest,
-        TargetLoad,
+        AvoidedSection, ConfigSection, CrashSection, EngineReport, ResidentModel, SyncReply,
+        SyncRequest, TargetLoad,
     },
     voter::{LeaderLease, VoterHandle},
 };
@@ -50,6 +50,11 @@
     limits_of: Revision,
     /// Teams that have a limit in the ledger.
     limited: Vec<TeamId>,
+    /// Targets that get no new requests. The version starts in the term's own range, so that no
+    /// earlier leader has given it out.
+    avoided: AvoidedSection,
+    /// Engines that each entry polls.
+    duties: ReporterDuties,
     /// Loads that each entry was told last.
     told: HashMap<EntryKey, HashMap<TargetId, (u32, u32)>>,
 }
@@ -67,6 +72,11 @@
             ledger: AllowanceLedger::new(term, now),
             limits_of: 0,
             limited: Vec::new(),
+            avoided: AvoidedSection {
+                version: term << 32,
+                targets: Vec::new(),
+            },
+            duties: ReporterDuties::default(),
             told: HashMap::new(),
         }
     }
@@ -105,11 +115,13 @@
         let entry = tables.registry.record(request, now);
         tables.demand.record(&entry, &request.demand, now);
         tables.reports.observe(&request.observations);
-        tables
-            .reports
-            .record(std::mem::take(&mut request.reports), now);
+        let reports = std::mem::take(&mut request.reports);
+        let changes_copies = tables.reports.record(reports, now);
         tables.served.record(&entry, &request.shares);
-        self.refresh_residency(&mut tables);
+        // Passing over every target for each sync would cost the leader a core at 400 entries.
+        if changes_copies || !request.observations.is_empty() {
+            self.refresh_residency(&mut tables);
+        }
         self.refresh_limits(&mut tables);
         let grants = tables.ledger.exchange(&entry, &request.shares, now);
         let held =
@@ -181,14 +193,14 @@
             term: lease.term,
             config,
             residency: tables.residency.since(request.residency),
-            avoided: self.avoided(&tables),
+            avoided: tables.avoided_change(request.avoided),
             loads: tables.changed_loads(&key, now),
             crashes: self.crash_change(request.crashes),
             grants: tables.ledger.exchange(&key, &request.shares, now).to_vec(),
             served_elsewhere: tables
                 .served
                 .elsewhere(&key, request.shares.iter().map(|share| &share.team)),
-            assigned: self.assigned(&tables, &key),
+            assigned: tables.duties.of(&key).to_vec(),
         }
     }
 
@@ -232,44 +244,25 @@
         })
     }
 
-    /// Returns the targets that get no new requests: draining ones, and engines that are leaving
+    /// Works out the targets that get no new requests: draining ones, and engines that are leaving
     /// or down. Plain services have no reports; entries judge them by their own calls.
-    fn avoided(&self, tables: &HubTables) -> Vec<TargetId> {
-        let Some(config) = self.voter.local(ControlState::config).1 else {
-            return Vec::new();
-        };
+    fn refresh_avoided(&self, tables: &mut HubTables, config: &FleetConfig) {
         let now = self.now();
-        self.voter.local(|state| {
+        let avoided = self.voter.local(|state| {
             let is_avoided = |target: &&TargetConfig| {
                 let health = tables.reports.health(&target.id, now);
                 target.draining
                     || state.drains().covers(target)
                     || matches!(health, TargetHealth::Leaving | TargetHealth::Down)
             };
-            config
-                .targets
-                .iter()
-                .filter(is_avoided)
-                .map(|target| target.id.clone())
-                .collect()
-        })
-    }
-
-    fn assigned(&self, tables: &HubTables, entry: &EntryKey) -> Vec<TargetId> {
-        let Some(config) = self.voter.local(ControlState::config).1 else {
-            return Vec::new();
-        };
-        let engines = config
-            .targets
-            .iter()
-            .filter(|target| target.kind == TargetKind::Engine);
-        engines
-            .filter(|target| {
-                let reporters = tables.registry.reporters();
-                assign_reporter(&target.id, &target.data_centre, reporters) == Some(entry)
-            })
-            .map(|target| target.id.clone())
-            .collect()
+            let targets = config.targets.iter().filter(is_avoided);
+            targets.map(|target| target.id.clone()).collect::<Vec<_>>()
+        });
+        if tables.avoided.targets != avoided {
+            tables.avoided.targets = avoided;
+            tables.avoided.version += 1;
+            self.changes.send_replace(tables.avoided.version);
+        }
     }
 
     /// Tells whether a reply to `request` would bring news that cannot wait.
@@ -278,6 +271,7 @@
         let tables = self.tables(lease.term);
         revision != request.revision
             || tables.residency.version() != request.residency
+            || tables.avoided.version != request.avoided
             || self.voter.local(|state| state.crashes().version()) != request.crashes
     }
 
@@ -294,6 +288,13 @@
             tables.told.remove(entry);
         }
         self.refresh_residency(&mut tables);
+        if let (revision, Some(config)) = self.voter.local(ControlState::config) {
+            let HubTables {
+                duties, registry, ..
+            } = &mut *tables;
+            duties.refresh(registry, revision, &config);
+            self.refresh_avoided(&mut tables, &config);
+        }
         gone
     }
 
@@ -395,6 +396,11 @@
             .collect()
     }
 
+    /// The avoided targets, if the entry has another version.
+    fn avoided_change(&self, version: u64) -> Option<AvoidedSection> {
+        (version != self.avoided.version).then(|| self.avoided.clone())
+    }
+
     /// Loads that differ from what the entry was told last.
     fn changed_loads(&mut self, entry: &EntryKey, now: Duration) -> Vec<TargetLoad> {
         let told = self.told.entry(entry.clone()).or_default();
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -176,6 +176,7 @@
             serial,
             revision: view.revision,
             residency: view.residency_version,
+            avoided: view.avoided_version,
             crashes: view.crashes.version,
             leaving: self.is_leaving.load(Ordering::Relaxed),
             shares,
--- a/src/entry/poll.rs
+++ b/src/entry/poll.rs
@@ -26,6 +26,7 @@
     addresses: HashMap<TargetId, String>,
     reports: HashMap<TargetId, (EngineReport, Instant)>,
     failures: HashMap<TargetId, u32>,
+    observations: Vec<TargetObservation>,
 }
 
 /// Reports of the engines that the leader assigned to this entry, until the next sync.
@@ -53,7 +54,7 @@
         failures.retain(|target, _| addresses.contains_key(target));
     }
 
-    /// Takes the reports since the last sync, and the engines that do not answer.
+    /// Takes the reports since the last sync, and the engines that stopped answering.
     pub fn take(&self) -> (Vec<TargetReport>, Vec<TargetObservation>) {
         let mut tables = self.tables();
         let reports = std::mem::take(&mut tables.reports)
@@ -64,23 +65,23 @@
                 age_ms: u32::try_from(polled_at.elapsed().as_millis()).unwrap_or(u32::MAX),
             })
             .collect();
-        let observations = tables
-            .failures
-            .iter()
-            .filter(|(_, failures)| **failures >= FAILURE_LIMIT)
-            .map(|(target, _)| TargetObservation::Unreachable(target.clone()))
-            .collect();
-        (reports, observations)
+        (reports, std::mem::take(&mut tables.observations))
     }
 
     fn record(&self, target: TargetId, polled: Result<EngineReport>) {
         let mut tables = self.tables();
-        match polled {
-            Ok(report) => {
-                tables.failures.remove(&target);
-                tables.reports.insert(target, (report, Instant::now()));
-            }
-            Err(_) => *tables.failures.entry(target).or_default() += 1,
+        if let Ok(report) = polled {
+            tables.failures.remove(&target);
+            tables.reports.insert(target, (report, Instant::now()));
+            return;
+        }
+        let failures = tables.failures.entry(target.clone()).or_default();
+        *failures += 1;
+        // Told once: if that sync is lost, the leader notices that reports are missing.
+        if *failures == FAILURE_LIMIT {
+            tables
+                .observations
+                .push(TargetObservation::Unreachable(target));
         }
     }
 }
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -30,6 +30,8 @@
     pub residency_version: u64,
     /// Copies of each model.
     pub residency: Arc<ResidencyTable>,
+    /// Version of the list of avoided targets.
+    pub avoided_version: u64,
     /// Targets that get no new requests.
     pub avoided: Arc<HashSet<TargetId>>,
     /// Requests that crashed targets.
@@ -91,7 +93,10 @@
             }
             _ => {}
         }
-        self.avoided = Arc::new(reply.avoided.into_iter().collect());
+        if let Some(avoided) = reply.avoided {
+            self.avoided_version = avoided.version;
+            self.avoided = Arc::new(avoided.targets.into_iter().collect());
+        }
         if let Some(crashes) = reply.crashes {
             self.crashes = Arc::new(CrashTable::new(crashes));
         }
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -4,6 +4,7 @@
 //! sections 4 and 7. All of them are pure: the time is an argument.
 
 mod demand;
+mod duties;
 mod registry;
 mod reporter;
 mod reports;
@@ -11,6 +12,7 @@
 mod served;
 
 pub use demand::{DemandTable, ModelLoad};
+pub use duties::ReporterDuties;
 pub use registry::{EntryRegistry, EntryStatus};
 pub use reporter::assign_reporter;
 pub use reports::{ReportTable, TargetHealth};
--- /dev/null
+++ b/src/hub/duties.rs
@@ -0,0 +1,51 @@
+use std::collections::HashMap;
+
+use super::{EntryRegistry, assign_reporter};
+use crate::{
+    border::{FleetConfig, TargetKind},
+    ids::{EntryKey, Revision, TargetId},
+};
+
+/// Which entry polls which engines. Worked out anew only when the entries or the configuration
+/// change, since it costs a hash for each pair of an entry and an engine.
+#[derive(Debug, Default)]
+pub struct ReporterDuties {
+    entries: Vec<EntryKey>,
+    revision: Revision,
+    by_entry: HashMap<EntryKey, Vec<TargetId>>,
+}
+
+impl ReporterDuties {
+    /// Follows a change of the entries or the configuration.
+    pub fn refresh(&mut self, registry: &EntryRegistry, revision: Revision, config: &FleetConfig) {
+        let entries: Vec<EntryKey> = registry.reporters().map(|(key, _)| key.clone()).collect();
+        if entries == self.entries && revision == self.revision {
+            return;
+        }
+        let mut by_entry: HashMap<EntryKey, Vec<TargetId>> = HashMap::new();
+        let engines = config
+            .targets
+            .iter()
+            .filter(|target| target.kind == TargetKind::Engine);
+        for target in engines {
+            let reporters = registry.reporters();
+            if let Some(entry) = assign_reporter(&target.id, &target.data_centre, reporters) {
+                by_entry
+                    .entry(entry.clone())
+                    .or_default()
+                    .push(target.id.clone());
+            }
+        }
+        *self = Self {
+            entries,
+            revision,
+            by_entry,
+        };
+    }
+
+    /// Returns the engines that an entry polls.
+    #[must_use]
+    pub fn of(&self, entry: &EntryKey) -> &[TargetId] {
+        self.by_entry.get(entry).map_or(&[], Vec::as_slice)
+    }
+}
--- a/src/hub/reports.rs
+++ b/src/hub/reports.rs
@@ -36,8 +36,9 @@
 }
 
 impl ReportTable {
-    /// Records what an entry polled.
-    pub fn record(&mut self, reports: Vec<TargetReport>, now: Duration) {
+    /// Records what an entry polled, and tells whether it changes which copies serve.
+    pub fn record(&mut self, reports: Vec<TargetReport>, now: Duration) -> bool {
+        let mut changes_copies = false;
         for TargetReport {
             target,
             report,
@@ -45,21 +46,28 @@
         } in reports
         {
             let received_at = now.saturating_sub(Duration::from_millis(age_ms.into()));
-            match self.rows.get(&target) {
+            let is_same = match self.rows.get(&target) {
                 // After a change of reporter, the former one's last report may arrive late.
-                Some(row) if row.received_at > received_at => {}
-                _ => {
-                    self.rows.insert(
-                        target,
-                        ReportRow {
-                            report,
-                            received_at,
-                            reachable: true,
-                        },
-                    );
+                Some(row) if row.received_at > received_at => continue,
+                Some(row) => {
+                    row.reachable
+                        && row.report.copies == report.copies
+                        && row.report.leaving == report.leaving
+                        && now.saturating_sub(row.received_at) <= REPORT_LIFETIME
                 }
-            }
+                None => false,
+            };
+            changes_copies |= !is_same;
+            self.rows.insert(
+                target,
+                ReportRow {
+                    report,
+                    received_at,
+                    reachable: true,
+                },
+            );
         }
+        changes_copies
     }
 
     /// Records what an entry saw of targets besides reports.
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -7,7 +7,8 @@
 
 pub use claims::{CLAIMS_PATH, CRASHES_PATH, ClaimMessage, CommandReply, CrashMessage};
 pub use reply::{
-    ConfigSection, CrashSection, ResidencySection, ResidentModel, SyncReply, TargetLoad,
+    AvoidedSection, ConfigSection, CrashSection, ResidencySection, ResidentModel, SyncReply,
+    TargetLoad,
 };
 pub use report::{EngineReport, ResidentCopy};
 pub use request::{ModelDemand, SyncRequest, TargetObservation, TargetReport};
--- a/src/sync/reply.rs
+++ b/src/sync/reply.rs
@@ -18,8 +18,9 @@
     pub config: ConfigSection,
     /// Change of the residency table since the entry's version.
     pub residency: ResidencySection,
-    /// Targets that get no new requests, apart from missing in the residency table.
-    pub avoided: Vec<TargetId>,
+    /// Targets that get no new requests, apart from missing in the residency table; `None` when the
+    /// entry has the current version.
+    pub avoided: Option<AvoidedSection>,
     /// Load of targets whose load changed since the last reply.
     pub loads: Vec<TargetLoad>,
     /// Requests that crashed targets, when the entry's version is not the current one.
@@ -45,6 +46,15 @@
     pub age_ms: u32,
 }
 
+/// All targets that get no new requests.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AvoidedSection {
+    /// Version of the list.
+    pub version: u64,
+    /// The targets.
+    pub targets: Vec<TargetId>,
+}
+
 /// All requests that crashed targets lately.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct CrashSection {
--- a/src/sync/request.rs
+++ b/src/sync/request.rs
@@ -21,6 +21,9 @@
     pub revision: Revision,
     /// Version of the residency table that the entry has.
     pub residency: u64,
+    /// Version of the list of avoided targets that the entry has.
+    #[serde(default)]
+    pub avoided: u64,
     /// Version of the crash table that the entry has.
     pub crashes: u64,
     /// Whether the entry is shutting down and hands back its allowance.
--- a/tests/harness/freshness_probe.rs
+++ b/tests/harness/freshness_probe.rs
@@ -14,6 +14,7 @@
         serial: 1,
         revision: 0,
         residency: 0,
+        avoided: 0,
         crashes: 0,
         leaving: false,
         shares: Vec::new(),
--- a/tests/hub.rs
+++ b/tests/hub.rs
@@ -23,6 +23,7 @@
         serial: 1,
         revision,
         residency: 0,
+        avoided: 0,
         crashes: 0,
         leaving: false,
         shares: Vec::new(),
