Read the platform's list of leaving VMs

Cause: targets on VMs that the platform is about to stop went on receiving work until an operator drained them.

--- a/examples/commit_latency/local.rs
+++ b/examples/commit_latency/local.rs
@@ -82,6 +82,7 @@
         join: false,
         system_secret_file: secret.clone(),
         admin_token_file: secret.clone(),
+        platform_list: None,
     };
     addresses.iter().map(config).collect()
 }
--- a/src/config.rs
+++ b/src/config.rs
@@ -3,6 +3,7 @@
 mod control;
 mod entry;
 mod listen;
+mod platform;
 mod voter;
 
 use std::{fs, path::Path};
@@ -12,6 +13,7 @@
 pub use control::ControlConfig;
 pub use entry::EntryConfig;
 pub use listen::ListenAddress;
+pub use platform::PlatformSource;
 pub use voter::VoterAddress;
 
 use crate::error::{Error, Result};
--- a/src/config/control.rs
+++ b/src/config/control.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{CheckedConfig, ListenAddress, VoterAddress};
+use super::{CheckedConfig, ListenAddress, PlatformSource, VoterAddress};
 use crate::{
     error::Result,
     ids::{DataCentreId, VmId},
@@ -32,6 +32,10 @@
     pub system_secret_file: PathBuf,
     /// File with the bearer token of operators.
     pub admin_token_file: PathBuf,
+    /// The platform's list of live and leaving VMs; without it, only operators and the targets
+    /// themselves say what leaves.
+    #[serde(default)]
+    pub platform_list: Option<PlatformSource>,
 }
 
 impl CheckedConfig for ControlConfig {
--- a/src/control.rs
+++ b/src/control.rs
@@ -12,6 +12,7 @@
 mod orders;
 mod peer_sender;
 mod placer;
+mod platform;
 mod raft_api;
 mod system;
 
@@ -19,3 +20,4 @@
 pub use hub::SyncHub;
 pub use members::{AddMember, MemberAnswer, MemberView, MembersView, NamedMember};
 pub use orders::OrderDesk;
+pub use platform::LeavingVms;
--- a/src/control/daemon.rs
+++ b/src/control/daemon.rs
@@ -18,6 +18,7 @@
     orders::OrderDesk,
     peer_sender::HttpPeerSender,
     placer::ModelPlacer,
+    platform::LeavingVms,
     raft_api,
     system::{self, SystemSecret},
 };
@@ -96,7 +97,8 @@
         let peers = HttpPeerSender::new(Arc::clone(&addresses), secret.clone(), level);
         let journal = folder.open_journal(&config.vm, self.settings.journal)?;
         let voter = VoterHandle::start(journal, self.settings, addresses, Box::new(peers))?;
-        let hub = Arc::new(SyncHub::new(voter.clone()));
+        let leaving = LeavingVms::default();
+        let hub = Arc::new(SyncHub::new(voter.clone(), leaving.clone()));
         let client = client::http_client()?;
         let system = build(&config.system_listen)
             .manage(SystemSecret(secret.clone()))
@@ -139,6 +141,10 @@
             config.vm,
             config.system_listen.socket()
         );
+        let mut duties = vec![tokio::spawn(founder.run()), tokio::spawn(placer.run())];
+        if let Some(source) = config.platform_list.clone() {
+            duties.push(tokio::spawn(leaving.follow(source, client::http_client()?)));
+        }
         let (stop, stopped) = watch::channel(false);
         let serving = [system, admin].map(|rocket| {
             let mut stopped = stopped.clone();
@@ -152,7 +158,7 @@
             voter,
             stop,
             serving,
-            duties: vec![tokio::spawn(founder.run()), tokio::spawn(placer.run())],
+            duties,
         })
     }
 }
--- a/src/control/hub.rs
+++ b/src/control/hub.rs
@@ -7,6 +7,7 @@
 use spdlog::prelude::*;
 use tokio::sync::watch;
 
+use super::platform::LeavingVms;
 use crate::{
     allowance::{AllowanceLedger, RateLimit, ShareGrant},
     border::{FleetConfig, TargetConfig},
@@ -30,6 +31,7 @@
 /// Soft state that the leader keeps about entries and engines, and the replies made from it.
 pub struct SyncHub {
     voter: VoterHandle,
+    leaving: LeavingVms,
     started: Instant,
     tables: Mutex<HubTables>,
     changes: watch::Sender<u64>,
@@ -85,9 +87,10 @@
 impl SyncHub {
     /// Starts with empty tables.
     #[must_use]
-    pub fn new(voter: VoterHandle) -> Self {
+    pub fn new(voter: VoterHandle, leaving: LeavingVms) -> Self {
         Self {
             voter,
+            leaving,
             started: Instant::now(),
             tables: Mutex::new(HubTables::new(0, Duration::ZERO)),
             changes: watch::channel(0).0,
@@ -251,8 +254,7 @@
         let avoided = self.voter.local(|state| {
             let is_avoided = |target: &&TargetConfig| {
                 let health = tables.reports.health(&target.id, now);
-                target.draining
-                    || state.drains().covers(target)
+                self.is_leaving(target, state)
                     || matches!(health, TargetHealth::Leaving | TargetHealth::Down)
             };
             let targets = config.targets.iter().filter(is_avoided);
@@ -321,6 +323,11 @@
             .collect()
     }
 
+    /// Tells whether the configuration, an operator or the platform takes a target out of service.
+    pub fn is_leaving(&self, target: &TargetConfig, state: &ControlState) -> bool {
+        target.draining || state.drains().covers(target) || self.leaving.contains(&target.vm)
+    }
+
     /// Returns the health of each engine that has reported.
     pub fn health(&self, lease: LeaderLease) -> BTreeMap<TargetId, TargetHealth> {
         let now = self.now();
--- a/src/control/placer.rs
+++ b/src/control/placer.rs
@@ -169,7 +169,7 @@
             engines
                 .map(|target| {
                     let health = health.get(&target.id).copied();
-                    let is_draining = target.draining || state.drains().covers(target);
+                    let is_draining = self.hub.is_leaving(target, state);
                     engine_room(
                         target,
                         state.memory().target(&target.id),
--- a/src/dev/settings.rs
+++ b/src/dev/settings.rs
@@ -93,6 +93,7 @@
             join: false,
             system_secret_file: self.secret_path("system.secret"),
             admin_token_file: self.secret_path("admin.token"),
+            platform_list: None,
         }
     }
 
