Give the engines of the capacity measurement distinct addresses

Cause: at 1,600 models two engines had one address, which validation refuses. Change: addresses run over several loopback networks.

--- a/tests/capacity.rs
+++ b/tests/capacity.rs
@@ -53,7 +53,7 @@
         "targets": list(models * 860 / 1_600, &|n| json!({
             "id": format!("engine-{n}"), "vm": format!("vm-{n}"),
             "data_centre": format!("dc-{}", n % 6), "kind": "engine",
-            "address": format!("127.0.0.1:{}", 1 + n % 500), "accelerators": 8,
+            "address": format!("127.1.{}.{}:9", n / 250, 1 + n % 250), "accelerators": 8,
             "accelerator_memory_mib": 81_920,
         })),
         "weight_store": { "loads_per_second": 100.0, "concurrent_loads": 100 },
