Tell entries only the loads of engines they use

Cause: docs/CAPACITY.md: 860 loads to each of 400 entries come to 39 to 77 KB/s, over the 5 KB/s that an entry may spend. Change: an entry is told the changed loads of engines that hold a model it was asked for in the last minute, once a second at most. Measurement: tests/hub.rs, the new case fails on the former code's behaviour by design (all 860 loads at once) and passes now: 2 of 860 loads for two models.

--- a/src/control/hub.rs
+++ b/src/control/hub.rs
@@ -12,8 +12,8 @@
     allowance::{AllowanceLedger, RateLimit, ShareGrant},
     border::{FleetConfig, TargetConfig},
     hub::{
-        DemandTable, EntryRegistry, EntryStatus, ModelLoad, ReportTable, ReporterDuties,
-        ResidencyLog, ServedTable, TargetHealth,
+        DemandTable, EntryRegistry, EntryStatus, LoadDigest, ModelLoad, ReportTable,
+        ReporterDuties, ResidencyLog, ServedTable, TargetHealth,
     },
     ids::{EntryKey, Fingerprint, ModelId, Revision, TargetId, TeamId, Term, VmId},
     state::{BlockState, ControlState},
@@ -57,8 +57,7 @@
     avoided: AvoidedSection,
     /// Engines that each entry polls.
     duties: ReporterDuties,
-    /// Loads that each entry was told last.
-    told: HashMap<EntryKey, HashMap<TargetId, (u32, u32)>>,
+    loads: LoadDigest,
 }
 
 impl HubTables {
@@ -79,7 +78,7 @@
                 targets: Vec::new(),
             },
             duties: ReporterDuties::default(),
-            told: HashMap::new(),
+            loads: LoadDigest::default(),
         }
     }
 }
@@ -117,6 +116,7 @@
         let mut tables = self.tables(lease.term);
         let entry = tables.registry.record(request, now);
         tables.demand.record(&entry, &request.demand, now);
+        tables.loads.record(&entry, &request.demand, now);
         tables.reports.observe(&request.observations);
         let reports = std::mem::take(&mut request.reports);
         let changes_copies = tables.reports.record(reports, now);
@@ -197,7 +197,7 @@
             config,
             residency: tables.residency.since(request.residency),
             avoided: tables.avoided_change(request.avoided),
-            loads: tables.changed_loads(&key, now),
+            loads: tables.take_loads(&key, now),
             crashes: self.crash_change(request.crashes),
             grants: tables.ledger.exchange(&key, &request.shares, now).to_vec(),
             served_elsewhere: tables
@@ -287,7 +287,7 @@
         for entry in &gone {
             info!("sync: entry {} ({:x}) is gone", entry.vm, entry.incarnation);
             tables.served.forget(entry);
-            tables.told.remove(entry);
+            tables.loads.forget(entry);
         }
         self.refresh_residency(&mut tables);
         if let (revision, Some(config)) = self.voter.local(ControlState::config) {
@@ -403,29 +403,12 @@
             .collect()
     }
 
+    fn take_loads(&mut self, entry: &EntryKey, now: Duration) -> Vec<TargetLoad> {
+        self.loads.take(entry, &self.reports, now)
+    }
+
     /// The avoided targets, if the entry has another version.
     fn avoided_change(&self, version: u64) -> Option<AvoidedSection> {
         (version != self.avoided.version).then(|| self.avoided.clone())
     }
-
-    /// Loads that differ from what the entry was told last.
-    fn changed_loads(&mut self, entry: &EntryKey, now: Duration) -> Vec<TargetLoad> {
-        let told = self.told.entry(entry.clone()).or_default();
-        let mut loads = Vec::new();
-        for (target, report, received_at) in self.reports.iter() {
-            let load = (report.running, report.queued);
-            if told.get(target) == Some(&load) {
-                continue;
-            }
-            told.insert(target.clone(), load);
-            let age = now.saturating_sub(received_at).as_millis();
-            loads.push(TargetLoad {
-                target: target.clone(),
-                running: report.running,
-                queued: report.queued,
-                age_ms: u32::try_from(age).unwrap_or(u32::MAX),
-            });
-        }
-        loads
-    }
 }
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -5,6 +5,7 @@
 
 mod demand;
 mod duties;
+mod loads;
 mod registry;
 mod reporter;
 mod reports;
@@ -13,6 +14,7 @@
 
 pub use demand::{DemandTable, ModelLoad};
 pub use duties::ReporterDuties;
+pub use loads::LoadDigest;
 pub use registry::{EntryRegistry, EntryStatus};
 pub use reporter::assign_reporter;
 pub use reports::{ReportTable, TargetHealth};
--- a/tests/hub.rs
+++ b/tests/hub.rs
@@ -5,8 +5,8 @@
 use rstest::rstest;
 use waxwinglatch::{
     hub::{
-        DemandTable, EntryRegistry, ReportTable, ResidencyLog, ServedTable, TargetHealth,
-        assign_reporter,
+        DemandTable, EntryRegistry, LoadDigest, ReportTable, ResidencyLog, ServedTable,
+        TargetHealth, assign_reporter,
     },
     ids::EntryKey,
     sync::{
@@ -217,6 +217,73 @@
     assert!(table.take(ms(3_000)).is_empty());
 }
 
+/// Guards against control traffic that grows with the fleet: 860 loads to each of 400 entries twice
+/// a second would be 8 to 15 times what an entry may spend.
+#[test]
+fn an_entry_is_told_the_changed_loads_of_engines_it_uses() {
+    let entry = EntryKey {
+        vm: "vm-1".into(),
+        incarnation: 1,
+    };
+    let mut reports = ReportTable::default();
+    let engine = |number: u32, running: u32| {
+        let held = waxwinglatch::sync::ResidentCopy {
+            model: compact(&format!("m{number}")),
+            version: "1".into(),
+            first_accelerator: 0,
+            span: 1,
+            memory_mib: 1,
+            ready: true,
+        };
+        let report = EngineReport {
+            running,
+            copies: vec![held],
+            ..EngineReport::default()
+        };
+        TargetReport {
+            target: compact(&format!("e{number}")),
+            report,
+            age_ms: 0,
+        }
+    };
+    reports.record((0..860).map(|number| engine(number, 1)).collect(), ms(0));
+    let mut digest = LoadDigest::default();
+    assert!(digest.take(&entry, &reports, ms(0)).is_empty());
+    let asked = |model: &str| ModelDemand {
+        model: model.into(),
+        requests: 1,
+        tokens: 1,
+        waiting: 0,
+    };
+    digest.record(&entry, &[asked("m3"), asked("m7")], ms(100));
+    assert!(
+        digest.take(&entry, &reports, ms(500)).is_empty(),
+        "too early"
+    );
+    let told = |digest: &mut LoadDigest, reports: &ReportTable, at: u64| -> Vec<_> {
+        let loads = digest.take(&entry, reports, ms(at));
+        loads
+            .into_iter()
+            .map(|load| (load.target, load.running))
+            .collect()
+    };
+    assert_eq!(
+        told(&mut digest, &reports, 1_000),
+        [(compact("e3"), 1), (compact("e7"), 1)]
+    );
+    reports.record(vec![engine(3, 5), engine(4, 5)], ms(1_500));
+    assert_eq!(told(&mut digest, &reports, 2_000), [(compact("e3"), 5)]);
+    assert!(
+        told(&mut digest, &reports, 3_000).is_empty(),
+        "nothing changed"
+    );
+    reports.record(vec![engine(3, 6)], ms(70_000));
+    assert!(
+        told(&mut digest, &reports, 70_000).is_empty(),
+        "nobody asked lately"
+    );
+}
+
 /// Guards against an entry that charges a team for its own service as if others had served it.
 #[test]
 fn service_elsewhere_leaves_out_the_entry_itself() {
