Keep the leader's tables of a term in their own file

Cause: src/control/hub.rs had 414 lines and two jobs. Change: the tables of one term move to src/control/tables.rs; no behaviour changes.

--- a/src/control.rs
+++ b/src/control.rs
@@ -15,6 +15,7 @@
 mod platform;
 mod raft_api;
 mod system;
+mod tables;
 
 pub use daemon::{ControlDaemon, ServingControl};
 pub use hub::SyncHub;
--- a/src/control/hub.rs
+++ b/src/control/hub.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, HashMap},
     sync::{Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
@@ -7,20 +7,14 @@
 use spdlog::prelude::*;
 use tokio::sync::watch;
 
-use super::platform::LeavingVms;
+use super::{platform::LeavingVms, tables::HubTables};
 use crate::{
-    allowance::{AllowanceLedger, RateLimit, ShareGrant},
+    allowance::{RateLimit, ShareGrant},
     border::{FleetConfig, TargetConfig},
-    hub::{
-        DemandTable, EntryRegistry, EntryStatus, LoadDigest, ModelLoad, ReportTable,
-        ReporterDuties, ResidencyLog, ServedTable, TargetHealth,
-    },
+    hub::{EntryStatus, ModelLoad, TargetHealth},
     ids::{EntryKey, Fingerprint, ModelId, Revision, TargetId, TeamId, Term, VmId},
     state::{BlockState, ControlState},
-    sync::{
-        AvoidedSection, ConfigSection, CrashSection, EngineReport, ResidentModel, SyncReply,
-        SyncRequest, TargetLoad,
-    },
+    sync::{ConfigSection, CrashSection, EngineReport, SyncReply, SyncRequest},
     voter::{LeaderLease, VoterHandle},
 };
 
@@ -37,52 +31,6 @@
     changes: watch::Sender<u64>,
 }
 
-/// Tables of one term; a new term starts with empty ones.
-struct HubTables {
-    term: Term,
-    /// Time at which the term's first request arrived here.
-    since: Duration,
-    registry: EntryRegistry,
-    demand: DemandTable,
-    reports: ReportTable,
-    residency: ResidencyLog,
-    served: ServedTable,
-    ledger: AllowanceLedger,
-    /// Revision whose limits the ledger has.
-    limits_of: Revision,
-    /// Teams that have a limit in the ledger.
-    limited: Vec<TeamId>,
-    /// Targets that get no new requests. The version starts in the term's own range, so that no
-    /// earlier leader has given it out.
-    avoided: AvoidedSection,
-    /// Engines that each entry polls.
-    duties: ReporterDuties,
-    loads: LoadDigest,
-}
-
-impl HubTables {
-    fn new(term: Term, now: Duration) -> Self {
-        Self {
-            term,
-            since: now,
-            registry: EntryRegistry::default(),
-            demand: DemandTable::default(),
-            reports: ReportTable::default(),
-            residency: ResidencyLog::new(term),
-            served: ServedTable::default(),
-            ledger: AllowanceLedger::new(term, now),
-            limits_of: 0,
-            limited: Vec::new(),
-            avoided: AvoidedSection {
-                version: term << 32,
-                targets: Vec::new(),
-            },
-            duties: ReporterDuties::default(),
-            loads: LoadDigest::default(),
-        }
-    }
-}
-
 impl SyncHub {
     /// Starts with empty tables.
     #[must_use]
@@ -383,32 +331,3 @@
         self.changes.subscribe()
     }
 }
-
-impl HubTables {
-    /// Copies that are ready on targets that are configured, up and not leaving.
-    fn serving_copies(&self, config: &FleetConfig, now: Duration) -> BTreeSet<ResidentModel> {
-        let usable = config.targets.iter().filter(|target| {
-            !target.draining && self.reports.health(&target.id, now) == TargetHealth::Up
-        });
-        usable
-            .filter_map(|target| Some((target, self.reports.get(&target.id)?)))
-            .flat_map(|(target, report)| {
-                let ready = report.copies.iter().filter(|copy| copy.ready);
-                ready.map(|copy| ResidentModel {
-                    target: target.id.clone(),
-                    model: copy.model.clone(),
-                    version: copy.version.clone(),
-                })
-            })
-            .collect()
-    }
-
-    fn take_loads(&mut self, entry: &EntryKey, now: Duration) -> Vec<TargetLoad> {
-        self.loads.take(entry, &self.reports, now)
-    }
-
-    /// The avoided targets, if the entry has another version.
-    fn avoided_change(&self, version: u64) -> Option<AvoidedSection> {
-        (version != self.avoided.version).then(|| self.avoided.clone())
-    }
-}
