Repeat the loads that entries use every 10 s

Cause: a load told in a reply that was lost was not told again until it changed. Change: what an entry was told is forgotten every 10 s. Measurement: tests/hub.rs, the added line failed before (no load at 12 s).

--- a/src/hub/loads.rs
+++ b/src/hub/loads.rs
@@ -15,11 +15,15 @@
 /// corrects what it knows by its own sends meanwhile.
 const DIGEST_PERIOD: Duration = Duration::from_secs(1);
 
+/// Time after which unchanged loads are told again, since a reply may have been lost.
+const REFRESH_PERIOD: Duration = Duration::from_secs(10);
+
 #[derive(Debug, Default)]
 struct EntryInterest {
     models: HashMap<ModelId, Duration>,
     told: HashMap<TargetId, (u32, u32)>,
     told_at: Option<Duration>,
+    refreshed_at: Duration,
 }
 
 /// Chooses the loads that an entry is told.
@@ -54,6 +58,10 @@
             return Vec::new();
         }
         interest.told_at = Some(now);
+        if now.saturating_sub(interest.refreshed_at) >= REFRESH_PERIOD {
+            interest.refreshed_at = now;
+            interest.told.clear();
+        }
         interest
             .models
             .retain(|_, asked| now.saturating_sub(*asked) <= INTEREST_LIFETIME);
--- a/tests/hub.rs
+++ b/tests/hub.rs
@@ -277,6 +277,11 @@
         told(&mut digest, &reports, 3_000).is_empty(),
         "nothing changed"
     );
+    // A reply may have been lost.
+    assert_eq!(
+        told(&mut digest, &reports, 12_000),
+        [(compact("e3"), 5), (compact("e7"), 1)]
+    );
     reports.record(vec![engine(3, 6)], ms(70_000));
     assert!(
         told(&mut digest, &reports, 70_000).is_empty(),
