--- a/examples/place_compare.rs
+++ b/examples/place_compare.rs
@@ -214,7 +214,7 @@
             } else {
                 EngineState::Open
             };
-            EngineRoom::new(target, state, copies, &[])
+            EngineRoom::new(target, state, copies)
         };
         self.config.targets.iter().map(room).collect()
     }
--- a/src/control/placer.rs
+++ b/src/control/placer.rs
@@ -189,7 +189,7 @@
     is_draining: bool,
 ) -> EngineRoom {
     let Some(memory) = memory else {
-        return EngineRoom::new(target, EngineState::Closed, Vec::new(), &[]);
+        return EngineRoom::new(target, EngineState::Closed, Vec::new());
     };
     let state = match health {
         Some(TargetHealth::Up) if is_draining => EngineState::Closed,
@@ -204,7 +204,7 @@
             OrderAction::Unload(_) => {}
         }
     }
-    EngineRoom::new(target, state, copies, &[])
+    EngineRoom::new(target, state, copies)
 }
 
 fn start_step(
--- a/src/dev/fleet.rs
+++ b/src/dev/fleet.rs
@@ -1,6 +1,6 @@
 use std::{fs, time::Duration};
 
-use reqwest::Client;
+use reqwest::{Client, RequestBuilder};
 use serde_json::json;
 
 use super::settings::{DevSettings, create_folder};
@@ -89,6 +89,8 @@
         let config = self.settings.fleet(&hasher.hash(key))?;
         let revision = retry("control daemon", || async {
             let answer = client.get(&url).bearer_auth(token).send().await.ok()?;
+            // Before a leader is elected, the answer is a refusal without a revision.
+            let answer = answer.error_for_status().ok()?;
             answer.json::<serde_json::Value>().await.ok()?["revision"].as_u64()
         })
         .await?;
@@ -96,14 +98,7 @@
         let request_id = uuid::Uuid::now_v7().to_string();
         let body = json!({ "request_id": request_id, "expected": revision, "config": config });
         retry("accepted configuration", || async {
-            let answer = client
-                .put(&url)
-                .bearer_auth(token)
-                .json(&body)
-                .send()
-                .await
-                .ok()?;
-            answer.status().is_success().then_some(())
+            succeeded(client.put(&url).bearer_auth(token).json(&body)).await
         })
         .await
     }
@@ -116,14 +111,7 @@
         );
         let body = json!({ "model": "chat-small", "prompt": "ready", "max_tokens": 1 });
         retry("answer of the first model", || async {
-            let answer = client
-                .post(&url)
-                .bearer_auth(key)
-                .json(&body)
-                .send()
-                .await
-                .ok()?;
-            answer.status().is_success().then_some(())
+            succeeded(client.post(&url).bearer_auth(key).json(&body)).await
         })
         .await
     }
@@ -150,6 +138,12 @@
     }
 }
 
+/// Sends a call and tells whether it succeeded.
+async fn succeeded(call: RequestBuilder) -> Option<()> {
+    let answer = call.send().await.ok()?;
+    answer.status().is_success().then_some(())
+}
+
 async fn retry<T, F>(what: &str, attempt: impl Fn() -> F) -> Result<T>
 where
     F: Future<Output = Option<T>>,
--- a/src/place/engine.rs
+++ b/src/place/engine.rs
@@ -30,26 +30,21 @@
     pub slots: u32,
     /// Whether the engine can be given something new.
     pub state: EngineState,
-    /// Memory of each accelerator that nothing is promised to, in MiB.
+    /// Memory of each accelerator that is not reserved, in MiB.
     pub free: SmallVec<[u64; 8]>,
     /// Copies in memory; a copy that is being loaded is not ready.
     pub copies: Vec<ResidentCopy>,
 }
 
 impl EngineRoom {
-    /// Returns an engine with these copies. `extra` lists what unsettled orders reserve besides.
+    /// Returns an engine with these copies, of which some may still be loading.
     #[must_use]
-    pub fn new(
-        config: &TargetConfig,
-        state: EngineState,
-        copies: Vec<ResidentCopy>,
-        extra: &[ResidentCopy],
-    ) -> Self {
+    pub fn new(config: &TargetConfig, state: EngineState, copies: Vec<ResidentCopy>) -> Self {
         let mut free = SmallVec::from_elem(
             config.accelerator_memory_mib,
             usize::try_from(config.accelerators).unwrap_or(0),
         );
-        for copy in copies.iter().chain(extra) {
+        for copy in &copies {
             take_memory(&mut free, copy);
         }
         Self {
--- a/src/raft/leader/lease.rs
+++ b/src/raft/leader/lease.rs
@@ -18,7 +18,7 @@
             return None;
         }
         // The lease counts from the start of the round: when an answer arrives is not known to the
-        // member that gave it, and its promise began when it received the request.
+        // member that gave it, and it refuses votes from when it received the request.
         let proved_at = self.quorum_value(|voter| match leader.progress.get(voter) {
             Some(peer) => peer.acked_at,
             None => Some(now),
