Read engine reports through one function

Cause: a last read of the change found the same call in the entry's poller and in the follow-up of orders, a table of running loads that was named finished_loads, and SharedAllowance::waiting, which nothing called. Change: client::read_report serves both; the tables are named running_loads and ended_loads; the unused method is gone. Behaviour stays as it is, including both time limits. Left alone: the hub reads the configuration three times in one expiry, twice a second; the stand-ins build a JSON body in two places; two test fleets start their stand-ins alike.

--- a/src/client.rs
+++ b/src/client.rs
@@ -10,7 +10,10 @@
 use tower_layer::Layer;
 use tower_service::Service;
 
-use crate::error::{Error, Result};
+use crate::{
+    error::{Error, Result},
+    sync::EngineReport,
+};
 
 /// Time within which a TCP connection on the fleet's network is established, or never will be.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -100,3 +103,17 @@
         self.inner.call(request)
     }
 }
+
+/// Reads an engine's report; the engine has `limit` to answer.
+///
+/// # Errors
+/// [`Error::Transport`] when the engine does not answer in time or with something else.
+pub async fn read_report(client: &Client, address: &str, limit: Duration) -> Result<EngineReport> {
+    let transport = |error: reqwest::Error| Error::Transport {
+        peer: address.to_owned(),
+        reason: error.to_string(),
+    };
+    let url = format!("http://{address}/engine/v1/report");
+    let call = client.get(url).timeout(limit).send().await;
+    call.map_err(transport)?.json().await.map_err(transport)
+}
--- a/src/control/orders.rs
+++ b/src/control/orders.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     border::{FleetConfig, TargetConfig},
+    client,
     error::{Error, Result},
     ids::{FencingNumber, TargetId, Term},
     order::{
@@ -50,9 +51,9 @@
     term: Term,
     sequence: u32,
     running: HashSet<OrderKey>,
-    /// Engines that cost a load of the weight store until the order is settled.
-    finished_loads: HashMap<OrderKey, LoadKind>,
-    done: Vec<LoadKind>,
+    /// Loads that the weight store counts until their order ends.
+    running_loads: HashMap<OrderKey, LoadKind>,
+    ended_loads: Vec<LoadKind>,
 }
 
 impl OrderDesk {
@@ -79,7 +80,7 @@
     /// Returns the loads that ended since the last call.
     #[must_use]
     pub fn take_ended_loads(&self) -> Vec<LoadKind> {
-        std::mem::take(&mut self.tables().done)
+        std::mem::take(&mut self.tables().ended_loads)
     }
 
     /// Starts an order. `kind` is the load that the weight store counts, if any.
@@ -95,7 +96,7 @@
         let mut tables = self.tables();
         tables.running.insert(key.clone());
         if let Some(kind) = kind {
-            tables.finished_loads.insert(key.clone(), kind);
+            tables.running_loads.insert(key.clone(), kind);
         }
         drop(tables);
         let (desk, target) = (Arc::clone(self), target.clone());
@@ -141,8 +142,8 @@
     fn end(&self, key: &OrderKey) {
         let mut tables = self.tables();
         tables.running.remove(key);
-        let ended = tables.finished_loads.remove(key);
-        tables.done.extend(ended);
+        let ended = tables.running_loads.remove(key);
+        tables.ended_loads.extend(ended);
         drop(tables);
         self.settled.notify_one();
     }
@@ -205,14 +206,15 @@
             let Some(lease) = leads() else {
                 return Err(Error::NotLeader { leader: None });
             };
-            let report = match self.read_report(target).await {
-                Ok(report) => report,
-                Err(error) => {
-                    debug!("order: {fencing} to {}: {error}", target.id);
-                    tokio::time::sleep(REPORT_PERIOD).await;
-                    continue;
-                }
-            };
+            let report =
+                match client::read_report(&self.client, &target.address, ENGINE_TIMEOUT).await {
+                    Ok(report) => report,
+                    Err(error) => {
+                        debug!("order: {fencing} to {}: {error}", target.id);
+                        tokio::time::sleep(REPORT_PERIOD).await;
+                        continue;
+                    }
+                };
             let is_quiet = delivery
                 .sent_to
                 .is_some_and(|life| life != report.incarnation);
@@ -315,16 +317,6 @@
         }
     }
 
-    async fn read_report(&self, target: &TargetConfig) -> Result<EngineReport> {
-        let transport = |error: reqwest::Error| Error::Transport {
-            peer: target.address.clone(),
-            reason: error.to_string(),
-        };
-        let url = format!("http://{}/engine/v1/report", target.address);
-        let call = self.client.get(url).timeout(ENGINE_TIMEOUT).send().await;
-        call.map_err(transport)?.json().await.map_err(transport)
-    }
-
     /// Records a new life of the engine before an order is settled by its report. Otherwise an
     /// older report of that life that arrives late would later count as news, and the copies that
     /// were loaded since would lose their reservations; see docs/model-checking.md.
--- a/src/entry/allowance.rs
+++ b/src/entry/allowance.rs
@@ -186,12 +186,6 @@
     pub async fn lacking(&self) {
         self.lacking.notified().await;
     }
-
-    /// Returns the number of requests that wait for tokens.
-    #[must_use]
-    pub fn waiting(&self) -> usize {
-        self.tables().lines.values().map(BTreeMap::len).sum()
-    }
 }
 
 impl Default for SharedAllowance {
--- a/src/entry/poll.rs
+++ b/src/entry/poll.rs
@@ -8,7 +8,8 @@
 use reqwest::Client;
 
 use crate::{
-    error::{Error, Result},
+    client,
+    error::Result,
     fleet::FleetIndex,
     ids::TargetId,
     sync::{EngineReport, TargetObservation, TargetReport},
@@ -105,20 +106,10 @@
             let addresses = self.polled.tables().addresses.clone();
             let this = &self;
             let polls = addresses.into_iter().map(|(target, address)| async move {
-                let polled = this.poll(&address).await;
+                let polled = client::read_report(&this.client, &address, POLL_TIMEOUT).await;
                 this.polled.record(target, polled);
             });
             join_all(polls).await;
         }
     }
-
-    async fn poll(&self, address: &str) -> Result<EngineReport> {
-        let transport = |error: reqwest::Error| Error::Transport {
-            peer: address.to_owned(),
-            reason: error.to_string(),
-        };
-        let url = format!("http://{address}/engine/v1/report");
-        let call = self.client.get(url).timeout(POLL_TIMEOUT).send().await;
-        call.map_err(transport)?.json().await.map_err(transport)
-    }
 }
