--- a/examples/commit_latency/local.rs
+++ b/examples/commit_latency/local.rs
@@ -79,6 +79,7 @@
         system_listen: *system,
         admin_listen: *admin,
         voters: voters.clone(),
+        seeds: Vec::new(),
         join: false,
         system_secret_file: secret.clone(),
         admin_token_file: secret.clone(),
--- /dev/null
+++ b/src/adapter/engine_status.rs
@@ -0,0 +1,14 @@
+use super::HeldModel;
+
+/// What an engine reports about itself, some 100 ms old.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EngineStatus {
+    /// Models in memory with their adapters.
+    pub models: Vec<HeldModel>,
+    /// Whether an order is under way.
+    pub is_busy: bool,
+    /// Orders accepted since the engine started.
+    pub orders: u64,
+    /// When the engine started, in milliseconds since the Unix epoch.
+    pub born_ms: u64,
+}
--- a/src/config/control.rs
+++ b/src/config/control.rs
@@ -1,4 +1,4 @@
-use std::path::PathBuf;
+use std::{net::SocketAddr, path::PathBuf};
 
 use serde::{Deserialize, Serialize};
 
@@ -25,6 +25,10 @@
     /// The control daemons that found a new fleet, this one among them; when this daemon joins an
     /// existing fleet, some of its members.
     pub voters: Vec<VoterAddress>,
+    /// System addresses of some control daemons of the fleet, in place of `voters`, when the members
+    /// find each other by themselves.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
     /// Whether a new data folder joins an existing fleet as a learner and never founds one.
     #[serde(default)]
     pub join: bool,
@@ -43,6 +47,7 @@
         let error = |field: &str, reason: &str| Err((field.to_owned(), reason.to_owned()));
         match self {
             config if config.vm.is_empty() => error("vm", "must not be empty"),
+            config if !config.seeds.is_empty() => Ok(()),
             config if config.voters.is_empty() => {
                 error("voters", "must name at least one control daemon")
             }
--- a/src/control.rs
+++ b/src/control.rs
@@ -18,7 +18,11 @@
 mod tables;
 
 pub use daemon::{ControlDaemon, ServingControl};
+pub(crate) use founder::{FleetFounder, ask_member, read_addresses};
 pub use hub::SyncHub;
 pub use members::{AddMember, MemberAnswer, MemberView, MembersView, NamedMember};
 pub use orders::OrderDesk;
+pub(crate) use peer_sender::HttpPeerSender;
 pub use platform::LeavingVms;
+pub(crate) use raft_api::raft_routes;
+pub(crate) use system::{SystemPeer, SystemSecret};
--- a/src/control/daemon.rs
+++ b/src/control/daemon.rs
@@ -108,14 +108,7 @@
                 "/",
                 routes![system::sync_entry, claims::take_claim, crashes::take_crash],
             )
-            .mount(
-                "/",
-                routes![
-                    raft_api::take_messages,
-                    raft_api::tell_member,
-                    raft_api::take_join
-                ],
-            );
+            .mount("/", raft_api::raft_routes());
         let admin = build(&config.admin_listen)
             .manage(token)
             .manage(SystemSecret(secret.clone()))
--- a/src/control/founder.rs
+++ b/src/control/founder.rs
@@ -76,6 +76,9 @@
 
     /// Returns the membership to begin with, an empty one to join with, or `None` to ask again.
     async fn find_membership(&self) -> Option<Membership> {
+        if !self.config.seeds.is_empty() {
+            return self.find_by_seeds().await;
+        }
         if self.config.join {
             info!("raft: joins an existing fleet");
             return Some(Membership::default());
@@ -118,6 +121,41 @@
         founds.then_some(membership)
     }
 
+    /// As [`Self::find_membership`], for a daemon that knows only addresses. The daemon at the least
+    /// of them founds the fleet of all of them; any other daemon joins.
+    async fn find_by_seeds(&self) -> Option<Membership> {
+        let id = self.voter.status().id;
+        let own = self.config.system_listen.socket();
+        let seeds = &self.config.seeds;
+        let others = seeds.iter().copied().filter(|seed| *seed != own);
+        let asked = others.map(|seed| self.ask_member(seed));
+        let replies = futures::future::join_all(asked).await;
+        let mut membership = Membership::of_voters([id.clone()]);
+        for reply in replies.into_iter().flatten() {
+            self.voter.addresses().learn(&reply.address);
+            match reply.founding {
+                Some(founding) if founding.voters.contains(&id) => {
+                    info!("raft: takes part in the fleet of {} voters", founding.voters.len());
+                    return Some(founding);
+                }
+                _ if reply.takes_part => {
+                    info!("raft: joins the fleet that {} takes part in", reply.id.vm);
+                    return Some(Membership::default());
+                }
+                _ => {
+                    membership.voters.insert(reply.id);
+                }
+            }
+        }
+        let founds = !self.config.join
+            && seeds.iter().min() == Some(&own)
+            && membership.voters.len() == seeds.len();
+        if founds {
+            info!("raft: founds a fleet of {} voters", membership.voters.len());
+        }
+        founds.then_some(membership)
+    }
+
     async fn ask_member(&self, address: SocketAddr) -> Result<MemberReply> {
         ask_member(&self.client, &self.secret, address).await
     }
--- a/src/control/raft_api.rs
+++ b/src/control/raft_api.rs
@@ -1,9 +1,9 @@
 use rocket::{
-    State,
+    Route, State,
     data::{Data, ToByteUnit},
     get,
     http::Status,
-    post,
+    post, routes,
 };
 use serde::{Deserialize, Serialize};
 
@@ -92,6 +92,11 @@
         .map_err(|_| Status::MisdirectedRequest)
 }
 
+/// Routes between the members of the log.
+pub fn raft_routes() -> Vec<Route> {
+    routes![take_messages, tell_member, take_join]
+}
+
 async fn read<M: serde::de::DeserializeOwned>(body: Data<'_>) -> Result<M, Status> {
     let bytes = body.open(MAX_BATCH_MIB.mebibytes()).into_bytes().await;
     let bytes = bytes.map_err(|_| Status::BadRequest)?;
--- /dev/null
+++ b/src/coordinator.rs
@@ -0,0 +1,21 @@
+//! Duties of the leading control daemon towards gateways: plans, allowance, the list of targets and
+//! what engines hold; see docs/platform.md.
+
+mod api;
+mod config;
+mod daemon;
+mod desk;
+mod engine_belief;
+mod engines;
+mod gateways;
+mod member_duty;
+mod orders;
+mod placement;
+mod plan_desk;
+
+pub use config::CoordinatorConfig;
+pub use daemon::CoordinatorDaemon;
+pub use desk::CoordinatorDesk;
+pub use engine_belief::EngineBelief;
+pub use placement::{CopyPlan, EngineLoad, ModelNeed, PlacementInput, PlacementOrder, plan_copies};
+pub use plan_desk::PlanDesk;
--- /dev/null
+++ b/src/coordinator/daemon.rs
@@ -0,0 +1,176 @@
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use rocket::{Build, Rocket, Route, routes};
+use spdlog::prelude::*;
+use tokio::sync::watch;
+
+use super::{
+    api, config::CoordinatorConfig, desk::CoordinatorDesk, member_duty::MemberDuty,
+    orders::OrderDuty, plan_desk::PlanDesk,
+};
+use crate::{
+    adapter::PlatformAdapter,
+    client,
+    config::{ControlConfig, ListenAddress, VoterAddress},
+    control::{FleetFounder, HttpPeerSender, SystemSecret, raft_routes, read_addresses},
+    error::{Error, Result},
+    journal::DataFolder,
+    server,
+    voter::{AddressBook, VoterHandle, VoterPhase, VoterSettings},
+};
+
+/// Time that handing leadership over may take at a shutdown.
+const TRANSFER_LIMIT: Duration = Duration::from_secs(3);
+/// Time within which a change is committed, or is reported as unconfirmed. Operators turn to
+/// another daemon after a second.
+const PROPOSAL_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+/// One coordinator.
+pub struct CoordinatorDaemon {
+    config: CoordinatorConfig,
+    adapter: Arc<dyn PlatformAdapter>,
+    secret: String,
+    operator_routes: Vec<Route>,
+}
+
+impl CoordinatorDaemon {
+    /// Prepares a coordinator on a platform.
+    #[must_use]
+    pub fn new(
+        config: CoordinatorConfig,
+        adapter: Arc<dyn PlatformAdapter>,
+        secret: String,
+    ) -> Self {
+        Self {
+            config,
+            adapter,
+            secret,
+            operator_routes: Vec::new(),
+        }
+    }
+
+    /// Adds routes to the operators' port; they find the [`PlanDesk`] in Rocket's state.
+    #[must_use]
+    pub fn with_operator_routes(mut self, routes: Vec<Route>) -> Self {
+        self.operator_routes = routes;
+        self
+    }
+
+    /// Serves until `stop` is ready, then hands leadership over.
+    ///
+    /// # Errors
+    /// [`Error::File`] when the data folder is not usable, [`Error::Server`] when a port is taken,
+    /// [`Error::Stopped`] when the voter has stopped because of a failed file operation.
+    pub async fn run_until(self, stop: impl Future<Output = ()>) -> Result<()> {
+        let config = &self.config;
+        let control = control_config(config);
+        let folder = DataFolder::open(&config.data_folder)?;
+        let own = VoterAddress {
+            vm: config.vm.clone(),
+            data_centre: config.data_centre.clone(),
+            system: control.system_listen.socket(),
+            admin: config.operator_listen,
+        };
+        let addresses = Arc::new(AddressBook::new(own, read_addresses(&control)));
+        let settings = VoterSettings {
+            proposal_timeout: PROPOSAL_TIMEOUT,
+            ..VoterSettings::new(config.vm.clone())
+        };
+        let level = settings.applicable_level;
+        let peers = HttpPeerSender::new(Arc::clone(&addresses), self.secret.clone(), level);
+        let journal = folder.open_journal(&config.vm, settings.journal)?;
+        let voter = VoterHandle::start(journal, settings, addresses, Box::new(peers))?;
+        let client = client::http_client()?;
+        let desk = Arc::new(CoordinatorDesk::new(voter.clone(), Arc::clone(&self.adapter)));
+        let plans = Arc::new(PlanDesk::new(voter.clone(), self.adapter));
+        let system = build(&control.system_listen)
+            .manage(SystemSecret(self.secret.clone()))
+            .manage(voter.clone())
+            .manage(Arc::clone(&desk))
+            .mount("/", raft_routes())
+            .mount("/", routes![api::sync_gateway]);
+        let operator = build(&listen_address(config.operator_listen))
+            .manage(plans)
+            .mount("/", self.operator_routes);
+        let founder = FleetFounder::new(control, voter.clone(), client.clone(), self.secret.clone());
+        let members = MemberDuty::new(voter.clone(), client, self.secret, config.voters);
+        let orders = OrderDuty::new(desk, config.vm.clone(), config.holder_lease);
+        tokio::spawn(founder.run());
+        tokio::spawn(members.run());
+        tokio::spawn(Arc::new(orders).run());
+        let (close, closing) = watch::channel(false);
+        let mut serving = [system, operator].map(|rocket| {
+            let mut closing = closing.clone();
+            let closed = async move {
+                // An error means that the daemon was dropped, which stops the servers too.
+                let _ = closing.wait_for(|closed| *closed).await;
+            };
+            tokio::spawn(server::launch_until(rocket, closed))
+        });
+        info!("coordinator: {} serves operators at {}", config.vm, config.operator_listen);
+        let mut phase = voter.phase();
+        let [system, operator] = &mut serving;
+        let ended = tokio::select! {
+            served = system => Some(joined(served)),
+            served = operator => Some(joined(served)),
+            _ = phase.wait_for(|phase| *phase == VoterPhase::Stopped) => {
+                Some(Err(Error::Stopped { part: "voter" }))
+            }
+            () = stop => None,
+        };
+        if let Some(ended) = ended {
+            voter.stop().await;
+            return ended;
+        }
+        info!("coordinator: shuts down");
+        if voter.status().membership.voters.len() > 1 {
+            voter.transfer(TRANSFER_LIMIT).await;
+        }
+        close.send_replace(true);
+        for serving in serving {
+            joined(serving.await)?;
+        }
+        voter.stop().await;
+        info!("coordinator: has stopped");
+        Ok(())
+    }
+}
+
+fn joined(served: std::result::Result<Result<()>, tokio::task::JoinError>) -> Result<()> {
+    served.map_err(|error| Error::Server {
+        reason: error.to_string(),
+    })?
+}
+
+fn listen_address(socket: SocketAddr) -> ListenAddress {
+    ListenAddress {
+        address: socket.ip(),
+        port: socket.port(),
+    }
+}
+
+fn control_config(config: &CoordinatorConfig) -> ControlConfig {
+    ControlConfig {
+        vm: config.vm.clone(),
+        data_centre: config.data_centre.clone(),
+        data_folder: config.data_folder.clone(),
+        system_listen: ListenAddress {
+            address: config.address,
+            port: config.system_port,
+        },
+        admin_listen: listen_address(config.operator_listen),
+        voters: Vec::new(),
+        seeds: config.seeds.clone(),
+        join: !config.is_founding,
+        system_secret_file: "".into(),
+        admin_token_file: "".into(),
+        platform_list: None,
+    }
+}
+
+fn build(listen: &ListenAddress) -> Rocket<Build> {
+    let figment = server::figment(listen)
+        .merge(("shutdown.grace", 1))
+        .merge(("shutdown.mercy", 1));
+    rocket::custom(figment)
+}
--- /dev/null
+++ b/src/coordinator/desk.rs
@@ -0,0 +1,225 @@
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use tokio::sync::{Notify, watch};
+
+use super::{engines::EngineTable, gateways::GatewayTable};
+use crate::{
+    adapter::{PlatformAdapter, TargetEntry},
+    allowance::{AllowanceLedger, ShareGrant},
+    error::{Error, Result},
+    ids::Term,
+    plan::{PlanIndex, PlanVersion},
+    state::ControlState,
+    sync::{GatewayReply, GatewayReport, ListVersion, TargetList},
+    voter::{LeaderLease, VoterHandle},
+};
+
+/// Longest time that a sync is held for a model that requests wait for: the way of an order to an
+/// engine, and an adapter's load.
+const HOLD_LIMIT: Duration = Duration::from_millis(60);
+
+/// The leader's tables about gateways and engines. They belong to one term and are made anew by
+/// each leader from what gateways and engines tell.
+pub struct CoordinatorDesk {
+    pub(super) voter: VoterHandle,
+    pub(super) adapter: Arc<dyn PlatformAdapter>,
+    started: Instant,
+    tables: Mutex<LeaderTables>,
+    changed: watch::Sender<u64>,
+    /// Wakes the duty that gives orders.
+    pub(super) wanted: Notify,
+}
+
+/// Tables of one term.
+pub(super) struct LeaderTables {
+    pub term: Term,
+    pub begun_at: Duration,
+    pub ledger: AllowanceLedger,
+    pub gateways: GatewayTable,
+    pub engines: EngineTable,
+    pub plan: Option<Arc<PlanIndex>>,
+    pub listed_at: Option<Duration>,
+    list_number: u64,
+}
+
+impl LeaderTables {
+    fn new(term: Term, now: Duration) -> Self {
+        Self {
+            term,
+            begun_at: now,
+            ledger: AllowanceLedger::new(term, now),
+            gateways: GatewayTable::default(),
+            engines: EngineTable::default(),
+            plan: None,
+            listed_at: None,
+            list_number: 0,
+        }
+    }
+
+    fn list_version(&self) -> ListVersion {
+        ListVersion {
+            term: self.term,
+            number: self.list_number,
+        }
+    }
+}
+
+impl CoordinatorDesk {
+    /// Returns a desk with empty tables.
+    #[must_use]
+    pub fn new(voter: VoterHandle, adapter: Arc<dyn PlatformAdapter>) -> Self {
+        Self {
+            voter,
+            adapter,
+            started: Instant::now(),
+            tables: Mutex::new(LeaderTables::new(0, Duration::ZERO)),
+            changed: watch::channel(0).0,
+            wanted: Notify::new(),
+        }
+    }
+
+    /// Time of this process.
+    pub(super) fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// Returns the tables of the term that a lease proves.
+    pub(super) fn tables(&self, lease: LeaderLease) -> MutexGuard<'_, LeaderTables> {
+        let mut tables = self.tables.lock().unwrap_or_else(PoisonError::into_inner);
+        if tables.term != lease.term {
+            *tables = LeaderTables::new(lease.term, self.now());
+        }
+        tables
+    }
+
+    /// Returns the proof that this daemon leads.
+    ///
+    /// # Errors
+    /// [`Error::NotLeader`] with the system address of the leader, when it is known.
+    pub(super) fn lease(&self) -> Result<LeaderLease> {
+        let lease = self.voter.lease().filter(LeaderLease::holds);
+        lease.ok_or_else(|| {
+            let leader = self.voter.status().leader;
+            let address = leader.and_then(|leader| self.voter.addresses().system(&leader.vm));
+            Error::NotLeader {
+                leader: address.map(|address| address.to_string()),
+            }
+        })
+    }
+
+    /// Tells gateways about a new list.
+    pub(super) fn publish_targets(&self, tables: &mut LeaderTables) {
+        tables.list_number += 1;
+        self.changed.send_modify(|number| *number += 1);
+    }
+
+    /// Brings the decoded plan up to the log.
+    pub(super) fn follow_plan(&self, tables: &mut LeaderTables) {
+        let Some(published) = self.voter.local(ControlState::plan) else {
+            return;
+        };
+        let held = tables.plan.as_ref().map_or(0, |plan| plan.plan().version);
+        if held >= published.version {
+            return;
+        }
+        match self.adapter.decode_plan(&published.document) {
+            Ok(plan) => {
+                let now = self.now();
+                for team in &plan.teams {
+                    if let Some(limit) = team.limit {
+                        tables.ledger.set_limit(&team.id, limit, now);
+                    }
+                }
+                tables.plan = Some(Arc::new(PlanIndex::new(plan)));
+            }
+            Err(error) => {
+                spdlog::error!("plan: {} cannot be read: {error}", published.version);
+            }
+        }
+    }
+
+    /// Answers a gateway's report.
+    ///
+    /// # Errors
+    /// [`Error::NotLeader`] when this daemon does not lead.
+    pub async fn sync(&self, report: GatewayReport) -> Result<GatewayReply> {
+        let lease = self.lease()?;
+        let mut changed = self.changed.subscribe();
+        let grants = self.record(&report, lease);
+        if !report.wanted.is_empty() {
+            self.wanted.notify_one();
+            if self.tables(lease).list_version() == report.list {
+                // A reply without news is as good as one at the limit.
+                let _ = tokio::time::timeout(HOLD_LIMIT, changed.changed()).await;
+            }
+        }
+        let reply = self.reply(&report, grants, lease);
+        match lease.holds() {
+            true => Ok(reply),
+            false => Err(Error::NotLeader { leader: None }),
+        }
+    }
+
+    fn record(&self, report: &GatewayReport, lease: LeaderLease) -> Vec<ShareGrant> {
+        let now = self.now();
+        let mut tables = self.tables(lease);
+        self.follow_plan(&mut tables);
+        let tables = &mut *tables;
+        tables.gateways.record(report, now);
+        for requests in &report.demand {
+            tables.engines.note_adapter_use(&requests.model.model, now);
+        }
+        tables.ledger.expire(now);
+        let grants = tables.ledger.exchange(&report.gateway, &report.shares, now);
+        grants.into_vec()
+    }
+
+    fn reply(
+        &self,
+        report: &GatewayReport,
+        grants: Vec<ShareGrant>,
+        lease: LeaderLease,
+    ) -> GatewayReply {
+        let now = self.now();
+        let tables = self.tables(lease);
+        let plan = self.voter.local(ControlState::plan);
+        let is_newer = |version: PlanVersion| version > report.plan;
+        let plan = plan.filter(|plan| is_newer(plan.version));
+        let version = tables.list_version();
+        let is_listed = tables.listed_at.is_some();
+        let targets = (is_listed && version != report.list).then(|| TargetList {
+            version,
+            targets: tables.engines.targets(),
+        });
+        let age = tables.listed_at.map(|at| now.saturating_sub(at));
+        let own = self.voter.addresses().own().system;
+        let others = self.voter.addresses().others();
+        let others = others.into_iter().map(|address| address.system);
+        GatewayReply {
+            term: tables.term,
+            plan: plan.map(|plan| plan.as_ref().clone()),
+            grants,
+            targets,
+            list_age_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+            running: tables.gateways.running_elsewhere(&report.gateway),
+            gateways: tables.gateways.count(),
+            coordinators: std::iter::once(own).chain(others).collect(),
+        }
+    }
+
+    /// Takes over the platform's list.
+    pub(super) fn accept_list(&self, lease: LeaderLease, list: Vec<TargetEntry>, asked: Duration) {
+        let mut tables = self.tables(lease);
+        let Some(plan) = tables.plan.clone() else {
+            return;
+        };
+        let is_first = tables.listed_at.is_none();
+        tables.listed_at = Some(asked);
+        if tables.engines.apply_list(&plan, list) || is_first {
+            self.publish_targets(&mut tables);
+        }
+    }
+}
--- /dev/null
+++ b/src/coordinator/engine_belief.rs
@@ -0,0 +1,134 @@
+use std::time::Duration;
+
+use crate::{
+    adapter::{EngineStatus, HeldModel, OrderAction, TargetEntry},
+    ids::ModelId,
+    plan::EnginePlan,
+};
+
+/// Time after which an order without an answer is no longer carried out by an engine.
+const LATE_ORDER_LIMIT: Duration = Duration::from_secs(14);
+
+/// What the leader believes about one engine: its own report, and the orders given since.
+#[derive(Clone, Debug)]
+pub struct EngineBelief {
+    /// Entry on the platform's list.
+    pub entry: TargetEntry,
+    /// Models that it holds for requests. One that is about to be unloaded is not among them.
+    pub held: Vec<HeldModel>,
+    /// Models that take memory, whatever their state.
+    pub resident: Vec<ModelId>,
+    /// Orders that the engine has accepted; `None` until it has reported.
+    pub orders: Option<u64>,
+    /// Whether a call to the engine is under way.
+    pub is_called: bool,
+    /// Order for a whole model that the engine carries out, and since when.
+    pub underway: Option<(OrderAction, ModelId, Duration)>,
+    /// Model that is to be unloaded once gateways have stopped sending, and since when.
+    pub retiring: Option<(ModelId, Duration)>,
+    /// Loads without an answer that may still begin, and when they were ordered.
+    pub doubtful: Vec<(ModelId, Duration)>,
+    /// Whether a later holder has given it orders.
+    pub is_fenced: bool,
+    /// When the engine was last asked.
+    pub asked_at: Duration,
+}
+
+impl EngineBelief {
+    /// Returns the belief about an engine that is new on the list.
+    #[must_use]
+    pub fn new(entry: TargetEntry) -> Self {
+        let resident = entry.models.iter().map(|held| held.model.clone());
+        Self {
+            held: entry.models.clone(),
+            resident: resident.collect(),
+            entry,
+            orders: None,
+            is_called: false,
+            underway: None,
+            retiring: None,
+            doubtful: Vec::new(),
+            is_fenced: false,
+            asked_at: Duration::ZERO,
+        }
+    }
+
+    /// Takes over the engine's own report.
+    pub fn accept(&mut self, status: EngineStatus, now: Duration) {
+        self.orders = Some(status.orders);
+        self.resident = status.models.iter().map(|held| held.model.clone()).collect();
+        self.doubtful
+            .retain(|(_, at)| now.saturating_sub(*at) < LATE_ORDER_LIMIT);
+        let is_settled = match &self.underway {
+            Some((OrderAction::Load, model, _)) => self.resident.contains(model),
+            Some((OrderAction::Unload, model, _)) => !self.resident.contains(model),
+            None => true,
+        };
+        if is_settled && !status.is_busy {
+            self.underway = None;
+        }
+        self.held = status.models;
+        let leaving = self.retiring.as_ref().map(|(model, _)| model);
+        let unloading = match &self.underway {
+            Some((OrderAction::Unload, model, _)) => Some(model),
+            _ => None,
+        };
+        self.held
+            .retain(|held| Some(&held.model) != leaving && Some(&held.model) != unloading);
+    }
+
+    /// Returns the memory that is free for another model, in MB. Adapters may fill all their places,
+    /// and a load without an answer may still begin.
+    #[must_use]
+    pub fn free_mb(&self, plan: &EnginePlan) -> f64 {
+        let weights = |model: &ModelId| plan.model(model).map_or(0.0, |model| model.weights_mb);
+        let loading = match &self.underway {
+            Some((OrderAction::Load, model, _)) if !self.resident.contains(model) => {
+                weights(model)
+            }
+            _ => 0.0,
+        };
+        let doubtful = self
+            .doubtful
+            .iter()
+            .filter(|(model, _)| !self.resident.contains(model));
+        let doubtful: f64 = doubtful.map(|(model, _)| weights(model)).sum();
+        let resident: f64 = self.resident.iter().map(weights).sum();
+        let adapter = plan.models.iter().map(|model| model.adapter_mb);
+        let adapters = adapter.fold(0.0, f64::max) * f64::from(plan.adapter_places);
+        plan.weights_mb - resident - loading - doubtful - adapters
+    }
+
+    /// Tells whether the engine can be given an order for a whole model.
+    #[must_use]
+    pub fn is_free(&self) -> bool {
+        self.orders.is_some()
+            && !self.is_called
+            && !self.is_fenced
+            && !self.entry.is_leaving
+            && self.underway.is_none()
+            && self.retiring.is_none()
+    }
+
+    /// Tells whether it holds a model, or is loading it.
+    #[must_use]
+    pub fn has_or_loads(&self, model: &str) -> bool {
+        let loads = matches!(&self.underway, Some((OrderAction::Load, loaded, _)) if loaded == model);
+        loads || self.held.iter().any(|held| held.model == model)
+    }
+
+    /// Returns the number of its adapters.
+    #[must_use]
+    pub fn adapters(&self) -> usize {
+        self.held.iter().map(|held| held.adapters.len()).sum()
+    }
+
+    /// Returns its entry with the models that requests can use.
+    #[must_use]
+    pub fn usable_entry(&self) -> TargetEntry {
+        TargetEntry {
+            models: self.held.clone(),
+            ..self.entry.clone()
+        }
+    }
+}
--- /dev/null
+++ b/src/coordinator/engines.rs
@@ -0,0 +1,494 @@
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
+
+use spdlog::prelude::*;
+
+use super::{
+    engine_belief::EngineBelief,
+    gateways::GatewayTable,
+    placement::{CopyPlan, EngineLoad, ModelNeed, PlacementInput, plan_copies},
+};
+use crate::{
+    adapter::{EngineStatus, HeldModel, OrderAction, OrderAnswer, TargetEntry},
+    ids::{ModelId, TargetId},
+    plan::{EnginePlan, PlanIndex},
+    sync::ServedModel,
+};
+
+/// Time between two questions to an engine that carries out an order.
+const CHECK_PERIOD: Duration = Duration::from_millis(250);
+/// Time between two questions to an engine that does nothing; it may have been restarted.
+const IDLE_CHECK_PERIOD: Duration = Duration::from_secs(8);
+/// Time for gateways to stop sending requests for a model before it is unloaded.
+const RETIRE_DELAY: Duration = Duration::from_millis(600);
+/// Time after which an order that the engine does not show counts as lost.
+const LOST_ORDER_LIMIT: Duration = Duration::from_secs(20);
+/// Loads that may begin at once after a quiet time.
+const LOAD_BURST: f64 = 2.0;
+/// Part of the store's rate that is used; loads of a former leader may still begin.
+const LOAD_RATE_SHARE: f64 = 0.9;
+/// Time for which an adapter that was used is not unloaded for another.
+const ADAPTER_REST: Duration = Duration::from_secs(3);
+/// Part of the mean load of an engine above which a single adapter gets another copy.
+const HOT_ADAPTER: f64 = 0.2;
+
+/// An order that the table asks for; its number of earlier orders is part of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WantedOrder {
+    /// The engine.
+    pub target: TargetId,
+    /// What it is to do.
+    pub action: OrderAction,
+    /// Model, or `model/adapter`.
+    pub model: ModelId,
+    /// Orders that the engine has accepted before.
+    pub after_orders: u64,
+    /// Why.
+    pub reason: &'static str,
+}
+
+/// What the leader believes about all targets, and the orders that follow from it.
+#[derive(Debug, Default)]
+pub struct EngineTable {
+    engines: BTreeMap<TargetId, EngineBelief>,
+    plain: Vec<TargetEntry>,
+    adapter_uses: HashMap<(TargetId, ModelId), Duration>,
+    load_tokens: f64,
+    load_tokens_at: Duration,
+}
+
+impl EngineTable {
+    /// Takes over the platform's list. Models of engines that were asked themselves stay, since the
+    /// list is older. Returns whether anything changed that gateways need to know.
+    pub fn apply_list(&mut self, plan: &PlanIndex, list: Vec<TargetEntry>) -> bool {
+        let mut engines = BTreeMap::new();
+        let mut plain = Vec::new();
+        let mut is_changed = false;
+        for entry in list {
+            let service = plan.service(&entry.service);
+            if service.is_none_or(|service| service.engine.is_none()) {
+                plain.push(entry);
+                continue;
+            }
+            let old = self.engines.remove(&entry.id);
+            let old = old.filter(|old| old.entry.born_ms == entry.born_ms);
+            is_changed |= old.as_ref().is_none_or(|old| {
+                old.entry.is_leaving != entry.is_leaving || old.entry.address != entry.address
+            });
+            let belief = match old {
+                Some(old) => EngineBelief { entry, ..old },
+                None => EngineBelief::new(entry),
+            };
+            engines.insert(belief.entry.id.clone(), belief);
+        }
+        is_changed |= !self.engines.is_empty() || plain != self.plain;
+        self.engines = engines;
+        self.plain = plain;
+        is_changed
+    }
+
+    /// Returns the targets with the models that requests can use.
+    pub fn targets(&self) -> Vec<TargetEntry> {
+        let engines = self.engines.values().map(EngineBelief::usable_entry);
+        engines.chain(self.plain.iter().cloned()).collect()
+    }
+
+    /// Returns an engine.
+    pub fn get(&self, target: &TargetId) -> Option<&EngineBelief> {
+        self.engines.get(target)
+    }
+
+    /// Returns the engines to ask for their state, and marks them as asked.
+    pub fn due_checks(&mut self, now: Duration) -> Vec<TargetEntry> {
+        let mut due = Vec::new();
+        for belief in self.engines.values_mut() {
+            let period = match belief.orders.is_none() || belief.underway.is_some() {
+                true => CHECK_PERIOD,
+                false => IDLE_CHECK_PERIOD,
+            };
+            let is_new = belief.orders.is_none() && belief.asked_at.is_zero();
+            if !belief.is_called && (is_new || now.saturating_sub(belief.asked_at) >= period) {
+                belief.is_called = true;
+                belief.asked_at = now;
+                due.push(belief.entry.clone());
+            }
+        }
+        due
+    }
+
+    /// Takes over an engine's answer about its state; `None` when it gave none.
+    pub fn accept_status(
+        &mut self,
+        target: &TargetId,
+        status: Option<EngineStatus>,
+        now: Duration,
+    ) -> bool {
+        let Some(belief) = self.engines.get_mut(target) else {
+            return false;
+        };
+        belief.is_called = false;
+        let Some(status) = status else {
+            return false;
+        };
+        let before = belief.held.clone();
+        let is_lost = belief
+            .underway
+            .as_ref()
+            .is_some_and(|(_, _, since)| now.saturating_sub(*since) > LOST_ORDER_LIMIT);
+        if is_lost {
+            belief.underway = None;
+        }
+        belief.accept(status, now);
+        belief.held != before
+    }
+
+    /// Marks an engine as called with an order.
+    pub fn begin_order(&mut self, order: &WantedOrder, now: Duration) {
+        let Some(belief) = self.engines.get_mut(&order.target) else {
+            return;
+        };
+        belief.is_called = true;
+        if is_adapter(&order.model) {
+            let key = (order.target.clone(), order.model.clone());
+            self.adapter_uses.insert(key, now);
+        } else {
+            belief.underway = Some((order.action, order.model.clone(), now));
+            belief.retiring = None;
+        }
+    }
+
+    /// Takes over the outcome of an order; `None` when the engine gave no answer and may carry it
+    /// out later. Returns whether gateways need to know.
+    pub fn end_order(
+        &mut self,
+        order: &WantedOrder,
+        answer: Option<OrderAnswer>,
+        now: Duration,
+    ) -> bool {
+        let Some(belief) = self.engines.get_mut(&order.target) else {
+            return false;
+        };
+        belief.is_called = false;
+        let is_whole = !is_adapter(&order.model);
+        match answer {
+            Some(OrderAnswer::Accepted) => {
+                belief.orders = belief.orders.map(|orders| orders + 1);
+                belief.asked_at = now;
+                if is_whole {
+                    return false;
+                }
+            }
+            Some(OrderAnswer::Holds) => {
+                if is_whole {
+                    belief.underway = None;
+                    belief.orders = None;
+                    belief.asked_at = Duration::ZERO;
+                    return false;
+                }
+            }
+            Some(OrderAnswer::Fenced) => {
+                belief.is_fenced = true;
+                belief.underway = None;
+                return false;
+            }
+            Some(OrderAnswer::Busy | OrderAnswer::Refused) => {
+                belief.underway = None;
+                belief.orders = None;
+                belief.asked_at = Duration::ZERO;
+                return false;
+            }
+            None => {
+                if is_whole && order.action == OrderAction::Load {
+                    belief.doubtful.push((order.model.clone(), now));
+                }
+                belief.underway = None;
+                belief.orders = None;
+                belief.asked_at = Duration::ZERO;
+                return false;
+            }
+        }
+        change_adapter(&mut belief.held, order)
+    }
+
+    /// Decides on orders. Each engine gets one at a time.
+    pub fn decide(
+        &mut self,
+        plan: &PlanIndex,
+        gateways: &GatewayTable,
+        now: Duration,
+    ) -> Vec<WantedOrder> {
+        let mut orders = Vec::new();
+        for service in plan.services() {
+            let Some(engine) = &service.engine else {
+                continue;
+            };
+            self.refill_loads(engine, now);
+            self.decide_retired(&mut orders, now);
+            self.decide_adapters(&service.id, engine, gateways, &mut orders, now);
+            self.decide_copies(&service.id, engine, gateways, &mut orders, now);
+        }
+        for order in &orders {
+            self.begin_order(order, now);
+        }
+        orders
+    }
+
+    fn refill_loads(&mut self, engine: &EnginePlan, now: Duration) {
+        let elapsed = now.saturating_sub(self.load_tokens_at).as_secs_f64();
+        self.load_tokens_at = now;
+        let refill = elapsed * engine.loads_per_second * LOAD_RATE_SHARE;
+        self.load_tokens = (self.load_tokens + refill).min(LOAD_BURST);
+    }
+
+    fn decide_retired(&self, orders: &mut Vec<WantedOrder>, now: Duration) {
+        for belief in self.engines.values() {
+            match (&belief.retiring, belief.orders) {
+                (Some((model, since)), Some(after_orders))
+                    if !belief.is_called
+                        && !belief.is_fenced
+                        && now.saturating_sub(*since) >= RETIRE_DELAY =>
+                {
+                    orders.push(WantedOrder {
+                        target: belief.entry.id.clone(),
+                        action: OrderAction::Unload,
+                        model: model.clone(),
+                        after_orders,
+                        reason: "makes room",
+                    });
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn engines_of<'e>(&'e self, service: &'e str) -> impl Iterator<Item = &'e EngineBelief> {
+        self.engines
+            .values()
+            .filter(move |belief| belief.entry.service == service)
+    }
+
+    fn decide_copies(
+        &mut self,
+        service: &str,
+        engine: &EnginePlan,
+        gateways: &GatewayTable,
+        orders: &mut Vec<WantedOrder>,
+        now: Duration,
+    ) {
+        let input = self.placement_input(service, engine, gateways, orders, now);
+        for step in plan_copies(&input) {
+            let Some(belief) = self.engines.get_mut(&step.engine) else {
+                continue;
+            };
+            let Some(after_orders) = belief.orders else {
+                continue;
+            };
+            match step.copy {
+                CopyPlan::Unload(model) => {
+                    info!("place: retires a copy", kv: {
+                        target = step.engine.as_str(),
+                        model = model.as_str(),
+                        reason = step.reason,
+                    });
+                    belief.held.retain(|held| held.model != model);
+                    belief.retiring = Some((model, now));
+                }
+                CopyPlan::Load(_) if self.load_tokens < 1.0 => {}
+                CopyPlan::Load(model) => {
+                    self.load_tokens -= 1.0;
+                    orders.push(WantedOrder {
+                        target: step.engine,
+                        action: OrderAction::Load,
+                        model,
+                        after_orders,
+                        reason: step.reason,
+                    });
+                }
+            }
+        }
+    }
+
+    fn placement_input(
+        &self,
+        service: &str,
+        engine: &EnginePlan,
+        gateways: &GatewayTable,
+        orders: &[WantedOrder],
+        now: Duration,
+    ) -> PlacementInput {
+        let mut demand: HashMap<&str, f64> = HashMap::new();
+        for (model, tokens) in gateways.all_demand(now) {
+            if model.service == service {
+                *demand.entry(base(&model.model)).or_default() += tokens;
+            }
+        }
+        let awaited: Vec<&str> = gateways
+            .wanted()
+            .filter(|model| model.service == service)
+            .map(|model| base(&model.model))
+            .collect();
+        let models = engine.models.iter().map(|model| ModelNeed {
+            id: model.id.clone(),
+            weights_mb: model.weights_mb,
+            demand: demand.get(model.id.as_str()).copied().unwrap_or(0.0),
+            is_awaited: awaited.contains(&model.id.as_str()),
+        });
+        let engines = self.engines_of(service).map(|belief| {
+            let loading = match &belief.underway {
+                Some((OrderAction::Load, model, _)) => Some(model.clone()),
+                _ => None,
+            };
+            let held = belief.held.iter().map(|held| held.model.clone());
+            let mut models: Vec<ModelId> = held.chain(loading).collect();
+            models.dedup();
+            let is_ordered = orders.iter().any(|order| order.target == belief.entry.id);
+            EngineLoad {
+                id: belief.entry.id.clone(),
+                models,
+                free_mb: belief.free_mb(engine),
+                is_free: belief.is_free() && !is_ordered,
+                is_lasting: !belief.entry.is_leaving,
+            }
+        });
+        PlacementInput {
+            engines: engines.collect(),
+            models: models.collect(),
+        }
+    }
+
+    fn decide_adapters(
+        &mut self,
+        service: &str,
+        engine: &EnginePlan,
+        gateways: &GatewayTable,
+        orders: &mut Vec<WantedOrder>,
+        now: Duration,
+    ) {
+        let lasting = self.engines_of(service);
+        let lasting = lasting.filter(|belief| !belief.entry.is_leaving).count();
+        let total: f64 = gateways.all_demand(now).map(|(_, tokens)| tokens).sum();
+        #[allow(clippy::cast_precision_loss)] // Counts of engines are small.
+        let mean = total / lasting.max(1) as f64;
+        let mut wanted: Vec<&ServedModel> = gateways
+            .wanted()
+            .filter(|model| model.service == service && is_adapter(&model.model))
+            .collect();
+        wanted.sort();
+        wanted.dedup();
+        for model in wanted {
+            if self.adapter_copies(service, &model.model) == 0 {
+                self.order_adapter(service, engine, model, "awaited", orders, now);
+            }
+        }
+        for (model, tokens) in gateways.all_demand(now) {
+            if model.service != service || !is_adapter(&model.model) {
+                continue;
+            }
+            let copies = self.adapter_copies(service, &model.model);
+            #[allow(clippy::cast_precision_loss)] // Counts of copies are small.
+            let share = tokens / copies.max(1) as f64;
+            if copies > 0 && share > HOT_ADAPTER * mean {
+                self.order_adapter(service, engine, model, "demand", orders, now);
+            }
+        }
+    }
+
+    fn adapter_copies(&self, service: &str, adapter: &ModelId) -> usize {
+        let holding = self.engines_of(service).filter(|belief| {
+            !belief.entry.is_leaving
+                && belief.held.iter().any(|held| held.adapters.contains(adapter))
+        });
+        holding.count()
+    }
+
+    fn order_adapter(
+        &mut self,
+        service: &str,
+        engine: &EnginePlan,
+        wanted: &ServedModel,
+        reason: &'static str,
+        orders: &mut Vec<WantedOrder>,
+        now: Duration,
+    ) {
+        let model = base(&wanted.model);
+        let places = engine.adapter_places as usize;
+        let open = self.engines_of(service).filter(|belief| {
+            let is_ordered = orders.iter().any(|order| order.target == belief.entry.id);
+            let held = belief.held.iter().find(|held| held.model == model);
+            belief.orders.is_some()
+                && !belief.is_called
+                && !belief.is_fenced
+                && !belief.entry.is_leaving
+                && !is_ordered
+                && held.is_some_and(|held| !held.adapters.contains(&wanted.model))
+        });
+        let Some(belief) = open.min_by_key(|belief| (belief.adapters(), belief.held.len())) else {
+            return;
+        };
+        let (Some(after_orders), target) = (belief.orders, belief.entry.id.clone()) else {
+            return;
+        };
+        let (action, model) = if belief.adapters() < places {
+            (OrderAction::Load, wanted.model.clone())
+        } else {
+            match self.idle_adapter(belief, now) {
+                Some(idle) => (OrderAction::Unload, idle),
+                None => return,
+            }
+        };
+        orders.push(WantedOrder {
+            target,
+            action,
+            model,
+            after_orders,
+            reason,
+        });
+    }
+
+    /// Returns the adapter of an engine that was asked for least lately.
+    fn idle_adapter(&self, belief: &EngineBelief, now: Duration) -> Option<ModelId> {
+        let used = |adapter: &ModelId| {
+            let key = (belief.entry.id.clone(), adapter.clone());
+            self.adapter_uses.get(&key).copied().unwrap_or_default()
+        };
+        let adapters = belief.held.iter().flat_map(|held| &held.adapters);
+        let idle = adapters.filter(|adapter| now.saturating_sub(used(adapter)) > ADAPTER_REST);
+        idle.min_by_key(|adapter| used(adapter)).cloned()
+    }
+
+    /// Notes that requests for an adapter came, wherever it is held.
+    pub fn note_adapter_use(&mut self, adapter: &ModelId, now: Duration) {
+        if !is_adapter(adapter) {
+            return;
+        }
+        for belief in self.engines.values() {
+            if belief.held.iter().any(|held| held.adapters.contains(adapter)) {
+                let key = (belief.entry.id.clone(), adapter.clone());
+                self.adapter_uses.insert(key, now);
+            }
+        }
+    }
+}
+
+fn is_adapter(model: &str) -> bool {
+    model.contains('/')
+}
+
+fn base(model: &str) -> &str {
+    model.split_once('/').map_or(model, |(base, _)| base)
+}
+
+fn change_adapter(held: &mut [HeldModel], order: &WantedOrder) -> bool {
+    let Some(held) = held.iter_mut().find(|held| held.model == base(&order.model)) else {
+        return false;
+    };
+    let is_held = held.adapters.contains(&order.model);
+    match order.action {
+        OrderAction::Load if !is_held => held.adapters.push(order.model.clone()),
+        OrderAction::Unload if is_held => held.adapters.retain(|known| *known != order.model),
+        _ => return false,
+    }
+    true
+}
--- /dev/null
+++ b/src/coordinator/gateways.rs
@@ -0,0 +1,110 @@
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
+
+use crate::{
+    ids::{EntryKey, TargetId},
+    sync::{GatewayReport, ServedModel, TargetRunning},
+};
+
+/// Silence after which a gateway counts as gone.
+const SILENCE_LIMIT: Duration = Duration::from_secs(2);
+/// Time constant of the demand estimate: a few loads of a model.
+const DEMAND_SECONDS: f64 = 4.0;
+/// Demand below this many tokens a second is forgotten.
+const FORGOTTEN_RATE: f64 = 0.5;
+
+/// What the leader knows of the gateways that sync with it.
+#[derive(Debug, Default)]
+pub struct GatewayTable {
+    gateways: BTreeMap<EntryKey, GatewayState>,
+    demand: HashMap<ServedModel, DemandEstimate>,
+}
+
+#[derive(Debug)]
+struct GatewayState {
+    seen_at: Duration,
+    running: Vec<TargetRunning>,
+    wanted: Vec<ServedModel>,
+}
+
+#[derive(Debug)]
+struct DemandEstimate {
+    tokens_per_second: f64,
+    updated_at: Duration,
+}
+
+impl DemandEstimate {
+    fn at(&self, now: Duration) -> f64 {
+        let elapsed = now.saturating_sub(self.updated_at).as_secs_f64();
+        self.tokens_per_second * (-elapsed / DEMAND_SECONDS).exp()
+    }
+}
+
+impl GatewayTable {
+    /// Records a report.
+    #[allow(clippy::cast_precision_loss)] // Token counts are estimates.
+    pub fn record(&mut self, report: &GatewayReport, now: Duration) {
+        for requests in &report.demand {
+            let estimate = self.demand.entry(requests.model.clone());
+            let estimate = estimate.or_insert(DemandEstimate {
+                tokens_per_second: 0.0,
+                updated_at: now,
+            });
+            estimate.tokens_per_second =
+                estimate.at(now) + requests.tokens as f64 / DEMAND_SECONDS;
+            estimate.updated_at = now;
+        }
+        let state = GatewayState {
+            seen_at: now,
+            running: report.running.clone(),
+            wanted: report.wanted.clone(),
+        };
+        self.gateways.insert(report.gateway.clone(), state);
+    }
+
+    /// Forgets gateways that fell silent and models that nobody asks for.
+    pub fn expire(&mut self, now: Duration) {
+        self.gateways
+            .retain(|_, state| now.saturating_sub(state.seen_at) < SILENCE_LIMIT);
+        self.demand
+            .retain(|_, estimate| estimate.at(now) > FORGOTTEN_RATE);
+    }
+
+    /// Returns the number of live gateways.
+    pub fn count(&self) -> u32 {
+        u32::try_from(self.gateways.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns what gateways other than `own` run at each target.
+    pub fn running_elsewhere(&self, own: &EntryKey) -> Vec<TargetRunning> {
+        let mut sums: BTreeMap<&TargetId, u32> = BTreeMap::new();
+        let others = self.gateways.iter().filter(|(key, _)| *key != own);
+        for running in others.flat_map(|(_, state)| &state.running) {
+            *sums.entry(&running.target).or_default() += running.requests;
+        }
+        let sums = sums.into_iter().map(|(target, requests)| TargetRunning {
+            target: target.clone(),
+            requests,
+        });
+        sums.collect()
+    }
+
+    /// Returns the models that requests wait for.
+    pub fn wanted(&self) -> impl Iterator<Item = &ServedModel> {
+        self.gateways.values().flat_map(|state| &state.wanted)
+    }
+
+    /// Returns the demand for a model in tokens a second.
+    pub fn demand(&self, model: &ServedModel, now: Duration) -> f64 {
+        self.demand.get(model).map_or(0.0, |demand| demand.at(now))
+    }
+
+    /// Returns the demand for each model and adapter.
+    pub fn all_demand(&self, now: Duration) -> impl Iterator<Item = (&ServedModel, f64)> {
+        self.demand
+            .iter()
+            .map(move |(model, demand)| (model, demand.at(now)))
+    }
+}
--- a/src/dev/settings.rs
+++ b/src/dev/settings.rs
@@ -90,6 +90,7 @@
                 system: loopback(self.system_port).socket(),
                 admin: loopback(self.admin_port).socket(),
             }],
+            seeds: Vec::new(),
             join: false,
             system_secret_file: self.secret_path("system.secret"),
             admin_token_file: self.secret_path("admin.token"),
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -2,7 +2,7 @@
 
 mod admission;
 mod allowance;
-mod body;
+pub(crate) mod body;
 mod caller_port;
 mod candidates;
 mod claim;
--- /dev/null
+++ b/src/gateway.rs
@@ -0,0 +1,18 @@
+//! The gateway: forwards callers' requests to targets as the serving plan says; see
+//! docs/platform.md.
+
+mod config;
+mod connections;
+mod daemon;
+mod exchange;
+mod follower;
+mod port;
+mod proxy;
+mod ready;
+mod relay;
+mod request;
+mod targets;
+mod view;
+
+pub use config::GatewayConfig;
+pub use daemon::GatewayDaemon;
--- /dev/null
+++ b/src/gateway/follower.rs
@@ -0,0 +1,310 @@
+use std::{
+    collections::{BTreeSet, HashMap},
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::{Duration, Instant},
+};
+
+use reqwest::Client;
+use spdlog::prelude::*;
+use tokio::sync::Notify;
+
+use super::{
+    config::GatewayConfig,
+    targets::TargetTable,
+    view::{ModelDemand, PlanView},
+};
+use crate::{
+    adapter::PlatformAdapter,
+    entry::SharedAllowance,
+    error::{Error, Result},
+    ids::EntryKey,
+    plan::PlanIndex,
+    sync::{
+        self, GATEWAY_SYNC_PATH, GatewayReply, GatewayReport, PublishedPlan, SECRET_HEADER,
+        ServedModel,
+    },
+};
+
+/// Time between two syncs without a reason for an earlier one. A change of plan must be in force
+/// within two seconds, and what other gateways run is news for about as long.
+const SYNC_PERIOD: Duration = Duration::from_millis(250);
+/// Shortest time between two syncs.
+const SHORTEST_PERIOD: Duration = Duration::from_millis(15);
+/// Time after which a sync counts as lost and another coordinator is tried.
+const SYNC_TIMEOUT: Duration = Duration::from_millis(600);
+/// Wait after a failed sync.
+const RETRY_DELAY: Duration = Duration::from_millis(60);
+/// Age of the leader's list after which the gateway reads the platform's list itself.
+const LIST_PATIENCE: Duration = Duration::from_millis(1_800);
+/// Time between two such reads.
+const LIST_PERIOD: Duration = Duration::from_millis(1_000);
+
+/// Keeps a gateway in step with the leading coordinator.
+pub struct GatewayFollower {
+    key: EntryKey,
+    config: GatewayConfig,
+    adapter: Arc<dyn PlatformAdapter>,
+    view: Arc<PlanView>,
+    targets: Arc<TargetTable>,
+    allowance: Arc<SharedAllowance>,
+    demand: Arc<ModelDemand>,
+    client: Client,
+    secret: String,
+    wanted: Mutex<HashMap<ServedModel, usize>>,
+    hurry: Notify,
+    state: Mutex<FollowerState>,
+}
+
+struct FollowerState {
+    /// Coordinators, the one to ask next first.
+    coordinators: Vec<SocketAddr>,
+    /// When the list of targets was read from the platform.
+    listed_at: Option<Instant>,
+    is_connected: bool,
+}
+
+/// Parts of the gateway that the follower reads and updates.
+pub struct FollowerParts {
+    pub adapter: Arc<dyn PlatformAdapter>,
+    pub view: Arc<PlanView>,
+    pub targets: Arc<TargetTable>,
+    pub allowance: Arc<SharedAllowance>,
+    pub demand: Arc<ModelDemand>,
+}
+
+impl GatewayFollower {
+    pub fn new(
+        config: GatewayConfig,
+        parts: FollowerParts,
+        client: Client,
+        secret: String,
+    ) -> Self {
+        let state = FollowerState {
+            coordinators: config.coordinators.clone(),
+            listed_at: None,
+            is_connected: false,
+        };
+        Self {
+            key: EntryKey {
+                vm: config.vm.clone(),
+                incarnation: rand::random(),
+            },
+            config,
+            adapter: parts.adapter,
+            view: parts.view,
+            targets: parts.targets,
+            allowance: parts.allowance,
+            demand: parts.demand,
+            client,
+            secret,
+            wanted: Mutex::default(),
+            hurry: Notify::new(),
+            state: Mutex::new(state),
+        }
+    }
+
+    /// Asks the leader for a model with the next sync, which is sent at once.
+    pub fn want(&self, model: &ServedModel) {
+        self.wanted().entry(model.clone()).or_insert(0);
+        self.hurry.notify_one();
+    }
+
+    /// Asks for a model until the result is dropped.
+    pub fn waiting(self: &Arc<Self>, model: &ServedModel) -> WantedModel {
+        *self.wanted().entry(model.clone()).or_insert(0) += 1;
+        WantedModel {
+            follower: Arc::clone(self),
+            model: model.clone(),
+        }
+    }
+
+    fn wanted(&self) -> std::sync::MutexGuard<'_, HashMap<ServedModel, usize>> {
+        self.wanted.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn state(&self) -> std::sync::MutexGuard<'_, FollowerState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Syncs until the task is dropped.
+    pub async fn run(&self) {
+        tokio::join!(self.run_syncs(), self.run_list());
+    }
+
+    async fn run_syncs(&self) {
+        loop {
+            let begun = Instant::now();
+            let synced = self.sync_once().await;
+            self.note_connection(synced.as_ref().err());
+            if synced.is_err() {
+                tokio::time::sleep(RETRY_DELAY).await;
+                continue;
+            }
+            let rest = SYNC_PERIOD.saturating_sub(begun.elapsed());
+            tokio::select! {
+                () = tokio::time::sleep(rest) => {}
+                () = self.hurry.notified() => {}
+                () = self.allowance.lacking() => {}
+            }
+            tokio::time::sleep(SHORTEST_PERIOD.saturating_sub(begun.elapsed())).await;
+        }
+    }
+
+    fn note_connection(&self, error: Option<&Error>) {
+        let mut state = self.state();
+        if state.is_connected == error.is_none() {
+            return;
+        }
+        state.is_connected = error.is_none();
+        match error {
+            None => info!("gateway: the leader is reachable"),
+            Some(error) => warn!("gateway: the leader is not reachable: {error}"),
+        }
+    }
+
+    async fn sync_once(&self) -> Result<()> {
+        let coordinator = self.state().coordinators.first().copied();
+        let coordinator = coordinator.ok_or(Error::NotLeader { leader: None })?;
+        let (shares, asked_at) = self.allowance.report();
+        let wanted: BTreeSet<ServedModel> = self.wanted().keys().cloned().collect();
+        let report = GatewayReport {
+            gateway: self.key.clone(),
+            data_centre: self.config.data_centre.clone(),
+            plan: self.view.get().map_or(0, |plan| plan.plan().version),
+            list: self.targets.version(),
+            shares,
+            running: self.targets.running(),
+            demand: self.demand.take(),
+            wanted: wanted.iter().cloned().collect(),
+        };
+        match self.send(coordinator, &report).await {
+            Ok(reply) => {
+                self.wanted()
+                    .retain(|model, waiters| *waiters > 0 || !wanted.contains(model));
+                self.allowance.accept(&reply.grants, asked_at);
+                self.accept(reply);
+                Ok(())
+            }
+            Err(error) => {
+                self.demand.put_back(&report.demand);
+                self.turn(coordinator, &error);
+                Err(error)
+            }
+        }
+    }
+
+    /// Asks another coordinator next: the leader that this one names, or the next in line.
+    fn turn(&self, failed: SocketAddr, error: &Error) {
+        let mut state = self.state();
+        if state.coordinators.first() == Some(&failed) {
+            state.coordinators.rotate_left(1);
+        }
+        let leader = match error {
+            Error::NotLeader {
+                leader: Some(leader),
+            } => leader.parse().ok(),
+            _ => None,
+        };
+        if let Some(leader) = leader {
+            state.coordinators.retain(|known| *known != leader);
+            state.coordinators.insert(0, leader);
+        }
+    }
+
+    async fn send(&self, coordinator: SocketAddr, report: &GatewayReport) -> Result<GatewayReply> {
+        let failed = |error: reqwest::Error| Error::Transport {
+            peer: coordinator.to_string(),
+            reason: error.to_string(),
+        };
+        let answer = self
+            .client
+            .post(format!("http://{coordinator}{GATEWAY_SYNC_PATH}"))
+            .header(SECRET_HEADER, &self.secret)
+            .timeout(SYNC_TIMEOUT)
+            .body(sync::encode(report)?)
+            .send()
+            .await
+            .map_err(failed)?;
+        if answer.status() == reqwest::StatusCode::MISDIRECTED_REQUEST {
+            let leader = answer.text().await.map_err(failed)?;
+            let leader = Some(leader).filter(|leader| !leader.is_empty());
+            return Err(Error::NotLeader { leader });
+        }
+        let answer = answer.error_for_status().map_err(failed)?;
+        sync::decode("gateway reply", &answer.bytes().await.map_err(failed)?)
+    }
+
+    fn accept(&self, reply: GatewayReply) {
+        if let Some(published) = &reply.plan {
+            self.accept_plan(published);
+        }
+        let plan = self.view.get();
+        if let (Some(plan), Some(list)) = (plan, reply.targets) {
+            self.targets.apply(&plan, list);
+        }
+        self.targets.apply_running(&reply.running, reply.gateways);
+        let mut state = self.state();
+        if let Some(age) = reply.list_age_ms {
+            state.listed_at = Instant::now().checked_sub(Duration::from_millis(age));
+        }
+        for coordinator in reply.coordinators {
+            if !state.coordinators.contains(&coordinator) {
+                state.coordinators.push(coordinator);
+            }
+        }
+    }
+
+    fn accept_plan(&self, published: &PublishedPlan) {
+        let version = published.version;
+        match self.adapter.decode_plan(&published.document) {
+            Ok(plan) => {
+                if self.view.set(PlanIndex::new(plan)) {
+                    info!("gateway: a plan is in force", kv: { plan = version });
+                }
+                if let Some(plan) = self.view.get() {
+                    self.targets.refresh(&plan);
+                }
+            }
+            Err(error) => error!("gateway: plan {version} cannot be read: {error}"),
+        }
+    }
+
+    /// Reads the platform's list itself while no leader supplies it, so that leaving targets get
+    /// no new work.
+    async fn run_list(&self) {
+        loop {
+            tokio::time::sleep(LIST_PERIOD).await;
+            let listed_at = self.state().listed_at;
+            let is_fresh = listed_at.is_some_and(|at| at.elapsed() < LIST_PATIENCE);
+            let Some(plan) = self.view.get().filter(|_| !is_fresh) else {
+                continue;
+            };
+            match self.adapter.list_targets().await {
+                Ok(targets) => {
+                    info!("gateway: reads the platform's list itself", kv: { targets = targets.len() });
+                    self.targets.apply_own(&plan, targets);
+                }
+                Err(error) => warn!("gateway: the platform's list is not readable: {error}"),
+            }
+        }
+    }
+}
+
+/// A model that a request waits for.
+pub struct WantedModel {
+    follower: Arc<GatewayFollower>,
+    model: ServedModel,
+}
+
+impl Drop for WantedModel {
+    fn drop(&mut self) {
+        let mut wanted = self.follower.wanted();
+        if let Some(waiters) = wanted.get_mut(&self.model) {
+            *waiters = waiters.saturating_sub(1);
+            if *waiters == 0 {
+                wanted.remove(&self.model);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/relay.rs
@@ -0,0 +1,116 @@
+use std::{
+    io,
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll},
+    time::Instant,
+};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use spdlog::prelude::*;
+use tokio::time::{Sleep, sleep_until};
+
+use super::{
+    connections::{TargetConnection, TargetConnections},
+    exchange::TargetPlace,
+};
+use crate::ids::RequestId;
+
+/// Body of a target's answer on its way to the caller. An error aborts the caller's connection, so
+/// that an answer that was cut never looks complete.
+pub struct RelayBody {
+    incoming: Incoming,
+    connection: Option<TargetConnection>,
+    connections: Arc<TargetConnections>,
+    place: TargetPlace,
+    limit: Pin<Box<Sleep>>,
+    request: RequestId,
+    is_over: bool,
+}
+
+impl RelayBody {
+    /// Relays a body until `deadline`.
+    pub fn new(
+        incoming: Incoming,
+        connection: TargetConnection,
+        connections: &Arc<TargetConnections>,
+        place: TargetPlace,
+        deadline: Instant,
+        request: RequestId,
+    ) -> Self {
+        Self {
+            incoming,
+            connection: Some(connection),
+            connections: Arc::clone(connections),
+            place,
+            limit: Box::pin(sleep_until(deadline.into())),
+            request,
+            is_over: false,
+        }
+    }
+
+    fn complete(&mut self) {
+        self.is_over = true;
+        if let Some(connection) = self.connection.take() {
+            let target = &self.place.chosen.choice.target;
+            self.connections.keep(target, connection);
+        }
+    }
+
+    fn fail(&mut self, reason: &str) -> io::Error {
+        self.is_over = true;
+        self.connection = None;
+        let target = &self.place.chosen.choice.target;
+        warn!("gateway: an answer was cut", kv: { request = self.request.as_str(), target = target.as_str(), reason = reason });
+        io::Error::other(reason.to_owned())
+    }
+}
+
+impl Body for RelayBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        let this = &mut *self;
+        if this.is_over {
+            return Poll::Ready(None);
+        }
+        match Pin::new(&mut this.incoming).poll_frame(context) {
+            Poll::Ready(Some(Ok(frame))) => Poll::Ready(Some(Ok(frame))),
+            Poll::Ready(Some(Err(error))) => {
+                let error = this.fail(&error.to_string());
+                Poll::Ready(Some(Err(error)))
+            }
+            Poll::Ready(None) => {
+                this.complete();
+                Poll::Ready(None)
+            }
+            Poll::Pending if this.limit.as_mut().poll(context).is_ready() => {
+                let error = this.fail("the time is over");
+                Poll::Ready(Some(Err(error)))
+            }
+            Poll::Pending => Poll::Pending,
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.is_over || self.incoming.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.incoming.size_hint()
+    }
+}
+
+impl Drop for RelayBody {
+    fn drop(&mut self) {
+        // A body of known length is not polled again after its last byte.
+        if !self.is_over && self.incoming.is_end_stream() {
+            self.complete();
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/targets.rs
@@ -0,0 +1,310 @@
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use compact_str::format_compact;
+use smallvec::SmallVec;
+use tokio::sync::Notify;
+
+use crate::{
+    adapter::TargetEntry,
+    ids::{DataCentreId, TargetId},
+    plan::PlanIndex,
+    route::{
+        Availability, Exchange, LoadReport, PoolId, PrefixBlock, ReplicaSpec, ReplicaTable,
+        RouteChoice, RouteRequest, RouteTuning,
+    },
+    sync::{ListVersion, ServedModel, TargetList, TargetRunning},
+};
+
+/// Time to read one prompt token; engines read tens of tokens in a millisecond.
+const PREFILL_MS_PER_TOKEN: f32 = 0.04;
+/// Time that a request occupies a slot of an engine: tens of events of a few steps each.
+const SLOT_MS: f32 = 2_000.0;
+
+/// A chosen target and where it is reached.
+#[derive(Clone, Debug)]
+pub struct ChosenTarget {
+    pub choice: RouteChoice,
+    pub address: SocketAddr,
+}
+
+/// The targets that this gateway knows, and the choice among them.
+pub struct TargetTable {
+    started: Instant,
+    tables: Mutex<Tables>,
+    /// Wakes requests that wait for a model.
+    changed: Notify,
+}
+
+struct Tables {
+    replicas: ReplicaTable,
+    entries: HashMap<TargetId, TargetEntry>,
+    running: BTreeMap<TargetId, u32>,
+    version: ListVersion,
+}
+
+impl TargetTable {
+    /// Returns an empty table of a gateway in a data centre.
+    pub fn new(_data_centre: &DataCentreId) -> Self {
+        let tuning = RouteTuning {
+            prefill_ms_per_token: PREFILL_MS_PER_TOKEN,
+            slot_ms: SLOT_MS,
+            ..RouteTuning::default()
+        };
+        Self {
+            started: Instant::now(),
+            tables: Mutex::new(Tables {
+                replicas: ReplicaTable::new(tuning, &[]),
+                entries: HashMap::new(),
+                running: BTreeMap::new(),
+                version: ListVersion::default(),
+            }),
+            changed: Notify::new(),
+        }
+    }
+
+    fn tables(&self) -> MutexGuard<'_, Tables> {
+        self.tables.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// Names the list in use.
+    pub fn version(&self) -> ListVersion {
+        self.tables().version
+    }
+
+    /// Tells whether any target is known.
+    pub fn is_empty(&self) -> bool {
+        self.tables().entries.is_empty()
+    }
+
+    /// Tells whether a target is on the list.
+    pub fn contains(&self, target: &TargetId) -> bool {
+        self.tables().entries.contains_key(target)
+    }
+
+    /// Waits until the list changes.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
+    }
+
+    /// Takes over the leader's list.
+    pub fn apply(&self, plan: &PlanIndex, list: TargetList) {
+        let mut tables = self.tables();
+        tables.version = list.version;
+        tables.apply(plan, list.targets);
+        drop(tables);
+        self.changed.notify_waiters();
+    }
+
+    /// Takes over a list that this gateway read itself.
+    pub fn apply_own(&self, plan: &PlanIndex, targets: Vec<TargetEntry>) {
+        let mut tables = self.tables();
+        // The leader's next list replaces this one, whatever its number.
+        tables.version = ListVersion::default();
+        tables.apply(plan, targets);
+        drop(tables);
+        self.changed.notify_waiters();
+    }
+
+    /// Applies the current list to a new plan.
+    pub fn refresh(&self, plan: &PlanIndex) {
+        let mut tables = self.tables();
+        let targets = tables.entries.values().cloned().collect();
+        tables.apply(plan, targets);
+    }
+
+    /// Takes over how much other gateways run.
+    pub fn apply_running(&self, running: &[TargetRunning], gateways: u32) {
+        let now = self.now();
+        let mut tables = self.tables();
+        tables.replicas.set_entries(gateways as usize);
+        for other in running {
+            let own = tables.running.get(&other.target).copied().unwrap_or(0);
+            let report = LoadReport {
+                running: other.requests + own,
+                queued: 0,
+                at: now,
+            };
+            tables.replicas.report(&other.target, report);
+        }
+    }
+
+    /// Returns what this gateway runs.
+    pub fn running(&self) -> Vec<TargetRunning> {
+        let tables = self.tables();
+        let running = tables.running.iter().map(|(target, requests)| TargetRunning {
+            target: target.clone(),
+            requests: *requests,
+        });
+        running.collect()
+    }
+
+    /// Chooses a target.
+    pub fn choose(&self, request: &RouteRequest<'_>) -> Option<ChosenTarget> {
+        let now = self.now();
+        let tables = self.tables();
+        let choice = tables.replicas.choose(request, now, &mut rand::rng())?;
+        let address = tables.entries.get(&choice.target)?.address;
+        Some(ChosenTarget { choice, address })
+    }
+
+    /// Counts a request that is sent.
+    pub fn send(&self, chosen: &ChosenTarget, prefix: &[PrefixBlock]) {
+        let now = self.now();
+        let mut tables = self.tables();
+        tables.replicas.send(&chosen.choice, now);
+        tables.replicas.learn(&chosen.choice.target, prefix, now);
+        *tables.running.entry(chosen.choice.target.clone()).or_default() += 1;
+    }
+
+    /// Notes how the start of an exchange went.
+    pub fn observe(&self, chosen: &ChosenTarget, exchange: Exchange) {
+        let now = self.now();
+        self.tables().replicas.observe(&chosen.choice, exchange, now);
+    }
+
+    /// Counts a request that has ended.
+    pub fn end(&self, target: &TargetId) {
+        let now = self.now();
+        let mut tables = self.tables();
+        tables.replicas.end(target, now);
+        let is_last = match tables.running.get_mut(target) {
+            Some(requests) => {
+                *requests = requests.saturating_sub(1);
+                *requests == 0
+            }
+            None => false,
+        };
+        if is_last {
+            tables.running.remove(target);
+        }
+    }
+
+    /// Takes over the load that an answer tells.
+    pub fn report_load(&self, target: &TargetId, running: u32, queued: u32) {
+        let at = self.now();
+        let report = LoadReport {
+            running,
+            queued,
+            at,
+        };
+        self.tables().replicas.report(target, report);
+    }
+
+    /// Drops a pool of a target that turned out not to hold the model, until the next list.
+    pub fn forget(&self, plan: &PlanIndex, target: &TargetId, model: &ServedModel) {
+        let mut tables = self.tables();
+        let Some(entry) = tables.entries.get_mut(target) else {
+            return;
+        };
+        let (base, adapter) = split_model(&model.model);
+        match adapter {
+            Some(_) => {
+                for held in entry.models.iter_mut().filter(|held| held.model == base) {
+                    held.adapters.retain(|known| *known != model.model);
+                }
+            }
+            None => entry.models.retain(|held| held.model != base),
+        }
+        let spec = spec_of(plan, entry);
+        tables.replicas.upsert(&spec);
+        tables.version = ListVersion::default();
+    }
+}
+
+impl Tables {
+    fn apply(&mut self, plan: &PlanIndex, targets: Vec<TargetEntry>) {
+        let targets: HashMap<TargetId, TargetEntry> = targets
+            .into_iter()
+            .map(|entry| (entry.id.clone(), entry))
+            .collect();
+        let gone: Vec<TargetId> = self
+            .entries
+            .iter()
+            // A restart under the same name begins with an empty cache and no load.
+            .filter(|(id, old)| targets.get(*id).is_none_or(|new| new.born_ms != old.born_ms))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in gone {
+            self.replicas.remove(&id);
+        }
+        for (id, entry) in &targets {
+            self.replicas.upsert(&spec_of(plan, entry));
+            let availability = match entry.is_leaving {
+                true => Availability::Draining,
+                false => Availability::Up,
+            };
+            self.replicas.set_availability(id, availability);
+        }
+        self.entries = targets;
+    }
+}
+
+/// Names the pool of a model within its service, since two services may hold the same model.
+pub fn model_pool(model: &ServedModel) -> PoolId {
+    PoolId::Model(format_compact!("{}:{}", model.service, model.model))
+}
+
+/// Splits `model/adapter`.
+pub fn split_model(model: &str) -> (&str, Option<&str>) {
+    match model.split_once('/') {
+        Some((base, adapter)) => (base, Some(adapter)),
+        None => (model, None),
+    }
+}
+
+fn spec_of(plan: &PlanIndex, entry: &TargetEntry) -> ReplicaSpec {
+    let has_engine = plan
+        .service(&entry.service)
+        .is_some_and(|service| service.engine.is_some());
+    let pools = if has_engine {
+        let models = entry.models.iter().flat_map(|held| {
+            std::iter::once(held.model.clone()).chain(held.adapters.iter().cloned())
+        });
+        let pool = |model| {
+            let model = ServedModel {
+                service: entry.service.clone(),
+                model,
+            };
+            (model_pool(&model), None)
+        };
+        models.map(pool).collect()
+    } else {
+        vec![(PoolId::Service(entry.service.clone()), None)]
+    };
+    ReplicaSpec {
+        target: entry.id.clone(),
+        data_centre: entry.data_centre.clone(),
+        slots: entry.slots,
+        pools,
+    }
+}
+
+/// Returns the prefixes of a prompt for the choice of a target. The hash of a prefix covers all
+/// parts up to its end, and the model, whose cache is its own.
+pub fn prefix_blocks(
+    model: &str,
+    parts: &[crate::adapter::PromptPart],
+) -> SmallVec<[PrefixBlock; 4]> {
+    use std::hash::{DefaultHasher, Hash, Hasher};
+    let mut hasher = DefaultHasher::new();
+    model.hash(&mut hasher);
+    let mut tokens = 0_u32;
+    let blocks = parts.iter().map(|part| {
+        part.hash.hash(&mut hasher);
+        tokens = tokens.saturating_add(part.tokens);
+        PrefixBlock {
+            hash: hasher.finish(),
+            tokens,
+        }
+    });
+    blocks.collect()
+}
--- /dev/null
+++ b/src/gateway/view.rs
@@ -0,0 +1,64 @@
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, PoisonError, RwLock},
+};
+
+use crate::{
+    plan::PlanIndex,
+    sync::{ModelRequests, ServedModel},
+};
+
+/// The plan in force at this gateway.
+#[derive(Debug, Default)]
+pub struct PlanView {
+    plan: RwLock<Option<Arc<PlanIndex>>>,
+}
+
+impl PlanView {
+    /// Returns the plan; `None` before the first.
+    pub fn get(&self) -> Option<Arc<PlanIndex>> {
+        let plan = self.plan.read().unwrap_or_else(PoisonError::into_inner);
+        plan.clone()
+    }
+
+    /// Puts a plan in force unless a newer one is. A gateway never goes back.
+    pub fn set(&self, index: PlanIndex) -> bool {
+        let mut plan = self.plan.write().unwrap_or_else(PoisonError::into_inner);
+        let version = index.plan().version;
+        let is_newer = plan.as_ref().is_none_or(|old| old.plan().version < version);
+        if is_newer {
+            *plan = Some(Arc::new(index));
+        }
+        is_newer
+    }
+}
+
+/// Requests for models since the last report to the leader.
+#[derive(Debug, Default)]
+pub struct ModelDemand {
+    tokens: Mutex<HashMap<ServedModel, u64>>,
+}
+
+impl ModelDemand {
+    /// Counts a request.
+    pub fn record(&self, model: &ServedModel, tokens: u64) {
+        let mut counts = self.tokens.lock().unwrap_or_else(PoisonError::into_inner);
+        *counts.entry(model.clone()).or_default() += tokens;
+    }
+
+    /// Takes what was counted.
+    pub fn take(&self) -> Vec<ModelRequests> {
+        let mut counts = self.tokens.lock().unwrap_or_else(PoisonError::into_inner);
+        let counts = std::mem::take(&mut *counts).into_iter();
+        counts
+            .map(|(model, tokens)| ModelRequests { model, tokens })
+            .collect()
+    }
+
+    /// Counts again what a failed report carried.
+    pub fn put_back(&self, demand: &[ModelRequests]) {
+        for requests in demand {
+            self.record(&requests.model, requests.tokens);
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! The design is in docs/design.md; the modules below follow its sections.
 
+pub mod adapter;
 pub mod allowance;
 #[rustfmt::skip] // Generated; a test compares it with the output of the generator.
 pub mod border;
@@ -10,12 +11,14 @@
 pub mod code;
 pub mod config;
 pub mod control;
+pub mod coordinator;
 pub mod dev;
 pub mod entry;
 pub mod error;
 pub mod fair;
 pub mod fake;
 pub mod fleet;
+pub mod gateway;
 pub mod hub;
 pub mod ids;
 pub mod journal;
@@ -24,6 +27,7 @@
 pub mod operator;
 pub mod order;
 pub mod place;
+pub mod plan;
 pub mod raft;
 pub mod route;
 pub mod server;
--- a/src/state/command.rs
+++ b/src/state/command.rs
@@ -6,9 +6,12 @@
 use crate::{
     ids::{Attempt, CommandLevel, EntryKey, FencingNumber, Fingerprint, Incarnation, TargetId},
     order::OrderAction,
-    sync::ResidentCopy,
+    sync::{PublishedPlan, ResidentCopy},
 };
 
+/// Level from which on voters can apply serving plans.
+const PLAN_LEVEL: CommandLevel = 2;
+
 /// A change that is agreed on through the log; the table is in docs/design.md, section 5.
 ///
 /// The variant and field names are part of the log's encoding: a name is never reused with
@@ -93,6 +96,8 @@
     },
     /// Takes a VM or target out of service, or back into it.
     Drain(DrainRequest),
+    /// Puts a serving plan in force if its version is higher than that of the plan in force.
+    Publish(PublishedPlan),
     /// Raises the highest command level that may be proposed.
     RaiseLevel {
         /// The new level.
@@ -104,7 +109,10 @@
     /// Returns the level from which on every voter can apply this kind of command.
     #[must_use]
     pub const fn level(&self) -> CommandLevel {
-        1
+        match self {
+            Self::Publish(_) => PLAN_LEVEL,
+            _ => 1,
+        }
     }
 }
 
--- a/src/state/machine.rs
+++ b/src/state/machine.rs
@@ -11,6 +11,8 @@
     border::FleetConfig,
     error::{Error, Result},
     ids::{CommandLevel, LogIndex, Revision},
+    plan::PlanVersion,
+    sync::PublishedPlan,
 };
 
 /// Level of a new fleet, and the highest that this release can apply.
@@ -28,6 +30,8 @@
     crashes: CrashTable,
     memory: MemoryTable,
     drains: DrainTable,
+    #[serde(default)]
+    plan: Option<Arc<PublishedPlan>>,
 }
 
 impl ControlState {
@@ -94,6 +98,10 @@
                     .confirm(config, target, *incarnation, *last_fencing, copies);
             }
             Command::Drain(request) => return self.drain(request),
+            Command::Publish(plan) if plan.version > self.plan_version() => {
+                self.plan = Some(Arc::new(plan.clone()));
+            }
+            Command::Publish(_) => {}
             Command::RaiseLevel { level } => self.level = self.level.max(*level),
         }
         Outcome::Done
@@ -178,6 +186,18 @@
         &self.requests
     }
 
+    /// Returns the serving plan in force.
+    #[must_use]
+    pub fn plan(&self) -> Option<Arc<PublishedPlan>> {
+        self.plan.clone()
+    }
+
+    /// Returns the version of the serving plan in force; 0 before the first.
+    #[must_use]
+    pub fn plan_version(&self) -> PlanVersion {
+        self.plan.as_ref().map_or(0, |plan| plan.version)
+    }
+
     /// Returns the claims.
     #[must_use]
     pub fn claims(&self) -> &ClaimTable {
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -1,11 +1,16 @@
 //! Messages between entry daemons and control daemons; see docs/design.md, section 7.
 
 mod claims;
+mod gateway;
 mod reply;
 mod report;
 mod request;
 
 pub use claims::{CLAIMS_PATH, CRASHES_PATH, ClaimMessage, CommandReply, CrashMessage};
+pub use gateway::{
+    GATEWAY_SYNC_PATH, GatewayReply, GatewayReport, ListVersion, ModelRequests, PublishedPlan,
+    ServedModel, TargetList, TargetRunning,
+};
 pub use reply::{
     AvoidedSection, ConfigSection, CrashSection, ResidencySection, ResidentModel, SyncReply,
     TargetLoad,
--- a/src/voter/settings.rs
+++ b/src/voter/settings.rs
@@ -7,7 +7,7 @@
 };
 
 /// Highest command level that this release can apply.
-pub const APPLICABLE_LEVEL: CommandLevel = 1;
+pub const APPLICABLE_LEVEL: CommandLevel = 2;
 
 /// Settings of one voter.
 #[derive(Clone, Debug)]
