Let leaders find each other after a loss of power and grant at once

After a frozen leader no tokens were granted for 3.6 s, and requests within their limit got 429.

Change: seeds are asked again while no leader is heard, saved addresses are synced; the ledger keeps a part of each burst for a new leader, so that it grants at once without exceeding the burst; engines that report an order under way get none; without a leader requests wait for tokens instead of 429.

--- a/src/allowance/ledger.rs
+++ b/src/allowance/ledger.rs
@@ -12,6 +12,21 @@
 /// Leaves 40 bits for the epochs of one term: 10,000 a second for three years.
 const TERM_SHIFT: u32 = 40;
 
+/// Largest part of a burst that is set aside for a change of leader, as a divisor.
+const RESERVE_DIVISOR: u64 = 4;
+
+/// Whether a new leader can grant at once. While grants of earlier terms may be in use, their sum
+/// and the new ones must not exceed the burst, so the latter come from a part that no leader grants
+/// from otherwise.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum TakeoverReserve {
+    /// The whole burst is granted, and a new leader waits.
+    None,
+    /// A part of the burst is set aside, and a new leader grants from it. The ledger is closed while
+    /// earlier grants may be in use.
+    Kept { is_closed: bool },
+}
+
 /// The leader's account of every team's allowance.
 ///
 /// A ledger serves one term. A control daemon that leads again makes a new one, and it asks the
@@ -22,6 +37,9 @@
     last_epoch: u64,
     /// Until then, grants of earlier terms may be in use and this ledger grants nothing.
     opens_at: Duration,
+    /// Part of each burst that only a new leader grants from while earlier grants may be in use.
+    reserve: TakeoverReserve,
+    limits: HashMap<TeamId, RateLimit>,
     teams: HashMap<TeamId, TeamBucket>,
     expiries: BinaryHeap<Reverse<(Duration, u64, TeamId, EntryKey)>>,
 }
@@ -34,11 +52,37 @@
             term,
             last_epoch: 0,
             opens_at: now + GRANT_OUTSTANDING,
+            reserve: TakeoverReserve::None,
+            limits: HashMap::new(),
             teams: HashMap::new(),
             expiries: BinaryHeap::new(),
         }
     }
 
+    /// Sets a part of each burst aside, so that the leader can grant from the start of its term. All
+    /// leaders of a fleet must do so or none.
+    #[must_use]
+    pub fn with_takeover_reserve(mut self) -> Self {
+        self.reserve = TakeoverReserve::Kept { is_closed: true };
+        self
+    }
+
+    /// Limit within which grants are made now.
+    fn granted_limit(&self, limit: RateLimit) -> RateLimit {
+        // Half a second of the rate bridges the syncs of a takeover.
+        let reserve = (limit.rate / 2).min(limit.burst / RESERVE_DIVISOR);
+        let burst = match self.reserve {
+            TakeoverReserve::None => limit.burst,
+            TakeoverReserve::Kept { is_closed: true } => reserve,
+            TakeoverReserve::Kept { is_closed: false } => limit.burst - reserve,
+        };
+        RateLimit { burst, ..limit }
+    }
+
+    fn is_waiting(&self, now: Duration) -> bool {
+        self.reserve == TakeoverReserve::None && now < self.opens_at
+    }
+
     /// Sets a team's limit. A team that is removed gets the limit 0 and stays known, so that
     /// adding it again does not give it a second burst.
     ///
@@ -46,12 +90,18 @@
     /// closed, the previous leader may have granted any team its whole burst, so teams start with
     /// nothing and their refill starts when the ledger opens.
     pub fn set_limit(&mut self, team: &TeamId, limit: RateLimit, now: Duration) {
+        self.limits.insert(team.clone(), limit);
+        let limit = self.granted_limit(limit);
         if let Some(bucket) = self.teams.get_mut(team) {
             bucket.set_limit(limit, now);
             return;
         }
         let level = if now >= self.opens_at { limit.burst } else { 0 };
-        let bucket = TeamBucket::new(limit, level, now.max(self.opens_at));
+        let begun_at = match self.is_waiting(now) {
+            true => self.opens_at,
+            false => now,
+        };
+        let bucket = TeamBucket::new(limit, level, begun_at);
         self.teams.insert(team.clone(), bucket);
     }
 
@@ -66,7 +116,7 @@
         report: &[ShareReport],
         now: Duration,
     ) -> SmallVec<[ShareGrant; 4]> {
-        if now < self.opens_at {
+        if self.is_waiting(now) {
             return SmallVec::new();
         }
         let mut grants = SmallVec::with_capacity(report.len());
@@ -102,7 +152,7 @@
     /// Other exchanges can make it earlier.
     #[must_use]
     pub fn due(&self, entry: &EntryKey, report: &[ShareReport], now: Duration) -> Option<Duration> {
-        if now < self.opens_at {
+        if self.is_waiting(now) {
             return None;
         }
         report
@@ -113,6 +163,7 @@
 
     /// Counts grants that have expired as used. Amortised O(log n) per grant.
     pub fn expire(&mut self, now: Duration) {
+        self.open(now);
         while let Some(Reverse((at, ..))) = self.expiries.peek()
             && *at <= now
         {
@@ -133,6 +184,20 @@
         }
     }
 
+    /// Grants from the whole burst but the reserve once no earlier grant can be in use.
+    fn open(&mut self, now: Duration) {
+        if self.reserve != (TakeoverReserve::Kept { is_closed: true }) || now < self.opens_at {
+            return;
+        }
+        self.reserve = TakeoverReserve::Kept { is_closed: false };
+        for (team, limit) in &self.limits {
+            let limit = self.granted_limit(*limit);
+            if let Some(bucket) = self.teams.get_mut(team) {
+                bucket.set_limit(limit, now);
+            }
+        }
+    }
+
     /// Returns a team's level plus its outstanding tokens, which never exceeds the burst.
     #[must_use]
     pub fn committed(&self, team: &TeamId) -> u64 {
--- a/src/control/founder.rs
+++ b/src/control/founder.rs
@@ -1,4 +1,4 @@
-use std::{fs, net::SocketAddr, path::PathBuf, time::Duration};
+use std::{fs, io::Write, net::SocketAddr, path::PathBuf, time::Duration};
 
 use reqwest::Client;
 use spdlog::prelude::*;
@@ -47,6 +47,7 @@
 
     /// Runs until the task is dropped or the voter has stopped.
     pub async fn run(self) {
+        self.find_addresses().await;
         while self.voter.status().phase == VoterPhase::Undecided {
             if let Some(membership) = self.find_membership().await {
                 let begun = self.voter.begin(membership).await;
@@ -65,6 +66,7 @@
                 return;
             }
             if status.leader.is_none() {
+                self.find_addresses().await;
                 self.announce(&status).await;
             }
             let known = self.voter.addresses().others();
@@ -160,6 +162,17 @@
         ask_member(&self.client, &self.secret, address).await
     }
 
+    /// Asks the seeds who they are. After a loss of power the saved addresses may be gone too, and
+    /// members that do not know each other's addresses elect no leader.
+    async fn find_addresses(&self) {
+        let own = self.config.system_listen.socket();
+        let others = self.config.seeds.iter().filter(|seed| **seed != own);
+        let asked = others.map(|seed| self.ask_member(*seed));
+        for reply in futures::future::join_all(asked).await.into_iter().flatten() {
+            self.voter.addresses().learn(&reply.address);
+        }
+    }
+
     /// Tells the known members where this one is. A member without any entry asks to be added; one
     /// that has entries was a member before and may have been removed on purpose.
     async fn announce(&self, status: &VoterStatus) {
@@ -215,9 +228,14 @@
     let path = addresses_path(config);
     let temporary = path.with_extension("tmp");
     let content = serde_json::to_vec(addresses).unwrap_or_default();
-    fs::write(&temporary, content)
-        .and_then(|()| fs::rename(&temporary, &path))
-        .map_err(|source| Error::file(path, source))
+    let write = || {
+        let mut file = fs::File::create(&temporary)?;
+        file.write_all(&content)?;
+        file.sync_all()?;
+        fs::rename(&temporary, &path)?;
+        fs::File::open(&config.data_folder)?.sync_all()
+    };
+    write().map_err(|source| Error::file(path, source))
 }
 
 fn addresses_path(config: &ControlConfig) -> PathBuf {
--- a/src/coordinator/desk.rs
+++ b/src/coordinator/desk.rs
@@ -8,7 +8,7 @@
 use super::{engines::EngineTable, gateways::GatewayTable};
 use crate::{
     adapter::{PlatformAdapter, TargetEntry},
-    allowance::{AllowanceLedger, ShareGrant},
+    allowance::{AllowanceLedger, RateLimit, ShareGrant},
     error::{Error, Result},
     ids::Term,
     plan::{PlanIndex, PlanVersion},
@@ -50,7 +50,7 @@
         Self {
             term,
             begun_at: now,
-            ledger: AllowanceLedger::new(term, now),
+            ledger: AllowanceLedger::new(term, now).with_takeover_reserve(),
             gateways: GatewayTable::default(),
             engines: EngineTable::default(),
             plan: None,
@@ -128,6 +128,12 @@
         match self.adapter.decode_plan(&published.document) {
             Ok(plan) => {
                 let now = self.now();
+                let former = tables.plan.iter().flat_map(|plan| &plan.plan().teams);
+                let gone = former.filter(|team| !plan.teams.iter().any(|new| new.id == team.id));
+                for team in gone {
+                    let none = RateLimit::default();
+                    tables.ledger.set_limit(&team.id, none, now);
+                }
                 for team in &plan.teams {
                     if let Some(limit) = team.limit {
                         tables.ledger.set_limit(&team.id, limit, now);
--- a/src/coordinator/engine_belief.rs
+++ b/src/coordinator/engine_belief.rs
@@ -9,6 +9,9 @@
 /// Time after which an order without an answer is no longer carried out by an engine.
 const LATE_ORDER_LIMIT: Duration = Duration::from_secs(14);
 
+/// Time that a report may be behind the engine.
+const REPORT_LAG: Duration = Duration::from_secs(1);
+
 /// What the leader believes about one engine: its own report, and the orders given since.
 #[derive(Clone, Debug)]
 pub struct EngineBelief {
@@ -20,6 +23,10 @@
     pub resident: Vec<ModelId>,
     /// Orders that the engine has accepted; `None` until it has reported.
     pub orders: Option<u64>,
+    /// Whether the engine says that it carries out an order, of which this leader may not know.
+    pub is_busy: bool,
+    /// When it last accepted an order; older reports do not show it.
+    pub ordered_at: Duration,
     /// Whether a call to the engine is under way.
     pub is_called: bool,
     /// Order for a whole model that the engine carries out, and since when.
@@ -44,6 +51,8 @@
             resident: resident.collect(),
             entry,
             orders: None,
+            is_busy: false,
+            ordered_at: Duration::ZERO,
             is_called: false,
             underway: None,
             retiring: None,
@@ -55,7 +64,13 @@
 
     /// Takes over the engine's own report.
     pub fn accept(&mut self, status: EngineStatus, now: Duration) {
+        let is_stale = self.orders.is_some_and(|orders| status.orders < orders)
+            && now.saturating_sub(self.ordered_at) < REPORT_LAG;
+        if is_stale {
+            return;
+        }
         self.orders = Some(status.orders);
+        self.is_busy = status.is_busy;
         self.resident = status.models.iter().map(|held| held.model.clone()).collect();
         self.doubtful
             .retain(|(_, at)| now.saturating_sub(*at) < LATE_ORDER_LIMIT);
@@ -104,6 +119,7 @@
     pub fn is_free(&self) -> bool {
         self.orders.is_some()
             && !self.is_called
+            && !self.is_busy
             && !self.is_fenced
             && !self.entry.is_leaving
             && self.underway.is_none()
--- a/src/coordinator/engines.rs
+++ b/src/coordinator/engines.rs
@@ -104,7 +104,7 @@
     pub fn due_checks(&mut self, now: Duration) -> Vec<TargetEntry> {
         let mut due = Vec::new();
         for belief in self.engines.values_mut() {
-            let period = match belief.orders.is_none() || belief.underway.is_some() {
+            let period = match belief.orders.is_none() || belief.underway.is_some() || belief.is_busy {
                 true => CHECK_PERIOD,
                 false => IDLE_CHECK_PERIOD,
             };
@@ -176,6 +176,7 @@
             Some(OrderAnswer::Accepted) => {
                 belief.orders = belief.orders.map(|orders| orders + 1);
                 belief.asked_at = now;
+                belief.ordered_at = now;
                 if is_whole {
                     return false;
                 }
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -62,6 +62,7 @@
     /// When the list of targets was read from the platform.
     listed_at: Option<Instant>,
     is_connected: bool,
+    synced_at: Option<Instant>,
 }
 
 /// Parts of the gateway that the follower reads and updates.
@@ -84,6 +85,7 @@
             coordinators: config.coordinators.clone(),
             listed_at: None,
             is_connected: false,
+            synced_at: None,
         };
         Self {
             key: EntryKey {
@@ -119,6 +121,13 @@
         }
     }
 
+    /// Tells whether the leader answered lately. Without it no tokens arrive, whatever a team's limit.
+    pub fn is_in_touch(&self) -> bool {
+        let state = self.state();
+        let synced_at = state.synced_at;
+        synced_at.is_some_and(|at| at.elapsed() < SYNC_PERIOD * 2)
+    }
+
     fn wanted(&self) -> std::sync::MutexGuard<'_, HashMap<ServedModel, usize>> {
         self.wanted.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -245,6 +254,7 @@
         }
         self.targets.apply_running(&reply.running, reply.gateways);
         let mut state = self.state();
+        state.synced_at = Some(Instant::now());
         if let Some(age) = reply.list_age_ms {
             state.listed_at = Instant::now().checked_sub(Duration::from_millis(age));
         }
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -41,6 +41,10 @@
 const TOKEN_WAIT_SHARE: f64 = 0.25;
 /// Longest such wait, whatever the target.
 const TOKEN_WAIT_LIMIT: Duration = Duration::from_millis(400);
+/// Shortest such wait: two syncs.
+const SHORTEST_TOKEN_WAIT: Duration = Duration::from_millis(60);
+/// Part of the time left that a request waits for tokens while there is no leader.
+const LEADER_WAIT_SHARE: f64 = 0.4;
 /// Part of the time left that a request waits for its model to be loaded.
 const LOAD_WAIT_SHARE: f64 = 0.6;
 /// Time that an adapter may take to be loaded: the order's way, and several loads in line.
@@ -245,14 +249,28 @@
             return Ok(None);
         };
         let wait = request.route.latency_target.mul_f64(TOKEN_WAIT_SHARE);
-        let until = Instant::now() + wait.min(TOKEN_WAIT_LIMIT);
+        let mut wait = wait.clamp(SHORTEST_TOKEN_WAIT, TOKEN_WAIT_LIMIT);
         let priority = 9 - request.rank();
-        let reserved = self
-            .allowance
-            .reserve(&team.id, request.cost(), priority, until);
-        let over = RefusalNotice::new(RefusalKind::OverLimit, "the team is over its limit")
-            .with_retry_after(spread(RETURN_DELAY[0], RETURN_DELAY[1]));
-        reserved.await.map(Some).ok_or(over)
+        let last = Instant::now() + request.left().mul_f64(LEADER_WAIT_SHARE);
+        loop {
+            let until = Instant::now() + wait;
+            let reserved = self
+                .allowance
+                .reserve(&team.id, request.cost(), priority, until);
+            if let Some(tokens) = reserved.await {
+                return Ok(Some(tokens));
+            }
+            if self.follower.is_in_touch() {
+                let delay = spread(RETURN_DELAY[0], RETURN_DELAY[1]);
+                let kind = RefusalKind::OverLimit;
+                let over = RefusalNotice::new(kind, "the team is over its limit");
+                return Err(over.with_retry_after(delay));
+            }
+            if Instant::now() >= last {
+                return Err(unavailable("no leader grants tokens"));
+            }
+            wait = TOKEN_WAIT_LIMIT;
+        }
     }
 
     fn choose(
