Spread demand over copies before models are moved

Adapters on their way took no place in the leader's count, so that a ninth could be ordered (LIMIT).

Ruled out: the store's rate (0.5 loads a second of 1.5), the choice among copies.

--- a/src/adapter/engine_status.rs
+++ b/src/adapter/engine_status.rs
@@ -1,10 +1,13 @@
 use super::HeldModel;
+use crate::ids::ModelId;
 
 /// What an engine reports about itself, some 100 ms old.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct EngineStatus {
     /// Models in memory with their adapters.
     pub models: Vec<HeldModel>,
+    /// Adapters on their way into memory; they take places already.
+    pub pending_adapters: Vec<ModelId>,
     /// Whether an order is under way.
     pub is_busy: bool,
     /// Orders accepted since the engine started.
--- a/src/coordinator/engine_belief.rs
+++ b/src/coordinator/engine_belief.rs
@@ -21,6 +21,8 @@
     pub held: Vec<HeldModel>,
     /// Models that take memory, whatever their state.
     pub resident: Vec<ModelId>,
+    /// Adapters that take places, whatever their state.
+    pub resident_adapters: Vec<ModelId>,
     /// Orders that the engine has accepted; `None` until it has reported.
     pub orders: Option<u64>,
     /// Whether the engine says that it carries out an order, of which this leader may not know.
@@ -33,6 +35,8 @@
     pub underway: Option<(OrderAction, ModelId, Duration)>,
     /// Model that is to be unloaded once gateways have stopped sending, and since when.
     pub retiring: Option<(ModelId, Duration)>,
+    /// Model for which room is made, and since when.
+    pub reserved: Option<(ModelId, Duration)>,
     /// Loads without an answer that may still begin, and when they were ordered.
     pub doubtful: Vec<(ModelId, Duration)>,
     /// Whether a later holder has given it orders.
@@ -46,9 +50,11 @@
     #[must_use]
     pub fn new(entry: TargetEntry) -> Self {
         let resident = entry.models.iter().map(|held| held.model.clone());
+        let adapters = entry.models.iter().flat_map(|held| held.adapters.iter().cloned());
         Self {
             held: entry.models.clone(),
             resident: resident.collect(),
+            resident_adapters: adapters.collect(),
             entry,
             orders: None,
             is_busy: false,
@@ -56,6 +62,7 @@
             is_called: false,
             underway: None,
             retiring: None,
+            reserved: None,
             doubtful: Vec::new(),
             is_fenced: false,
             asked_at: Duration::ZERO,
@@ -72,6 +79,8 @@
         self.orders = Some(status.orders);
         self.is_busy = status.is_busy;
         self.resident = status.models.iter().map(|held| held.model.clone()).collect();
+        let adapters = status.models.iter().flat_map(|held| held.adapters.iter().cloned());
+        self.resident_adapters = adapters.chain(status.pending_adapters).collect();
         self.doubtful
             .retain(|(_, at)| now.saturating_sub(*at) < LATE_ORDER_LIMIT);
         let is_settled = match &self.underway {
@@ -106,7 +115,7 @@
         let doubtful = self
             .doubtful
             .iter()
-            .filter(|(model, _)| !self.resident.contains(model));
+            .filter(|(model, _)| !model.contains('/') && !self.resident.contains(model));
         let doubtful: f64 = doubtful.map(|(model, _)| weights(model)).sum();
         let resident: f64 = self.resident.iter().map(weights).sum();
         let adapter = plan.models.iter().map(|model| model.adapter_mb);
@@ -133,10 +142,13 @@
         loads || self.held.iter().any(|held| held.model == model)
     }
 
-    /// Returns the number of its adapters.
+    /// Returns the number of adapter places that are taken, or may be by a load without an answer.
     #[must_use]
     pub fn adapters(&self) -> usize {
-        self.held.iter().map(|held| held.adapters.len()).sum()
+        let doubtful = self.doubtful.iter().filter(|(model, _)| {
+            model.contains('/') && !self.resident_adapters.contains(model)
+        });
+        self.resident_adapters.len() + doubtful.count()
     }
 
     /// Returns its entry with the models that requests can use.
--- a/src/coordinator/engines.rs
+++ b/src/coordinator/engines.rs
@@ -8,7 +8,7 @@
 use super::{
     engine_belief::EngineBelief,
     gateways::GatewayTable,
-    placement::{CopyPlan, EngineLoad, ModelNeed, PlacementInput, plan_copies},
+    placement::{CopyPlan, EngineLoad, ModelNeed, PlacementInput, describe_load, plan_copies},
 };
 use crate::{
     adapter::{EngineStatus, HeldModel, OrderAction, OrderAnswer, TargetEntry},
@@ -21,10 +21,14 @@
 const CHECK_PERIOD: Duration = Duration::from_millis(250);
 /// Time between two questions to an engine that does nothing; it may have been restarted.
 const IDLE_CHECK_PERIOD: Duration = Duration::from_secs(8);
+/// Time between two log lines about demand and load.
+const DESCRIBE_PERIOD: Duration = Duration::from_secs(2);
 /// Time for gateways to stop sending requests for a model before it is unloaded.
 const RETIRE_DELAY: Duration = Duration::from_millis(600);
 /// Time after which an order that the engine does not show counts as lost.
 const LOST_ORDER_LIMIT: Duration = Duration::from_secs(20);
+/// Time for which room is kept for the model that it was made for.
+const RESERVATION_LIMIT: Duration = Duration::from_secs(15);
 /// Loads that may begin at once after a quiet time.
 const LOAD_BURST: f64 = 2.0;
 /// Part of the store's rate that is used; loads of a former leader may still begin.
@@ -57,6 +61,7 @@
     adapter_uses: HashMap<(TargetId, ModelId), Duration>,
     load_tokens: f64,
     load_tokens_at: Duration,
+    described_at: Duration,
 }
 
 impl EngineTable {
@@ -156,6 +161,9 @@
         } else {
             belief.underway = Some((order.action, order.model.clone(), now));
             belief.retiring = None;
+            if order.action == OrderAction::Load {
+                belief.reserved = None;
+            }
         }
     }
 
@@ -174,6 +182,9 @@
         let is_whole = !is_adapter(&order.model);
         match answer {
             Some(OrderAnswer::Accepted) => {
+                if !is_whole && order.action == OrderAction::Load {
+                    belief.resident_adapters.push(order.model.clone());
+                }
                 belief.orders = belief.orders.map(|orders| orders + 1);
                 belief.asked_at = now;
                 belief.ordered_at = now;
@@ -188,6 +199,12 @@
                     belief.asked_at = Duration::ZERO;
                     return false;
                 }
+                // An adapter that no request uses is gone at once, and the order counts.
+                if order.action == OrderAction::Unload {
+                    belief.orders = belief.orders.map(|orders| orders + 1);
+                    belief.ordered_at = now;
+                    belief.resident_adapters.retain(|known| *known != order.model);
+                }
             }
             Some(OrderAnswer::Fenced) => {
                 belief.is_fenced = true;
@@ -201,7 +218,7 @@
                 return false;
             }
             None => {
-                if is_whole && order.action == OrderAction::Load {
+                if order.action == OrderAction::Load {
                     belief.doubtful.push((order.model.clone(), now));
                 }
                 belief.underway = None;
@@ -278,7 +295,17 @@
         orders: &mut Vec<WantedOrder>,
         now: Duration,
     ) {
-        let input = self.placement_input(service, engine, gateways, orders, now);
+        let mut input = self.placement_input(service, engine, gateways, orders, now);
+        if !gateways.knows_demand(now) {
+            for need in &mut input.models {
+                need.demand = 0.0;
+            }
+        }
+        if now.saturating_sub(self.described_at) >= DESCRIBE_PERIOD {
+            self.described_at = now;
+            let (models, engines) = describe_load(&input);
+            info!("place: demand", kv: { models = models.as_str(), engines = engines.as_str() });
+        }
         for step in plan_copies(&input) {
             let Some(belief) = self.engines.get_mut(&step.engine) else {
                 continue;
@@ -295,6 +322,7 @@
                     });
                     belief.held.retain(|held| held.model != model);
                     belief.retiring = Some((model, now));
+                    belief.reserved = Some((step.model, now));
                 }
                 CopyPlan::Load(_) if self.load_tokens < 1.0 => {}
                 CopyPlan::Load(model) => {
@@ -345,7 +373,12 @@
             let mut models: Vec<ModelId> = held.chain(loading).collect();
             models.dedup();
             let is_ordered = orders.iter().any(|order| order.target == belief.entry.id);
+            let reserved = belief.reserved.as_ref();
+            let reserved = reserved
+                .filter(|(_, since)| now.saturating_sub(*since) < RESERVATION_LIMIT)
+                .map(|(model, _)| model.clone());
             EngineLoad {
+                reserved,
                 id: belief.entry.id.clone(),
                 models,
                 free_mb: belief.free_mb(engine),
--- a/src/coordinator/gateways.rs
+++ b/src/coordinator/gateways.rs
@@ -12,6 +12,8 @@
 const SILENCE_LIMIT: Duration = Duration::from_secs(2);
 /// Time constant of the demand estimate: a few loads of a model.
 const DEMAND_SECONDS: f64 = 4.0;
+/// Time for which requests are seen before copies are moved for their sake.
+const SHORTEST_OBSERVATION: Duration = Duration::from_millis(2_500);
 /// Demand below this many tokens a second is forgotten.
 const FORGOTTEN_RATE: f64 = 0.5;
 
@@ -20,6 +22,8 @@
 pub struct GatewayTable {
     gateways: BTreeMap<EntryKey, GatewayState>,
     demand: HashMap<ServedModel, DemandEstimate>,
+    /// When requests were first seen.
+    first_demand: Option<Duration>,
 }
 
 #[derive(Debug)]
@@ -46,6 +50,9 @@
     /// Records a report.
     #[allow(clippy::cast_precision_loss)] // Token counts are estimates.
     pub fn record(&mut self, report: &GatewayReport, now: Duration) {
+        if !report.demand.is_empty() {
+            self.first_demand.get_or_insert(now);
+        }
         for requests in &report.demand {
             let estimate = self.demand.entry(requests.model.clone());
             let estimate = estimate.or_insert(DemandEstimate {
@@ -96,9 +103,10 @@
         self.gateways.values().flat_map(|state| &state.wanted)
     }
 
-    /// Returns the demand for a model in tokens a second.
-    pub fn demand(&self, model: &ServedModel, now: Duration) -> f64 {
-        self.demand.get(model).map_or(0.0, |demand| demand.at(now))
+    /// Tells whether requests were seen for long enough that their mix says something.
+    pub fn knows_demand(&self, now: Duration) -> bool {
+        self.first_demand
+            .is_some_and(|first| now.saturating_sub(first) >= SHORTEST_OBSERVATION)
     }
 
     /// Returns the demand for each model and adapter.
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -261,6 +261,12 @@
                 return Ok(Some(tokens));
             }
             if self.follower.is_in_touch() {
+                info!("gateway: over limit", kv: {
+                    request = request.name(),
+                    team = team.id.as_str(),
+                    tokens = request.cost(),
+                    plan = request.plan.plan().version,
+                });
                 let delay = spread(RETURN_DELAY[0], RETURN_DELAY[1]);
                 let kind = RefusalKind::OverLimit;
                 let over = RefusalNotice::new(kind, "the team is over its limit");
@@ -397,6 +403,8 @@
             request = request.name(),
             route = request.route.id.as_str(),
             plan = request.plan.plan().version,
+            team = request.team_id().map_or("-", |team| team.as_str()),
+            tokens = request.cost(),
             target = choice.target.as_str(),
             load = choice.load,
             status = status.as_u16(),
