Answer waiting requests before a gateway stops, keep engines below their slots

Engines with a hot model ran up to 200 requests on 64 slots, and all of them late. Requests kept going to engines that had gone dark, until five of them had timed out.

What is left is late: pauses over 250 ms while several prompts are read at once.

--- a/src/coordinator/engines.rs
+++ b/src/coordinator/engines.rs
@@ -8,7 +8,9 @@
 use super::{
     engine_belief::EngineBelief,
     gateways::GatewayTable,
-    placement::{CopyPlan, EngineLoad, ModelNeed, PlacementInput, describe_load, plan_copies},
+    placement::{
+        CopyPlan, EngineLoad, ModelNeed, PlacementInput, SPARE_REASON, describe_load, plan_copies,
+    },
 };
 use crate::{
     adapter::{EngineStatus, HeldModel, OrderAction, OrderAnswer, TargetEntry},
@@ -18,13 +20,13 @@
 };
 
 /// Time between two questions to an engine that carries out an order.
-const CHECK_PERIOD: Duration = Duration::from_millis(250);
+const CHECK_PERIOD: Duration = Duration::from_millis(200);
 /// Time between two questions to an engine that does nothing; it may have been restarted.
 const IDLE_CHECK_PERIOD: Duration = Duration::from_secs(8);
 /// Time between two log lines about demand and load.
 const DESCRIBE_PERIOD: Duration = Duration::from_secs(2);
 /// Time for gateways to stop sending requests for a model before it is unloaded.
-const RETIRE_DELAY: Duration = Duration::from_millis(600);
+const RETIRE_DELAY: Duration = Duration::from_millis(350);
 /// Time after which an order that the engine does not show counts as lost.
 const LOST_ORDER_LIMIT: Duration = Duration::from_secs(20);
 /// Time for which room is kept for the model that it was made for.
@@ -324,7 +326,7 @@
                     belief.retiring = Some((model, now));
                     belief.reserved = Some((step.model, now));
                 }
-                CopyPlan::Load(_) if self.load_tokens < 1.0 => {}
+                CopyPlan::Load(_) if self.load_tokens < needed_tokens(step.reason) => {}
                 CopyPlan::Load(model) => {
                     self.load_tokens -= 1.0;
                     orders.push(WantedOrder {
@@ -506,6 +508,14 @@
     }
 }
 
+/// Spare copies leave a load for what callers wait for.
+fn needed_tokens(reason: &str) -> f64 {
+    match reason {
+        SPARE_REASON => LOAD_BURST,
+        _ => 1.0,
+    }
+}
+
 fn is_adapter(model: &str) -> bool {
     model.contains('/')
 }
--- a/src/coordinator/gateways.rs
+++ b/src/coordinator/gateways.rs
@@ -10,8 +10,9 @@
 
 /// Silence after which a gateway counts as gone.
 const SILENCE_LIMIT: Duration = Duration::from_secs(2);
-/// Time constant of the demand estimate: a few loads of a model.
-const DEMAND_SECONDS: f64 = 4.0;
+/// Time constant of the demand estimate, in seconds: below the time of a load, so that a shift of
+/// demand is seen before the load that answers it ends.
+const DEMAND_SECONDS: f64 = 2.5;
 /// Time for which requests are seen before copies are moved for their sake.
 const SHORTEST_OBSERVATION: Duration = Duration::from_millis(2_500);
 /// Demand below this many tokens a second is forgotten.
--- a/src/coordinator/placement.rs
+++ b/src/coordinator/placement.rs
@@ -13,6 +13,8 @@
 const HYSTERESIS: f64 = 2.0;
 /// Steps in one plan.
 const MAX_STEPS: usize = 4;
+/// Reason of a copy that no demand asks for yet.
+pub(super) const SPARE_REASON: &str = "spare copy";
 /// Models named in a log line.
 const DESCRIBED_MODELS: usize = 8;
 /// Rounds in which the demand for models is spread over their copies.
@@ -101,7 +103,8 @@
 }
 
 /// Plans which copies to load and unload: first every model has a copy, then models whose copies
-/// are all on loaded engines get another on an idle one.
+/// are all on loaded engines get another on an idle one, then each model gets a second copy where
+/// memory is free, so that the loss of an engine or a rise of demand finds it loaded.
 #[must_use]
 pub fn plan_copies(input: &PlacementInput) -> Vec<PlacementOrder> {
     let mut board = Board::new(input);
@@ -122,6 +125,11 @@
             board.place(need, relief, "demand");
         }
     }
+    for need in &needs {
+        if board.holders(&need.id).count() == 1 {
+            board.place(need, 0.0, SPARE_REASON);
+        }
+    }
     board.steps
 }
 
@@ -182,7 +190,7 @@
         if self.steps.len() >= MAX_STEPS {
             return;
         }
-        let ceiling = match share.is_finite() {
+        let ceiling = match share.is_finite() && share > 0.0 {
             true => COOL_FACTOR * self.mean,
             false => f64::INFINITY,
         };
@@ -199,6 +207,9 @@
             if engine.free_mb >= need.weights_mb {
                 return Some((*load, engine, None));
             }
+            if share <= 0.0 {
+                return None;
+            }
             let evicted = self.evictable(engine, need, share)?;
             let cost = self.share(evicted);
             Some((load + cost + self.mean, engine, Some(evicted.clone())))
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -26,7 +26,7 @@
 const IDLE_SHARE: f64 = 0.7;
 /// Time without acknowledgement after which the kernel gives a connection up, so that one that
 /// fell silent is noticed.
-const SILENCE_LIMIT: Duration = Duration::from_secs(3);
+const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
 
 type TargetSender = SendRequest<Full<Bytes>>;
 
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -33,6 +33,8 @@
 const ROTATION_TIME: Duration = Duration::from_millis(3_200);
 /// Time before the end of the grace time at which the process ends, whatever runs.
 const EXIT_MARGIN: Duration = Duration::from_millis(700);
+/// Time between two checks for silent targets.
+const PULSE_PERIOD: Duration = Duration::from_millis(100);
 /// Time between two sweeps of idle connections.
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
 
@@ -77,6 +79,7 @@
         let follower = GatewayFollower::new(config.clone(), parts, client, self.secret);
         let follower = Arc::new(follower);
         let connections = Arc::new(TargetConnections::default());
+        let (refuse, refusing) = watch::channel(false);
         let proxy = Arc::new(GatewayProxy {
             adapter: self.adapter,
             view: Arc::clone(&view),
@@ -88,7 +91,7 @@
             retries: RetryBudget::new().into(),
             started: Instant::now(),
             is_closing: AtomicBool::new(false),
-            is_refusing: AtomicBool::new(false),
+            refusing,
         });
         let (begin_stop, stopping) = watch::channel(false);
         let ready_port = Arc::new(ReadyPort {
@@ -100,9 +103,14 @@
         tokio::spawn(ready_port.run(ready));
         tokio::spawn(async move { follower.run().await });
         tokio::spawn(async move {
+            let mut swept = Instant::now();
             loop {
-                tokio::time::sleep(SWEEP_PERIOD).await;
-                connections.sweep(|target| targets.contains(target));
+                tokio::time::sleep(PULSE_PERIOD).await;
+                targets.check_pulses();
+                if swept.elapsed() >= SWEEP_PERIOD {
+                    swept = Instant::now();
+                    connections.sweep(|target| targets.contains(target));
+                }
             }
         });
         let serving = tokio::spawn(port::run(callers, Arc::clone(&proxy), closing));
@@ -114,7 +122,7 @@
         allowance.leave();
         proxy.is_closing.store(true, Ordering::Relaxed);
         tokio::time::sleep(ROTATION_TIME.min(config.grace / 2)).await;
-        proxy.is_refusing.store(true, Ordering::Relaxed);
+        refuse.send_replace(true);
         close.send_replace(true);
         let ended = tokio::time::timeout_at(end.into(), serving).await;
         match ended {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -115,6 +115,7 @@
             return ExchangeStart::TimedOut;
         }
     };
+    place.targets.hear(&target);
     let facts = adapter.read_answer(response.status(), response.headers());
     if facts.request_id != request.facts.request_id && facts.is_signed {
         // A late answer to an earlier request; nothing on this connection can be trusted.
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -16,6 +16,7 @@
 use rand::Rng;
 use smallvec::SmallVec;
 use spdlog::prelude::*;
+use tokio::sync::watch;
 
 use super::{
     connections::TargetConnections,
@@ -43,6 +44,10 @@
 const TOKEN_WAIT_LIMIT: Duration = Duration::from_millis(400);
 /// Shortest such wait: two syncs.
 const SHORTEST_TOKEN_WAIT: Duration = Duration::from_millis(60);
+/// Part of the latency target that a request waits for room at a target.
+const ROOM_WAIT_SHARE: f64 = 0.35;
+/// Time between two looks for room.
+const ROOM_POLL: Duration = Duration::from_millis(15);
 /// Part of the time left that a request waits for tokens while there is no leader.
 const LEADER_WAIT_SHARE: f64 = 0.4;
 /// Part of the time left that a request waits for its model to be loaded.
@@ -68,8 +73,8 @@
     pub started: Instant,
     /// Whether connections end after their running request.
     pub is_closing: AtomicBool,
-    /// Whether new requests are refused.
-    pub is_refusing: AtomicBool,
+    /// Turns true when new and waiting requests are refused.
+    pub refusing: watch::Receiver<bool>,
 }
 
 impl GatewayProxy {
@@ -118,7 +123,7 @@
         incoming: Incoming,
         facts: CallerFacts,
     ) -> Result<GatewayRequest, RefusalNotice> {
-        if self.is_refusing.load(Ordering::Relaxed) {
+        if *self.refusing.borrow() {
             return Err(unavailable("the gateway stops"));
         }
         let plan = self.view.get();
@@ -189,6 +194,7 @@
             self.demand.record(model, request.cost());
             self.await_model(request, model, &pool).await?;
         }
+        self.await_room(request, &pool).await?;
         let tokens = self.reserve(request).await?;
         let sent = self.send(request, model.as_ref(), &pool).await;
         match (tokens, &sent) {
@@ -232,14 +238,43 @@
         let until = tokio::time::Instant::now() + patience;
         let _wanted = self.follower.waiting(model);
         while self.choose(request, pool, &[]).is_none() {
-            let changed = self.targets.changed();
-            if tokio::time::timeout_at(until, changed).await.is_err() {
-                return Err(unavailable("no target holds the model"));
+            let mut refusing = self.refusing.clone();
+            let stopped = async {
+                // An error means that the daemon is gone.
+                let _ = refusing.wait_for(|refusing| *refusing).await;
+            };
+            tokio::select! {
+                () = self.targets.changed() => {}
+                () = stopped => return Err(unavailable("the gateway stops")),
+                () = tokio::time::sleep_until(until) => {
+                    return Err(unavailable("no target holds the model"));
+                }
             }
         }
         Ok(())
     }
 
+    /// Waits until a target has room, or rejects the request while it can still be served elsewhere
+    /// or later. More requests at a full engine would only make those late that run there.
+    async fn await_room(
+        &self,
+        request: &GatewayRequest,
+        pool: &PoolId,
+    ) -> Result<(), RefusalNotice> {
+        let patience = request.route.latency_target.mul_f64(ROOM_WAIT_SHARE);
+        let until = Instant::now() + patience.min(request.left() / 4);
+        loop {
+            match self.choose(request, pool, &[]) {
+                Some(chosen) if !self.targets.has_room(&chosen) => {}
+                _ => return Ok(()),
+            }
+            if Instant::now() >= until {
+                return Err(unavailable("all targets are full"));
+            }
+            tokio::time::sleep(ROOM_POLL).await;
+        }
+    }
+
     /// Reserves the team's tokens for a request.
     async fn reserve(
         &self,
@@ -272,7 +307,7 @@
                 let over = RefusalNotice::new(kind, "the team is over its limit");
                 return Err(over.with_retry_after(delay));
             }
-            if Instant::now() >= last {
+            if Instant::now() >= last || *self.refusing.borrow() {
                 return Err(unavailable("no leader grants tokens"));
             }
             wait = TOKEN_WAIT_LIMIT;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -80,7 +80,10 @@
             return Poll::Ready(None);
         }
         match Pin::new(&mut this.incoming).poll_frame(context) {
-            Poll::Ready(Some(Ok(frame))) => Poll::Ready(Some(Ok(frame))),
+            Poll::Ready(Some(Ok(frame))) => {
+                this.place.targets.hear(&this.place.chosen.choice.target);
+                Poll::Ready(Some(Ok(frame)))
+            }
             Poll::Ready(Some(Err(error))) => {
                 let error = this.fail(&error.to_string());
                 Poll::Ready(Some(Err(error)))
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -7,6 +7,7 @@
 
 use compact_str::format_compact;
 use smallvec::SmallVec;
+use spdlog::prelude::*;
 use tokio::sync::Notify;
 
 use crate::{
@@ -40,7 +41,23 @@
     changed: Notify,
 }
 
+/// Time without a byte from a target that runs requests of this gateway after which it gets no new
+/// ones. Engines send events several times in that time, and plain services answer in less.
+const SILENCE_LIMIT: Duration = Duration::from_millis(700);
+/// Time after which a silent target is tried again when none of its requests is left.
+const SILENCE_REST: Duration = Duration::from_millis(1_500);
+/// Part of an engine's slots that requests fill before more of them only slow each other down.
+const ADMITTED_SLOTS: f32 = 0.75;
+
+/// When a target that runs requests of this gateway was last heard.
+#[derive(Clone, Copy, Debug)]
+struct TargetPulse {
+    heard_at: Duration,
+    is_silent: bool,
+}
+
 struct Tables {
+    pulses: HashMap<TargetId, TargetPulse>,
     replicas: ReplicaTable,
     entries: HashMap<TargetId, TargetEntry>,
     running: BTreeMap<TargetId, u32>,
@@ -58,6 +75,7 @@
         Self {
             started: Instant::now(),
             tables: Mutex::new(Tables {
+                pulses: HashMap::new(),
                 replicas: ReplicaTable::new(tuning, &[]),
                 entries: HashMap::new(),
                 running: BTreeMap::new(),
@@ -156,13 +174,77 @@
         Some(ChosenTarget { choice, address })
     }
 
+    /// Tells whether a target has room for another request.
+    #[allow(clippy::cast_precision_loss)] // Slots are far below 2^24.
+    pub fn has_room(&self, chosen: &ChosenTarget) -> bool {
+        let tables = self.tables();
+        let entry = tables.entries.get(&chosen.choice.target);
+        entry.is_none_or(|entry| chosen.choice.load < entry.slots as f32 * ADMITTED_SLOTS)
+    }
+
+    /// Notes that a target sent something.
+    pub fn hear(&self, target: &TargetId) {
+        let now = self.now();
+        let mut tables = self.tables();
+        if let Some(pulse) = tables.pulses.get_mut(target) {
+            pulse.heard_at = now;
+            if pulse.is_silent {
+                pulse.is_silent = false;
+                tables.set_up(target);
+                info!("route: a target is heard again", kv: { target = target.as_str() });
+            }
+        }
+    }
+
+    /// Sets targets that fell silent aside, and takes those back that may be tried again.
+    pub fn check_pulses(&self) {
+        let now = self.now();
+        let mut tables = self.tables();
+        let tables = &mut *tables;
+        let mut ended = Vec::new();
+        for (target, pulse) in &mut tables.pulses {
+            let age = now.saturating_sub(pulse.heard_at);
+            let is_running = tables.running.contains_key(target);
+            match pulse.is_silent {
+                false if is_running && age >= SILENCE_LIMIT => {
+                    pulse.is_silent = true;
+                    let down = Availability::Down;
+                    tables.replicas.set_availability(target, down);
+                    warn!("route: a target is silent", kv: {
+                        target = target.as_str(),
+                        silent_ms = age.as_millis(),
+                    });
+                }
+                true if !is_running && age >= SILENCE_REST => ended.push(target.clone()),
+                false if !is_running => ended.push(target.clone()),
+                _ => {}
+            }
+        }
+        for target in ended {
+            tables.pulses.remove(&target);
+            tables.set_up(&target);
+        }
+    }
+
     /// Counts a request that is sent.
     pub fn send(&self, chosen: &ChosenTarget, prefix: &[PrefixBlock]) {
         let now = self.now();
         let mut tables = self.tables();
         tables.replicas.send(&chosen.choice, now);
         tables.replicas.learn(&chosen.choice.target, prefix, now);
-        *tables.running.entry(chosen.choice.target.clone()).or_default() += 1;
+        let running = tables.running.entry(chosen.choice.target.clone());
+        let running = running.or_default();
+        *running += 1;
+        if *running == 1 {
+            let pulse = tables.pulses.entry(chosen.choice.target.clone());
+            let pulse = pulse.or_insert(TargetPulse {
+                heard_at: now,
+                is_silent: false,
+            });
+            if !pulse.is_silent {
+                pulse.heard_at = now;
+            }
+        }
     }
 
     /// Notes how the start of an exchange went.
@@ -221,6 +303,14 @@
 }
 
 impl Tables {
+    /// Lets a target that is not leaving take requests again.
+    fn set_up(&mut self, target: &TargetId) {
+        let entry = self.entries.get(target);
+        if entry.is_some_and(|entry| !entry.is_leaving) {
+            self.replicas.set_availability(target, Availability::Up);
+        }
+    }
+
     fn apply(&mut self, plan: &PlanIndex, targets: Vec<TargetEntry>) {
         let targets: HashMap<TargetId, TargetEntry> = targets
             .into_iter()
@@ -238,9 +328,11 @@
         }
         for (id, entry) in &targets {
             self.replicas.upsert(&spec_of(plan, entry));
-            let availability = match entry.is_leaving {
-                true => Availability::Draining,
-                false => Availability::Up,
+            let is_silent = self.pulses.get(id).is_some_and(|pulse| pulse.is_silent);
+            let availability = match () {
+                () if entry.is_leaving => Availability::Draining,
+                () if is_silent => Availability::Down,
+                () => Availability::Up,
             };
             self.replicas.set_availability(id, availability);
         }
