--- a/src/allowance/ledger.rs
+++ b/src/allowance/ledger.rs
@@ -97,9 +97,10 @@
             return;
         }
         let level = if now >= self.opens_at { limit.burst } else { 0 };
-        let begun_at = match self.is_waiting(now) {
-            true => self.opens_at,
-            false => now,
+        let begun_at = if self.is_waiting(now) {
+            self.opens_at
+        } else {
+            now
         };
         let bucket = TeamBucket::new(limit, level, begun_at);
         self.teams.insert(team.clone(), bucket);
--- a/src/control/founder.rs
+++ b/src/control/founder.rs
@@ -137,7 +137,10 @@
             self.voter.addresses().learn(&reply.address);
             match reply.founding {
                 Some(founding) if founding.voters.contains(&id) => {
-                    info!("raft: takes part in the fleet of {} voters", founding.voters.len());
+                    info!(
+                        "raft: takes part in the fleet of {} voters",
+                        founding.voters.len()
+                    );
                     return Some(founding);
                 }
                 _ if reply.takes_part => {
--- a/src/coordinator/daemon.rs
+++ b/src/coordinator/daemon.rs
@@ -81,7 +81,10 @@
         let journal = folder.open_journal(&config.vm, settings.journal)?;
         let voter = VoterHandle::start(journal, settings, addresses, Box::new(peers))?;
         let client = client::http_client()?;
-        let desk = Arc::new(CoordinatorDesk::new(voter.clone(), Arc::clone(&self.adapter)));
+        let desk = Arc::new(CoordinatorDesk::new(
+            voter.clone(),
+            Arc::clone(&self.adapter),
+        ));
         let plans = Arc::new(PlanDesk::new(voter.clone(), self.adapter));
         let system = build(&control.system_listen)
             .manage(SystemSecret(self.secret.clone()))
@@ -92,7 +95,8 @@
         let operator = build(&listen_address(config.operator_listen))
             .manage(plans)
             .mount("/", self.operator_routes);
-        let founder = FleetFounder::new(control, voter.clone(), client.clone(), self.secret.clone());
+        let founder =
+            FleetFounder::new(control, voter.clone(), client.clone(), self.secret.clone());
         let members = MemberDuty::new(voter.clone(), client, self.secret, config.voters);
         let orders = OrderDuty::new(desk, config.vm.clone(), config.holder_lease);
         tokio::spawn(founder.run());
@@ -107,7 +111,10 @@
             };
             tokio::spawn(server::launch_until(rocket, closed))
         });
-        info!("coordinator: {} serves operators at {}", config.vm, config.operator_listen);
+        info!(
+            "coordinator: {} serves operators at {}",
+            config.vm, config.operator_listen
+        );
         let mut phase = voter.phase();
         let [system, operator] = &mut serving;
         let ended = tokio::select! {
--- a/src/coordinator/desk.rs
+++ b/src/coordinator/desk.rs
@@ -163,9 +163,10 @@
             }
         }
         let reply = self.reply(&report, grants, lease);
-        match lease.holds() {
-            true => Ok(reply),
-            false => Err(Error::NotLeader { leader: None }),
+        if lease.holds() {
+            Ok(reply)
+        } else {
+            Err(Error::NotLeader { leader: None })
         }
     }
 
--- a/src/coordinator/engine_belief.rs
+++ b/src/coordinator/engine_belief.rs
@@ -50,7 +50,10 @@
     #[must_use]
     pub fn new(entry: TargetEntry) -> Self {
         let resident = entry.models.iter().map(|held| held.model.clone());
-        let adapters = entry.models.iter().flat_map(|held| held.adapters.iter().cloned());
+        let adapters = entry
+            .models
+            .iter()
+            .flat_map(|held| held.adapters.iter().cloned());
         Self {
             held: entry.models.clone(),
             resident: resident.collect(),
@@ -78,8 +81,15 @@
         }
         self.orders = Some(status.orders);
         self.is_busy = status.is_busy;
-        self.resident = status.models.iter().map(|held| held.model.clone()).collect();
-        let adapters = status.models.iter().flat_map(|held| held.adapters.iter().cloned());
+        self.resident = status
+            .models
+            .iter()
+            .map(|held| held.model.clone())
+            .collect();
+        let adapters = status
+            .models
+            .iter()
+            .flat_map(|held| held.adapters.iter().cloned());
         self.resident_adapters = adapters.chain(status.pending_adapters).collect();
         self.doubtful
             .retain(|(_, at)| now.saturating_sub(*at) < LATE_ORDER_LIMIT);
@@ -107,9 +117,7 @@
     pub fn free_mb(&self, plan: &EnginePlan) -> f64 {
         let weights = |model: &ModelId| plan.model(model).map_or(0.0, |model| model.weights_mb);
         let loading = match &self.underway {
-            Some((OrderAction::Load, model, _)) if !self.resident.contains(model) => {
-                weights(model)
-            }
+            Some((OrderAction::Load, model, _)) if !self.resident.contains(model) => weights(model),
             _ => 0.0,
         };
         let doubtful = self
@@ -138,16 +146,18 @@
     /// Tells whether it holds a model, or is loading it.
     #[must_use]
     pub fn has_or_loads(&self, model: &str) -> bool {
-        let loads = matches!(&self.underway, Some((OrderAction::Load, loaded, _)) if loaded == model);
+        let loads =
+            matches!(&self.underway, Some((OrderAction::Load, loaded, _)) if loaded == model);
         loads || self.held.iter().any(|held| held.model == model)
     }
 
     /// Returns the number of adapter places that are taken, or may be by a load without an answer.
     #[must_use]
     pub fn adapters(&self) -> usize {
-        let doubtful = self.doubtful.iter().filter(|(model, _)| {
-            model.contains('/') && !self.resident_adapters.contains(model)
-        });
+        let doubtful = self
+            .doubtful
+            .iter()
+            .filter(|(model, _)| model.contains('/') && !self.resident_adapters.contains(model));
         self.resident_adapters.len() + doubtful.count()
     }
 
--- a/src/coordinator/engines.rs
+++ b/src/coordinator/engines.rs
@@ -71,12 +71,12 @@
     /// list is older. Returns whether anything changed that gateways need to know.
     pub fn apply_list(&mut self, plan: &PlanIndex, list: Vec<TargetEntry>) -> bool {
         let mut engines = BTreeMap::new();
-        let mut plain = Vec::new();
+        let mut services = Vec::new();
         let mut is_changed = false;
         for entry in list {
             let service = plan.service(&entry.service);
             if service.is_none_or(|service| service.engine.is_none()) {
-                plain.push(entry);
+                services.push(entry);
                 continue;
             }
             let old = self.engines.remove(&entry.id);
@@ -90,9 +90,9 @@
             };
             engines.insert(belief.entry.id.clone(), belief);
         }
-        is_changed |= !self.engines.is_empty() || plain != self.plain;
+        is_changed |= !self.engines.is_empty() || services != self.plain;
         self.engines = engines;
-        self.plain = plain;
+        self.plain = services;
         is_changed
     }
 
@@ -111,9 +111,10 @@
     pub fn due_checks(&mut self, now: Duration) -> Vec<TargetEntry> {
         let mut due = Vec::new();
         for belief in self.engines.values_mut() {
-            let period = match belief.orders.is_none() || belief.underway.is_some() || belief.is_busy {
-                true => CHECK_PERIOD,
-                false => IDLE_CHECK_PERIOD,
+            let period = if belief.orders.is_none() || belief.underway.is_some() || belief.is_busy {
+                CHECK_PERIOD
+            } else {
+                IDLE_CHECK_PERIOD
             };
             let is_new = belief.orders.is_none() && belief.asked_at.is_zero();
             if !belief.is_called && (is_new || now.saturating_sub(belief.asked_at) >= period) {
@@ -205,7 +206,9 @@
                 if order.action == OrderAction::Unload {
                     belief.orders = belief.orders.map(|orders| orders + 1);
                     belief.ordered_at = now;
-                    belief.resident_adapters.retain(|known| *known != order.model);
+                    belief
+                        .resident_adapters
+                        .retain(|known| *known != order.model);
                 }
             }
             Some(OrderAnswer::Fenced) => {
@@ -434,7 +437,10 @@
     fn adapter_copies(&self, service: &str, adapter: &ModelId) -> usize {
         let holding = self.engines_of(service).filter(|belief| {
             !belief.entry.is_leaving
-                && belief.held.iter().any(|held| held.adapters.contains(adapter))
+                && belief
+                    .held
+                    .iter()
+                    .any(|held| held.adapters.contains(adapter))
         });
         holding.count()
     }
@@ -500,7 +506,11 @@
             return;
         }
         for belief in self.engines.values() {
-            if belief.held.iter().any(|held| held.adapters.contains(adapter)) {
+            if belief
+                .held
+                .iter()
+                .any(|held| held.adapters.contains(adapter))
+            {
                 let key = (belief.entry.id.clone(), adapter.clone());
                 self.adapter_uses.insert(key, now);
             }
@@ -525,7 +535,10 @@
 }
 
 fn change_adapter(held: &mut [HeldModel], order: &WantedOrder) -> bool {
-    let Some(held) = held.iter_mut().find(|held| held.model == base(&order.model)) else {
+    let Some(held) = held
+        .iter_mut()
+        .find(|held| held.model == base(&order.model))
+    else {
         return false;
     };
     let is_held = held.adapters.contains(&order.model);
--- a/src/coordinator/gateways.rs
+++ b/src/coordinator/gateways.rs
@@ -61,8 +61,7 @@
                 tokens_per_second: 0.0,
                 updated_at: now,
             });
-            estimate.tokens_per_second =
-                estimate.at(now) + requests.tokens as f64 / DEMAND_SECONDS;
+            estimate.tokens_per_second = estimate.at(now) + requests.tokens as f64 / DEMAND_SECONDS;
             estimate.updated_at = now;
         }
         let state = GatewayState {
--- a/src/coordinator/member_duty.rs
+++ b/src/coordinator/member_duty.rs
@@ -43,7 +43,11 @@
     pub async fn run(mut self) {
         loop {
             tokio::time::sleep(ROUND_PERIOD).await;
-            if self.voter.lease().is_none_or(|lease| !LeaderLease::holds(&lease)) {
+            if self
+                .voter
+                .lease()
+                .is_none_or(|lease| !LeaderLease::holds(&lease))
+            {
                 self.heard.clear();
                 continue;
             }
@@ -89,7 +93,9 @@
 
     fn next_change(&self, membership: &Membership, live: &[VoterId]) -> Option<MemberChange> {
         let silent = |member: &&VoterId, limit: Duration| {
-            self.heard.get(*member).is_none_or(|at| at.elapsed() > limit)
+            self.heard
+                .get(*member)
+                .is_none_or(|at| at.elapsed() > limit)
         };
         // A data folder that was made anew on the same VM proves that the former one is gone.
         let is_superseded = |member: &&VoterId| {
@@ -102,7 +108,10 @@
         if let Some(lost) = superseded {
             return Some(MemberChange::Remove(lost.clone()));
         }
-        let successor = membership.learners.iter().find(|member| live.contains(member));
+        let successor = membership
+            .learners
+            .iter()
+            .find(|member| live.contains(member));
         let mut voters = membership.voters.iter();
         let lost = voters.find(|member| silent(member, REPLACE_AFTER));
         match (successor, lost) {
--- a/src/coordinator/orders.rs
+++ b/src/coordinator/orders.rs
@@ -127,10 +127,10 @@
     address: std::net::SocketAddr,
 ) {
     // The order may have waited behind other work; a leader without a lease gives none.
-    let answer = match lease.holds() {
-        true => within(desk.adapter.give_order(address, &sent)).await,
-        false => return,
-    };
+    if !lease.holds() {
+        return;
+    }
+    let answer = within(desk.adapter.give_order(address, &sent)).await;
     info!("place: order", kv: {
         target = order.target.as_str(),
         action:? = order.action,
--- a/src/coordinator/placement.rs
+++ b/src/coordinator/placement.rs
@@ -190,9 +190,10 @@
         if self.steps.len() >= MAX_STEPS {
             return;
         }
-        let ceiling = match share.is_finite() && share > 0.0 {
-            true => COOL_FACTOR * self.mean,
-            false => f64::INFINITY,
+        let ceiling = if share.is_finite() && share > 0.0 {
+            COOL_FACTOR * self.mean
+        } else {
+            f64::INFINITY
         };
         let open = self.input.engines.iter().zip(&self.loads);
         let open = open.filter(|(engine, load)| {
@@ -267,8 +268,10 @@
         need: &ModelNeed,
         share: f64,
     ) -> Option<&'i ModelId> {
-        let spare = engine.models.iter().filter(|model| {
-            let weights = self.need(model).map_or(f64::INFINITY, |need| need.weights_mb);
+        let candidates = engine.models.iter().filter(|model| {
+            let weights = self
+                .need(model)
+                .map_or(f64::INFINITY, |need| need.weights_mb);
             // A model that is not configured any more goes first.
             let is_spare = self.need(model).is_none() || self.holders(model).count() > 1;
             is_spare
@@ -277,7 +280,7 @@
                     || share.is_infinite()
                     || engine.free_mb + weights >= need.weights_mb)
         });
-        spare.min_by(|a, b| self.share(a).total_cmp(&self.share(b)))
+        candidates.min_by(|a, b| self.share(a).total_cmp(&self.share(b)))
     }
 }
 
--- a/src/coordinator/plan_desk.rs
+++ b/src/coordinator/plan_desk.rs
@@ -33,7 +33,7 @@
     /// [`crate::error::Error::Unconfirmed`] when the plan may come into force later.
     pub async fn publish(&self, document: &[u8]) -> Result<()> {
         let version = self.adapter.decode_plan(document)?.version;
-        let held = self.voter.read(|state| state.plan_version()).await?;
+        let held = self.voter.read(ControlState::plan_version).await?;
         if version <= held {
             info!("plan: overtaken", kv: { plan = version, in_force = held });
             return Ok(());
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -88,7 +88,8 @@
             demand: Arc::clone(&demand),
         };
         let client = client::http_client()?;
-        let follower = GatewayFollower::new(config.clone(), incarnation, parts, client, self.secret);
+        let follower =
+            GatewayFollower::new(config.clone(), incarnation, parts, client, self.secret);
         let follower = Arc::new(follower);
         let connections = Arc::new(TargetConnections::default());
         let (refuse, refusing) = watch::channel(false);
@@ -138,9 +139,10 @@
         refuse.send_replace(true);
         close.send_replace(true);
         let ended = tokio::time::timeout_at(end.into(), serving).await;
-        match ended {
-            Ok(_) => info!("gateway: has stopped"),
-            Err(_) => warn!("gateway: stops with requests that still run"),
+        if ended.is_ok() {
+            info!("gateway: has stopped");
+        } else {
+            warn!("gateway: stops with requests that still run");
         }
         Ok(())
     }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -47,7 +47,11 @@
 }
 
 impl TargetPlace {
-    pub fn new(targets: &Arc<TargetTable>, chosen: &ChosenTarget, request: &GatewayRequest) -> Self {
+    pub fn new(
+        targets: &Arc<TargetTable>,
+        chosen: &ChosenTarget,
+        request: &GatewayRequest,
+    ) -> Self {
         let mut chosen = chosen.clone();
         targets.send(&mut chosen, &request.prefix);
         Self {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -98,7 +98,10 @@
         let bytes = match sync::encode(&message) {
             Ok(bytes) if bytes.len() <= MAX_MESSAGE_BYTES => bytes,
             Ok(bytes) => {
-                debug!("gateway: a load message of {} bytes is left out", bytes.len());
+                debug!(
+                    "gateway: a load message of {} bytes is left out",
+                    bytes.len()
+                );
                 return;
             }
             Err(error) => {
@@ -106,7 +109,11 @@
                 return;
             }
         };
-        let peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let peers = self
+            .peers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone();
         for peer in peers {
             if let Err(error) = self.socket.send_to(&bytes, peer).await {
                 debug!("gateway: {peer} is not told the load: {error}");
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -23,7 +23,7 @@
     exchange::{self, ExchangeStart, StartedExchange, TargetPlace},
     follower::GatewayFollower,
     relay::RelayBody,
-    request::{GatewayRequest, matched_team},
+    request::GatewayRequest,
     targets::{ChosenTarget, TargetTable, model_pool, prefix_blocks, split_model},
     view::{ModelDemand, PlanView},
 };
@@ -31,6 +31,7 @@
     adapter::{CallerFacts, PlatformAdapter, RefusalKind, RefusalNotice},
     entry::{ReservedTokens, SharedAllowance, body},
     ids::{RequestId, TargetId, TeamId},
+    plan::TeamMatch,
     route::{Exchange, PoolId, RetryBudget, RouteRequest},
     sync::ServedModel,
 };
@@ -136,8 +137,13 @@
         let host = host.split_once(':').map_or(host, |(host, _)| host);
         let route = plan.route(host, parts.uri.path());
         let route = route.ok_or(RefusalNotice::new(RefusalKind::NoRoute, "no route matches"))?;
-        let team = matched_team(plan.team(route, facts.key.as_deref()))
-            .ok_or(RefusalNotice::new(RefusalKind::UnknownKey, "unknown key"))?;
+        let team = match plan.team(route, facts.key.as_deref()) {
+            TeamMatch::Team(team) => Some(team),
+            TeamMatch::Anyone => None,
+            TeamMatch::Unknown => {
+                return Err(RefusalNotice::new(RefusalKind::UnknownKey, "unknown key"));
+            }
+        };
         let limit = route.time_limit;
         let limit = facts.deadline.map_or(limit, |deadline| deadline.min(limit));
         let body = self.read_body(incoming, plan.plan().limits.body_bytes, limit);
@@ -147,7 +153,6 @@
             team,
             arrived,
             deadline: arrived + limit,
-            model: None,
             prefix: prefix_blocks(facts.model.as_deref().unwrap_or_default(), &facts.parts),
             parts,
             facts,
@@ -174,7 +179,10 @@
         }
     }
 
-    async fn forward(&self, request: &GatewayRequest) -> Result<Response<CallerBody>, RefusalNotice> {
+    async fn forward(
+        &self,
+        request: &GatewayRequest,
+    ) -> Result<Response<CallerBody>, RefusalNotice> {
         let draw = rand::rng().random();
         let service = request.route.service(draw);
         let service = service.and_then(|id| request.plan.service(id));
@@ -353,7 +361,7 @@
         loop {
             let chosen = first.take().or_else(|| self.choose(request, pool, &tried));
             let Some(chosen) = chosen else {
-                return Err(self.give_up(runs, "no target can take the request"));
+                return Err(Self::give_up(runs, "no target can take the request"));
             };
             let target = chosen.choice.target.clone();
             let place = TargetPlace::new(&self.targets, &chosen, request);
@@ -402,14 +410,14 @@
                 reason = reason,
             });
             if refused >= MAX_REFUSED_SENDS || (refused > 0 && !self.may_repeat(&team)) {
-                return Err(self.give_up(runs, reason));
+                return Err(Self::give_up(runs, reason));
             }
             tried.push(target);
         }
     }
 
     /// Ends a request that no target takes. It has not run unless a target may have run it before.
-    fn give_up(&self, runs: u32, reason: &'static str) -> RefusalNotice {
+    fn give_up(runs: u32, reason: &'static str) -> RefusalNotice {
         match runs {
             0 => unavailable(reason),
             _ => RefusalNotice::new(RefusalKind::TargetFailed, reason),
@@ -429,9 +437,10 @@
         } = started;
         let first_byte = place.sent.elapsed();
         let status = response.status();
-        place.observe(match status.is_server_error() {
-            true => Exchange::Failed,
-            false => Exchange::Answered { first_byte },
+        place.observe(if status.is_server_error() {
+            Exchange::Failed
+        } else {
+            Exchange::Answered { first_byte }
         });
         if status.is_success() && !facts.is_signed {
             let reason = "the answer is not signed";
--- a/src/gateway/ready.rs
+++ b/src/gateway/ready.rs
@@ -18,9 +18,10 @@
 impl ReadyPort {
     fn status(&self) -> StatusCode {
         let is_serving = self.view.get().is_some() && !self.targets.is_empty();
-        match is_serving && !*self.stopping.borrow() {
-            true => StatusCode::OK,
-            false => StatusCode::SERVICE_UNAVAILABLE,
+        if is_serving && !*self.stopping.borrow() {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
         }
     }
 
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -10,9 +10,8 @@
 use crate::{
     adapter::CallerFacts,
     ids::TeamId,
-    plan::{PlanIndex, RoutePlan, TeamMatch, TeamPlan},
+    plan::{PlanIndex, RoutePlan, TeamPlan},
     route::PrefixBlock,
-    sync::ServedModel,
 };
 
 /// Urgency that engines assume when a request states none.
@@ -36,8 +35,6 @@
     pub arrived: Instant,
     /// When it must be over.
     pub deadline: Instant,
-    /// Model that it asks for, when its service has engines.
-    pub model: Option<ServedModel>,
     /// Prefixes of its prompt.
     pub prefix: SmallVec<[PrefixBlock; 4]>,
 }
@@ -62,9 +59,10 @@
     /// Returns the tokens that the request counts against its team's limit.
     pub fn cost(&self) -> u64 {
         let plain = self.team.as_ref().map_or(0, |team| team.plain_tokens);
-        match self.facts.is_sized {
-            true => self.facts.prompt_tokens + self.facts.answer_tokens,
-            false => plain,
+        if self.facts.is_sized {
+            self.facts.prompt_tokens + self.facts.answer_tokens
+        } else {
+            plain
         }
     }
 
@@ -73,12 +71,3 @@
         self.facts.request_id.as_deref().unwrap_or("-")
     }
 }
-
-/// Returns the team of a match; an unknown key has none.
-pub fn matched_team(team: TeamMatch) -> Option<Option<Arc<TeamPlan>>> {
-    match team {
-        TeamMatch::Team(team) => Some(Some(team)),
-        TeamMatch::Anyone => Some(None),
-        TeamMatch::Unknown => None,
-    }
-}
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -230,7 +230,10 @@
     pub fn has_room(&self, chosen: &ChosenTarget, pause: Option<Duration>) -> bool {
         let tables = self.tables();
         let choice = &chosen.choice;
-        let slots = tables.entries.get(&choice.target).map_or(1, |entry| entry.slots);
+        let slots = tables
+            .entries
+            .get(&choice.target)
+            .map_or(1, |entry| entry.slots);
         let Some(pause) = pause else {
             return choice.load < slots as f32 * PLAIN_REQUESTS_PER_SLOT;
         };
@@ -407,7 +410,11 @@
             .entries
             .iter()
             // A restart under the same name begins with an empty cache and no load.
-            .filter(|(id, old)| targets.get(*id).is_none_or(|new| new.born_ms != old.born_ms))
+            .filter(|(id, old)| {
+                targets
+                    .get(*id)
+                    .is_none_or(|new| new.born_ms != old.born_ms)
+            })
             .map(|(id, _)| id.clone())
             .collect();
         for id in gone {
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -8,8 +8,8 @@
 mod engine_plan;
 mod index;
 mod route_plan;
-mod serving_plan;
 mod service_plan;
+mod serving_plan;
 mod team_plan;
 
 pub use caller_limits::CallerLimits;
--- a/src/plan/index.rs
+++ b/src/plan/index.rs
@@ -39,7 +39,11 @@
         let mut keys = HashMap::new();
         for team in &plan.teams {
             let shared = Arc::new(team.clone());
-            keys.extend(team.keys.iter().map(|key| (key.clone(), Arc::clone(&shared))));
+            keys.extend(
+                team.keys
+                    .iter()
+                    .map(|key| (key.clone(), Arc::clone(&shared))),
+            );
         }
         Self {
             hosts,
--- a/src/plan/route_plan.rs
+++ b/src/plan/route_plan.rs
@@ -72,7 +72,11 @@
     /// Returns the service for a request, given a number drawn uniformly from all of `u32`.
     #[must_use]
     pub fn service(&self, draw: u32) -> Option<&ServiceId> {
-        let total: u64 = self.shares.iter().map(|share| u64::from(share.weight)).sum();
+        let total: u64 = self
+            .shares
+            .iter()
+            .map(|share| u64::from(share.weight))
+            .sum();
         if total == 0 {
             return None;
         }
--- a/src/route/load.rs
+++ b/src/route/load.rs
@@ -62,7 +62,8 @@
     /// that others told of.
     #[must_use]
     pub fn prefill_tokens(&self) -> u32 {
-        self.prefill_tokens.saturating_add(self.others_prefill_tokens)
+        self.prefill_tokens
+            .saturating_add(self.others_prefill_tokens)
     }
 
     /// Counts a request of this entry that has ended.
--- /dev/null
+++ b/tests/copies.rs
@@ -0,0 +1,287 @@
+//! Guards where models stand when demand moves, when engines are lost and while room is made.
+//!
+//! Each test names the load pattern that it answers. No network is needed.
+
+use std::collections::BTreeMap;
+
+use compact_str::format_compact;
+use rstest::rstest;
+use waxwinglatch::{
+    coordinator::{CopyPlan, EngineLoad, ModelNeed, PlacementInput, plan_copies},
+    ids::{ModelId, TargetId},
+};
+
+const ENGINE_MB: f64 = 200_000.0;
+const MODEL_MB: f64 = 60_000.0;
+/// Rounds that an unload and a load take in the stepped fleet.
+const UNLOAD_ROUNDS: u32 = 3;
+const LOAD_ROUNDS: u32 = 20;
+
+/// An engine of the stepped fleet.
+struct StepEngine {
+    models: Vec<ModelId>,
+    reserved: Option<ModelId>,
+    busy: Option<(CopyPlan, u32)>,
+    is_lasting: bool,
+}
+
+impl StepEngine {
+    fn used_mb(&self) -> f64 {
+        let loading = matches!(self.busy, Some((CopyPlan::Load(_), _)));
+        let unloading = matches!(self.busy, Some((CopyPlan::Unload(_), _)));
+        let copies = self.models.len() + usize::from(loading) + usize::from(unloading);
+        f64::from(u32::try_from(copies).unwrap()) * MODEL_MB
+    }
+}
+
+/// A fleet of engines that carry out orders over several rounds.
+struct StepFleet {
+    engines: BTreeMap<TargetId, StepEngine>,
+    demand: Vec<(ModelId, f64)>,
+    orders: usize,
+}
+
+impl StepFleet {
+    fn new(engines: &[&[&str]], demand: &[(&str, f64)]) -> Self {
+        let engines = engines.iter().enumerate().map(|(number, models)| {
+            let engine = StepEngine {
+                models: models.iter().map(|model| ModelId::from(*model)).collect(),
+                reserved: None,
+                busy: None,
+                is_lasting: true,
+            };
+            (format_compact!("e{number:02}"), engine)
+        });
+        Self {
+            engines: engines.collect(),
+            demand: Self::demand_of(demand),
+            orders: 0,
+        }
+    }
+
+    fn demand_of(demand: &[(&str, f64)]) -> Vec<(ModelId, f64)> {
+        let pairs = demand.iter();
+        pairs
+            .map(|(model, rate)| (ModelId::from(*model), *rate))
+            .collect()
+    }
+
+    fn input(&self) -> PlacementInput {
+        let engines = self.engines.iter().map(|(id, engine)| {
+            let loading = match &engine.busy {
+                Some((CopyPlan::Load(model), _)) => Some(model.clone()),
+                _ => None,
+            };
+            EngineLoad {
+                id: id.clone(),
+                models: engine.models.iter().cloned().chain(loading).collect(),
+                reserved: engine.reserved.clone(),
+                free_mb: ENGINE_MB - engine.used_mb(),
+                is_free: engine.busy.is_none() && engine.is_lasting,
+                is_lasting: engine.is_lasting,
+            }
+        });
+        let models = self.demand.iter().map(|(id, demand)| ModelNeed {
+            id: id.clone(),
+            weights_mb: MODEL_MB,
+            demand: *demand,
+            is_awaited: false,
+        });
+        PlacementInput {
+            engines: engines.collect(),
+            models: models.collect(),
+        }
+    }
+
+    fn round(&mut self) {
+        for engine in self.engines.values_mut() {
+            let ended = match &mut engine.busy {
+                Some((_, rounds)) if *rounds > 1 => {
+                    *rounds -= 1;
+                    None
+                }
+                busy => busy.take(),
+            };
+            if let Some((CopyPlan::Load(model), _)) = ended {
+                engine.models.push(model);
+            }
+        }
+        for order in plan_copies(&self.input()) {
+            self.orders += 1;
+            let engine = self.engines.get_mut(&order.engine).unwrap();
+            match &order.copy {
+                CopyPlan::Load(_) => {
+                    engine.reserved = None;
+                    engine.busy = Some((order.copy, LOAD_ROUNDS));
+                }
+                CopyPlan::Unload(model) => {
+                    engine.models.retain(|held| held != model);
+                    engine.reserved = Some(order.model);
+                    engine.busy = Some((order.copy, UNLOAD_ROUNDS));
+                }
+            }
+            let used = engine.used_mb();
+            assert!(used <= ENGINE_MB, "{used} MB on one engine");
+        }
+    }
+
+    fn run(&mut self, rounds: usize) {
+        for _ in 0..rounds {
+            self.round();
+        }
+    }
+
+    fn copies(&self, model: &str) -> usize {
+        let engines = self.engines.values();
+        let holding = engines
+            .filter(|engine| engine.is_lasting && engine.models.iter().any(|held| held == model));
+        holding.count()
+    }
+}
+
+/// Pattern: demand moves to another model. The bound is a fair share of the engines: a model with
+/// half of the demand needs about half of the copies that serve.
+#[test]
+fn a_model_that_rises_gets_copies_within_two_loads() {
+    let mut fleet = StepFleet::new(
+        &[
+            &["hot", "a"],
+            &["hot", "b"],
+            &["hot", "c"],
+            &["hot", "d"],
+            &["next", "e"],
+            &["f", "g"],
+        ],
+        &[
+            ("hot", 90.0),
+            ("next", 5.0),
+            ("a", 1.0),
+            ("b", 1.0),
+            ("c", 1.0),
+            ("d", 1.0),
+            ("e", 1.0),
+            ("f", 1.0),
+            ("g", 1.0),
+        ],
+    );
+    fleet.run(60);
+    fleet.demand = StepFleet::demand_of(&[
+        ("hot", 5.0),
+        ("next", 90.0),
+        ("a", 1.0),
+        ("b", 1.0),
+        ("c", 1.0),
+        ("d", 1.0),
+        ("e", 1.0),
+        ("f", 1.0),
+        ("g", 1.0),
+    ]);
+    fleet.run(2 * (LOAD_ROUNDS + UNLOAD_ROUNDS) as usize);
+    assert!(fleet.copies("next") >= 3, "{} copies", fleet.copies("next"));
+    for model in ["hot", "a", "b", "c", "d", "e", "f", "g"] {
+        assert!(fleet.copies(model) >= 1, "{model} is not reachable");
+    }
+}
+
+/// Pattern: a rare model is missing on a full fleet. Room was made on another engine in each round,
+/// until the busiest model had lost most of its copies.
+#[test]
+fn room_for_a_missing_model_is_made_once() {
+    let mut fleet = StepFleet::new(
+        &[
+            &["hot", "a", "b"],
+            &["hot", "c", "d"],
+            &["hot", "e", "f"],
+            &["hot", "g", "h"],
+        ],
+        &[
+            ("hot", 0.0),
+            ("rare", 0.0),
+            ("a", 0.0),
+            ("b", 0.0),
+            ("c", 0.0),
+            ("d", 0.0),
+            ("e", 0.0),
+            ("f", 0.0),
+            ("g", 0.0),
+            ("h", 0.0),
+        ],
+    );
+    fleet.run(1 + (UNLOAD_ROUNDS + LOAD_ROUNDS) as usize);
+    assert_eq!(fleet.copies("hot"), 3);
+    assert_eq!(fleet.copies("rare"), 1);
+    assert_eq!(fleet.orders, 2, "one unload and one load");
+}
+
+/// Pattern: a third of the engines is gone. Every model is reachable after the loads that this
+/// takes, most demanded ones first.
+#[test]
+fn lost_copies_come_back_most_demanded_first() {
+    let mut fleet = StepFleet::new(
+        &[&["a", "b"], &["c", "d"], &["e"], &["f"], &[], &[]],
+        &[
+            ("a", 1.0),
+            ("b", 9.0),
+            ("c", 3.0),
+            ("d", 2.0),
+            ("e", 2.0),
+            ("f", 2.0),
+        ],
+    );
+    for id in ["e00", "e01"] {
+        fleet.engines.get_mut(id).unwrap().is_lasting = false;
+    }
+    let first = plan_copies(&fleet.input());
+    assert_eq!(first[0].copy, CopyPlan::Load("b".into()));
+    fleet.run(3 * LOAD_ROUNDS as usize);
+    for model in ["a", "b", "c", "d", "e", "f"] {
+        assert!(fleet.copies(model) >= 1, "{model} is not reachable");
+    }
+}
+
+/// Pattern: an even load. Copies that serve well stay where they are.
+#[rstest]
+#[case(&[10.0, 10.0, 10.0])]
+#[case(&[10.0, 9.0, 11.0])]
+fn an_even_load_moves_nothing(#[case] demand: &[f64]) {
+    let names = ["a", "b", "c"];
+    let pairs: Vec<(&str, f64)> = names.iter().copied().zip(demand.iter().copied()).collect();
+    let mut fleet = StepFleet::new(
+        &[&["a", "b", "c"], &["a", "b", "c"], &["a", "b", "c"]],
+        &pairs,
+    );
+    fleet.run(50);
+    assert_eq!(fleet.orders, 0);
+}
+
+/// A spare copy goes to free memory only, and never costs another model its place.
+#[test]
+fn spare_copies_unload_nothing() {
+    let demand = [
+        ("a", 1.0),
+        ("b", 1.0),
+        ("c", 1.0),
+        ("d", 1.0),
+        ("e", 1.0),
+        ("f", 1.0),
+    ];
+    let mut fleet = StepFleet::new(&[&["a", "b", "c"], &["d", "e", "f"]], &demand);
+    fleet.run(60);
+    assert_eq!(fleet.orders, 0);
+    let mut fleet = StepFleet::new(&[&["a"], &[]], &demand[..1]);
+    fleet.run(60);
+    assert_eq!(fleet.copies("a"), 2);
+}
+
+/// An engine that is leaving counts for nothing: its models are placed elsewhere before it is gone.
+#[test]
+fn copies_on_a_leaving_engine_are_replaced() {
+    let mut fleet = StepFleet::new(&[&["a"], &["b"]], &[("a", 1.0), ("b", 1.0)]);
+    fleet.engines.get_mut("e00").unwrap().is_lasting = false;
+    let plan = plan_copies(&fleet.input());
+    assert_eq!(plan.len(), 1);
+    assert_eq!(
+        (plan[0].engine.as_str(), &plan[0].copy),
+        ("e01", &CopyPlan::Load("a".into()))
+    );
+}
--- /dev/null
+++ b/tests/plan.rs
@@ -0,0 +1,150 @@
+//! Guards how requests are matched with the serving plan, and which plan is in force.
+
+use std::time::Duration;
+
+use rstest::rstest;
+use serde_bytes::ByteBuf;
+use waxwinglatch::{
+    allowance::RateLimit,
+    plan::{
+        CallerLimits, PlanIndex, RouteKind, RoutePlan, ServicePlan, ServiceShare, ServingPlan,
+        TeamMatch, TeamPlan,
+    },
+    state::{Command, ControlState, StampedCommand},
+    sync::PublishedPlan,
+};
+
+fn route(id: &str, host: &str, prefix: &str) -> RoutePlan {
+    RoutePlan {
+        id: id.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        kind: RouteKind::Idempotent,
+        time_limit: Duration::from_secs(1),
+        latency_target: Duration::from_millis(100),
+        pause_target: None,
+        rank: 0,
+        shares: [ServiceShare {
+            service: "shop".into(),
+            weight: 1,
+        }]
+        .into_iter()
+        .collect(),
+        attempts: 1,
+        is_open: false,
+    }
+}
+
+fn index() -> PlanIndex {
+    let team = |id: &str, keys: &[&str]| TeamPlan {
+        id: id.into(),
+        keys: keys.iter().map(|key| (*key).into()).collect(),
+        rank: None,
+        limit: Some(RateLimit {
+            rate: 10,
+            burst: 10,
+        }),
+        plain_tokens: 1,
+    };
+    let mut open = route("open", "b.example", "/open/");
+    open.is_open = true;
+    PlanIndex::new(ServingPlan {
+        version: 3,
+        routes: vec![
+            route("short", "a.example", "/x/"),
+            route("long", "a.example", "/x/y/"),
+            route("root", "b.example", "/"),
+            open,
+        ],
+        services: vec![ServicePlan {
+            id: "shop".into(),
+            health_path: "/health".into(),
+            max_connections: 10,
+            engine: None,
+        }],
+        limits: CallerLimits::default(),
+        teams: vec![team("atlas", &["k1", "k2"]), team("kritt", &["k3"])],
+    })
+}
+
+/// The longest prefix that begins the path wins; a prefix counts in whole segments.
+#[rstest]
+#[case("a.example", "/x/1", Some("short"))]
+#[case("A.Example", "/x/y/1", Some("long"))]
+#[case("a.example", "/x/y", Some("short"))]
+#[case("a.example", "/x/yy/1", Some("short"))]
+#[case("a.example", "/x", None)]
+#[case("a.example", "/", None)]
+#[case("b.example", "/anything", Some("root"))]
+#[case("c.example", "/x/1", None)]
+fn requests_match_the_longest_prefix(
+    #[case] host: &str,
+    #[case] path: &str,
+    #[case] expected: Option<&str>,
+) {
+    let index = index();
+    let found = index.route(host, path).map(|route| route.id.as_str());
+    assert_eq!(found, expected);
+}
+
+/// A key belongs to one team; routes that are open to all need none.
+#[test]
+fn keys_belong_to_teams() {
+    let index = index();
+    let closed = index.route("b.example", "/z").unwrap();
+    let open = index.route("b.example", "/open/z").unwrap();
+    assert!(matches!(index.team(closed, Some("k2")), TeamMatch::Team(team) if team.id == "atlas"));
+    assert!(matches!(index.team(closed, Some("k9")), TeamMatch::Unknown));
+    assert!(matches!(index.team(closed, None), TeamMatch::Unknown));
+    assert!(matches!(index.team(open, None), TeamMatch::Anyone));
+}
+
+/// Shares follow the weights, and a weight of 0 gets nothing.
+#[test]
+fn shares_follow_the_weights() {
+    let mut route = route("split", "a.example", "/");
+    let share = |service: &str, weight| ServiceShare {
+        service: service.into(),
+        weight,
+    };
+    route.shares = [share("a", 90), share("none", 0), share("b", 10)]
+        .into_iter()
+        .collect();
+    let draws = (0..1_000_u32).map(|step| step * (u32::MAX / 1_000));
+    let to_b = draws
+        .filter(|draw| route.service(*draw).unwrap() == "b")
+        .count();
+    assert!((95..=105).contains(&to_b), "{to_b} of 1,000");
+    assert_eq!(route.service(u32::MAX).unwrap(), "b");
+    route.shares = [share("a", 0)].into_iter().collect();
+    assert_eq!(route.service(0), None);
+}
+
+/// Resent and overtaken plans change nothing, in whatever order they reach the log.
+#[test]
+fn the_highest_version_is_in_force() {
+    let mut state = ControlState::default();
+    let publish = |version, document: &[u8]| StampedCommand {
+        at_ms: 1,
+        command: Command::Publish(PublishedPlan {
+            version,
+            document: ByteBuf::from(document),
+        }),
+    };
+    for (index, (version, document)) in [
+        (5, b"five"),
+        (3, b"thre"),
+        (5, b"else"),
+        (9, b"nine"),
+        (8, b"eigh"),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        state.apply(index as u64 + 1, &publish(version, document));
+    }
+    assert_eq!(state.plan_version(), 9);
+    assert_eq!(state.plan().unwrap().document.as_slice(), b"nine");
+    let restored = ControlState::restore(&state.snapshot().unwrap()).unwrap();
+    assert_eq!(restored.plan_version(), 9);
+}
