--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -133,10 +133,11 @@
         info!("gateway: shuts down");
         let end = Instant::now() + config.grace.saturating_sub(EXIT_MARGIN);
         begin_stop.send_replace(true);
-        allowance.leave();
         proxy.is_closing.store(true, Ordering::Relaxed);
         tokio::time::sleep(ROTATION_TIME.min(config.grace / 2)).await;
         refuse.send_replace(true);
+        // Before this moment requests are served, which takes tokens.
+        allowance.leave();
         close.send_replace(true);
         let ended = tokio::time::timeout_at(end.into(), serving).await;
         if ended.is_ok() {
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -57,9 +57,12 @@
 const ADAPTER_WAIT: Duration = Duration::from_millis(800);
 /// Sends of one request that targets may refuse without running it.
 const MAX_REFUSED_SENDS: u32 = 3;
-/// Shortest and longest time after which a caller is told to come back; the spread keeps callers
-/// that were refused together from coming back together.
-const RETURN_DELAY: [Duration; 2] = [Duration::from_millis(300), Duration::from_millis(1_500)];
+/// Shortest and longest part of its time after which a caller is told to come back. Room appears
+/// within seconds, a caller that still has three quarters of its time can be served then, and the
+/// spread keeps callers that were refused together from coming back together.
+const RETURN_SHARE: [f64; 2] = [0.1, 0.25];
+/// Time that a caller is taken to have when it does not say.
+const DEFAULT_PATIENCE: Duration = Duration::from_secs(5);
 
 /// Forwards callers' requests.
 pub struct GatewayProxy {
@@ -85,11 +88,15 @@
         let (parts, incoming) = request.into_parts();
         let facts = self.adapter.read_request(&parts);
         let name = facts.request_id.clone().unwrap_or_default();
+        let patience = facts.deadline.unwrap_or(DEFAULT_PATIENCE);
         let answered = match self.read(arrived, parts, incoming, facts).await {
             Ok(request) => self.forward(&request).await,
             Err(notice) => Err(notice),
         };
-        let mut response = answered.unwrap_or_else(|notice| self.refuse(&name, &notice, arrived));
+        let mut response = answered.unwrap_or_else(|notice| {
+            let notice = with_return(notice, patience.saturating_sub(arrived.elapsed()));
+            self.refuse(&name, &notice, arrived)
+        });
         if self.is_closing.load(Ordering::Relaxed) {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
@@ -315,10 +322,8 @@
                     tokens = request.cost(),
                     plan = request.plan.plan().version,
                 });
-                let delay = spread(RETURN_DELAY[0], RETURN_DELAY[1]);
                 let kind = RefusalKind::OverLimit;
-                let over = RefusalNotice::new(kind, "the team is over its limit");
-                return Err(over.with_retry_after(delay));
+                return Err(RefusalNotice::new(kind, "the team is over its limit"));
             }
             if Instant::now() >= last || *self.refusing.borrow() {
                 return Err(unavailable("no leader grants tokens"));
@@ -503,7 +508,17 @@
 
 fn unavailable(reason: &'static str) -> RefusalNotice {
     RefusalNotice::new(RefusalKind::Unavailable, reason)
-        .with_retry_after(spread(RETURN_DELAY[0], RETURN_DELAY[1]))
+}
+
+/// Tells a caller whose request has not run when to come back, unless that is known already.
+fn with_return(notice: RefusalNotice, patience: Duration) -> RefusalNotice {
+    match notice.kind {
+        RefusalKind::OverLimit | RefusalKind::Unavailable if notice.retry_after.is_none() => {
+            let [least, most] = RETURN_SHARE.map(|share| patience.mul_f64(share));
+            notice.with_retry_after(spread(least, most))
+        }
+        _ => notice,
+    }
 }
 
 fn spread(least: Duration, most: Duration) -> Duration {
