--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -33,8 +33,9 @@
 };
 
 /// Time after SIGTERM during which requests are taken as before: the load balancer asks once a
-/// second and takes a gateway out after two answers.
-const ROTATION_TIME: Duration = Duration::from_millis(3_200);
+/// second and takes a gateway out after two answers. A stream that begins later may not end before
+/// the process must.
+const ROTATION_TIME: Duration = Duration::from_millis(2_700);
 /// Time before the end of the grace time at which the process ends, whatever runs.
 const EXIT_MARGIN: Duration = Duration::from_millis(700);
 /// Time between two checks for silent targets.
--- a/tests/allowance.rs
+++ b/tests/allowance.rs
@@ -37,6 +37,61 @@
     }
 }
 
+fn run_with_reserve(seed: u64, entries: usize) -> AllowanceWorld {
+    let mut world = AllowanceWorld::new(seed, entries, SeededFault::None).with_takeover_reserve();
+    for _ in 0..STEPS {
+        world.step();
+    }
+    world
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 48, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards against a new leader that grants at once and exceeds the bound with what entries still
+    /// hold of the former one.
+    #[test]
+    fn no_window_exceeds_the_bound_when_new_leaders_grant_at_once(
+        seed: u64,
+        entries in 1_usize..8,
+    ) {
+        let world = run_with_reserve(seed, entries);
+        prop_assert_eq!(world.excess(), 0);
+    }
+}
+
+/// Guards against the pause in which callers within their limit were refused: a new leader granted
+/// nothing for 3.6 s.
+#[test]
+fn a_new_leader_with_a_reserve_grants_at_once() {
+    let team = TeamId::from("team");
+    let entry = EntryKey {
+        vm: "vm".into(),
+        incarnation: 1,
+    };
+    let limit = RateLimit {
+        rate: 1_000,
+        burst: 1_000,
+    };
+    let granted_after = |mut ledger: AllowanceLedger, after: Duration| {
+        let mut share = AllowanceShare::new();
+        let now = Duration::from_secs(5);
+        ledger.set_limit(&team, limit, now);
+        let now = now + after;
+        share.set_waiting(&team, 100, 100);
+        let grants = ledger.exchange(&entry, &share.report(now), now);
+        grants.first().map_or(0, |grant| grant.granted)
+    };
+    let elected = Duration::from_secs(5);
+    let ledger = || AllowanceLedger::new(7, elected);
+    let soon = Duration::from_millis(300);
+    assert_eq!(granted_after(ledger(), soon), 0);
+    assert!(granted_after(ledger().with_takeover_reserve(), soon) >= 100);
+    // Not more than the reserve, whatever the time until all earlier grants have expired.
+    let late = GRANT_OUTSTANDING - Duration::from_millis(1);
+    assert!(granted_after(ledger().with_takeover_reserve(), late) <= 250);
+}
+
 /// Guards against a schedule that tests nothing because nothing is admitted.
 #[test]
 fn seeded_schedules_admit_requests_within_the_bound() {
--- a/tests/allowance_world/mod.rs
+++ b/tests/allowance_world/mod.rs
@@ -60,6 +60,8 @@
     entries: Vec<EntryNode>,
     network: Vec<Message>,
     fault: SeededFault,
+    /// Whether leaders keep a part of each burst for a change of leader.
+    has_reserve: bool,
     admissions: usize,
 }
 
@@ -101,6 +103,7 @@
             entries,
             network: Vec::new(),
             fault,
+            has_reserve: false,
             admissions: 0,
         };
         for team in 0..world.teams.len() {
@@ -112,6 +115,17 @@
         world
     }
 
+    /// Lets leaders keep a part of each burst for a change of leader.
+    pub fn with_takeover_reserve(mut self) -> Self {
+        self.has_reserve = true;
+        // The leader before this one kept it too, and its grants have expired.
+        self.ledger = self.ledger.with_takeover_reserve();
+        for (team, limit) in self.teams.iter().zip(&self.limits) {
+            self.ledger.set_limit(team, *limit, self.now);
+        }
+        self
+    }
+
     /// Tokens beyond the bound in the worst window of any team.
     pub fn excess(&self) -> u64 {
         // A slow clock stretches the validity of a grant up to the time the leader waits for.
@@ -316,6 +330,9 @@
             self.now
         };
         self.ledger = AllowanceLedger::new(self.term, elected);
+        if self.has_reserve {
+            self.ledger = AllowanceLedger::new(self.term, elected).with_takeover_reserve();
+        }
         for (team, limit) in self.teams.iter().zip(&self.limits) {
             self.ledger.set_limit(team, *limit, self.now);
         }
