Prefer engines that keep a model's weights when it needs a copy

Ruled out: the rate of the store, the number of steps in a plan.

Change: engines' reports of weights at hand are read; such an engine is taken unless it is half the mean more loaded, and its load takes nothing from the store's rate. Test: an_engine_that_keeps_the_weights_is_preferred.

--- a/src/adapter/engine_status.rs
+++ b/src/adapter/engine_status.rs
@@ -8,6 +8,9 @@
     pub models: Vec<HeldModel>,
     /// Adapters on their way into memory; they take places already.
     pub pending_adapters: Vec<ModelId>,
+    /// Models whose weights the engine keeps on its own disk or in its host's memory; they load fast
+    /// and without the weight store.
+    pub at_hand: Vec<ModelId>,
     /// Whether an order is under way.
     pub is_busy: bool,
     /// Orders accepted since the engine started.
--- a/src/coordinator/engine_belief.rs
+++ b/src/coordinator/engine_belief.rs
@@ -21,6 +21,8 @@
     pub held: Vec<HeldModel>,
     /// Models that take memory, whatever their state.
     pub resident: Vec<ModelId>,
+    /// Models that it loads without the weight store.
+    pub at_hand: Vec<ModelId>,
     /// Adapters that take places, whatever their state.
     pub resident_adapters: Vec<ModelId>,
     /// Orders that the engine has accepted; `None` until it has reported.
@@ -58,6 +60,7 @@
             held: entry.models.clone(),
             resident: resident.collect(),
             resident_adapters: adapters.collect(),
+            at_hand: Vec::new(),
             entry,
             orders: None,
             is_busy: false,
@@ -101,6 +104,7 @@
         if is_settled && !status.is_busy {
             self.underway = None;
         }
+        self.at_hand = status.at_hand;
         self.held = status.models;
         let leaving = self.retiring.as_ref().map(|(model, _)| model);
         let unloading = match &self.underway {
--- a/src/coordinator/engines.rs
+++ b/src/coordinator/engines.rs
@@ -329,9 +329,13 @@
                     belief.retiring = Some((model, now));
                     belief.reserved = Some((step.model, now));
                 }
-                CopyPlan::Load(_) if self.load_tokens < needed_tokens(step.reason) => {}
+                CopyPlan::Load(model)
+                    if !belief.at_hand.contains(&model)
+                        && self.load_tokens < needed_tokens(step.reason) => {}
                 CopyPlan::Load(model) => {
-                    self.load_tokens -= 1.0;
+                    if !belief.at_hand.contains(&model) {
+                        self.load_tokens -= 1.0;
+                    }
                     orders.push(WantedOrder {
                         target: step.engine,
                         action: OrderAction::Load,
@@ -383,6 +387,7 @@
                 .filter(|(_, since)| now.saturating_sub(*since) < RESERVATION_LIMIT)
                 .map(|(model, _)| model.clone());
             EngineLoad {
+                at_hand: belief.at_hand.clone(),
                 reserved,
                 id: belief.entry.id.clone(),
                 models,
--- a/src/coordinator/placement.rs
+++ b/src/coordinator/placement.rs
@@ -11,6 +11,9 @@
 const COOL_FACTOR: f64 = 0.95;
 /// A copy makes room only for one that would carry this many times its demand.
 const HYSTERESIS: f64 = 2.0;
+/// Load, as a part of the mean, that an engine may have more than another when it loads the model
+/// without the weight store.
+const AT_HAND_SHARE: f64 = 0.5;
 /// Steps in one plan.
 const MAX_STEPS: usize = 4;
 /// Reason of a copy that no demand asks for yet.
@@ -27,6 +30,8 @@
     pub id: TargetId,
     /// Models that it holds or loads.
     pub models: Vec<ModelId>,
+    /// Models that it loads without the weight store, in a fraction of the time.
+    pub at_hand: Vec<ModelId>,
     /// Model for which room is being made.
     pub reserved: Option<ModelId>,
     /// Memory that is free, in MB.
@@ -205,8 +210,14 @@
                 && **load < ceiling
         });
         let rated = open.filter_map(|(engine, load)| {
+            let advantage = if engine.at_hand.contains(&need.id) {
+                AT_HAND_SHARE * self.mean
+            } else {
+                0.0
+            };
+            let load = load - advantage;
             if engine.free_mb >= need.weights_mb {
-                return Some((*load, engine, None));
+                return Some((load, engine, None));
             }
             if share <= 0.0 {
                 return None;
--- a/tests/copies.rs
+++ b/tests/copies.rs
@@ -20,6 +20,7 @@
 /// An engine of the stepped fleet.
 struct StepEngine {
     models: Vec<ModelId>,
+    at_hand: Vec<ModelId>,
     reserved: Option<ModelId>,
     busy: Option<(CopyPlan, u32)>,
     is_lasting: bool,
@@ -46,6 +47,7 @@
         let engines = engines.iter().enumerate().map(|(number, models)| {
             let engine = StepEngine {
                 models: models.iter().map(|model| ModelId::from(*model)).collect(),
+                at_hand: Vec::new(),
                 reserved: None,
                 busy: None,
                 is_lasting: true,
@@ -75,6 +77,7 @@
             EngineLoad {
                 id: id.clone(),
                 models: engine.models.iter().cloned().chain(loading).collect(),
+                at_hand: engine.at_hand.clone(),
                 reserved: engine.reserved.clone(),
                 free_mb: ENGINE_MB - engine.used_mb(),
                 is_free: engine.busy.is_none() && engine.is_lasting,
@@ -273,6 +276,20 @@
     assert_eq!(fleet.copies("a"), 2);
 }
 
+/// Pattern: demand returns to a model. An engine that keeps its weights loads it in a fraction of the
+/// time, so that it is taken unless it is far more loaded.
+#[test]
+fn an_engine_that_keeps_the_weights_is_preferred() {
+    let mut fleet = StepFleet::new(
+        &[&["a"], &["b"], &[]],
+        &[("a", 10.0), ("b", 1.0), ("c", 5.0)],
+    );
+    fleet.engines.get_mut("e01").unwrap().at_hand = vec!["c".into()];
+    let plan = plan_copies(&fleet.input());
+    let first = (plan[0].engine.as_str(), &plan[0].copy);
+    assert_eq!(first, ("e01", &CopyPlan::Load("c".into())));
+}
+
 /// An engine that is leaving counts for nothing: its models are placed elsewhere before it is gone.
 #[test]
 fn copies_on_a_leaving_engine_are_replaced() {
