Split admission, adapters, outcomes of orders and pool names into files of their own

Cause: proxy.rs, engines.rs and targets.rs held two jobs each. Behaviour stays as it was, but for the distance to the gateway's own data centre, which is no longer that of an unknown one (2 ms).

--- a/src/coordinator.rs
+++ b/src/coordinator.rs
@@ -1,6 +1,7 @@
 //! Duties of the leading control daemon towards gateways: plans, allowance, the list of targets and
 //! what engines hold; see docs/platform.md.
 
+mod adapters;
 mod api;
 mod config;
 mod daemon;
@@ -10,6 +11,7 @@
 mod gateways;
 mod member_duty;
 mod orders;
+mod outcomes;
 mod placement;
 mod plan_desk;
 
--- a/src/coordinator/engines.rs
+++ b/src/coordinator/engines.rs
@@ -13,10 +13,9 @@
     },
 };
 use crate::{
-    adapter::{EngineStatus, HeldModel, OrderAction, OrderAnswer, TargetEntry},
+    adapter::{EngineStatus, OrderAction, TargetEntry},
     ids::{ModelId, TargetId},
     plan::{EnginePlan, PlanIndex},
-    sync::ServedModel,
 };
 
 /// Time between two questions to an engine that carries out an order.
@@ -35,10 +34,6 @@
 const LOAD_BURST: f64 = 2.0;
 /// Part of the store's rate that is used; loads of a former leader may still begin.
 const LOAD_RATE_SHARE: f64 = 0.9;
-/// Time for which an adapter that was used is not unloaded for another.
-const ADAPTER_REST: Duration = Duration::from_secs(3);
-/// Part of the mean load of an engine above which a single adapter gets another copy.
-const HOT_ADAPTER: f64 = 0.2;
 
 /// An order that the table asks for; its number of earlier orders is part of it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -58,9 +53,9 @@
 /// What the leader believes about all targets, and the orders that follow from it.
 #[derive(Debug, Default)]
 pub struct EngineTable {
-    engines: BTreeMap<TargetId, EngineBelief>,
+    pub(super) engines: BTreeMap<TargetId, EngineBelief>,
     plain: Vec<TargetEntry>,
-    adapter_uses: HashMap<(TargetId, ModelId), Duration>,
+    pub(super) adapter_uses: HashMap<(TargetId, ModelId), Duration>,
     load_tokens: f64,
     load_tokens_at: Duration,
     described_at: Duration,
@@ -152,89 +147,6 @@
         belief.held != before
     }
 
-    /// Marks an engine as called with an order.
-    pub fn begin_order(&mut self, order: &WantedOrder, now: Duration) {
-        let Some(belief) = self.engines.get_mut(&order.target) else {
-            return;
-        };
-        belief.is_called = true;
-        if is_adapter(&order.model) {
-            let key = (order.target.clone(), order.model.clone());
-            self.adapter_uses.insert(key, now);
-        } else {
-            belief.underway = Some((order.action, order.model.clone(), now));
-            belief.retiring = None;
-            if order.action == OrderAction::Load {
-                belief.reserved = None;
-            }
-        }
-    }
-
-    /// Takes over the outcome of an order; `None` when the engine gave no answer and may carry it
-    /// out later. Returns whether gateways need to know.
-    pub fn end_order(
-        &mut self,
-        order: &WantedOrder,
-        answer: Option<OrderAnswer>,
-        now: Duration,
-    ) -> bool {
-        let Some(belief) = self.engines.get_mut(&order.target) else {
-            return false;
-        };
-        belief.is_called = false;
-        let is_whole = !is_adapter(&order.model);
-        match answer {
-            Some(OrderAnswer::Accepted) => {
-                if !is_whole && order.action == OrderAction::Load {
-                    belief.resident_adapters.push(order.model.clone());
-                }
-                belief.orders = belief.orders.map(|orders| orders + 1);
-                belief.asked_at = now;
-                belief.ordered_at = now;
-                if is_whole {
-                    return false;
-                }
-            }
-            Some(OrderAnswer::Holds) => {
-                if is_whole {
-                    belief.underway = None;
-                    belief.orders = None;
-                    belief.asked_at = Duration::ZERO;
-                    return false;
-                }
-                // An adapter that no request uses is gone at once, and the order counts.
-                if order.action == OrderAction::Unload {
-                    belief.orders = belief.orders.map(|orders| orders + 1);
-                    belief.ordered_at = now;
-                    belief
-                        .resident_adapters
-                        .retain(|known| *known != order.model);
-                }
-            }
-            Some(OrderAnswer::Fenced) => {
-                belief.is_fenced = true;
-                belief.underway = None;
-                return false;
-            }
-            Some(OrderAnswer::Busy | OrderAnswer::Refused) => {
-                belief.underway = None;
-                belief.orders = None;
-                belief.asked_at = Duration::ZERO;
-                return false;
-            }
-            None => {
-                if order.action == OrderAction::Load {
-                    belief.doubtful.push((order.model.clone(), now));
-                }
-                belief.underway = None;
-                belief.orders = None;
-                belief.asked_at = Duration::ZERO;
-                return false;
-            }
-        }
-        change_adapter(&mut belief.held, order)
-    }
-
     /// Decides on orders. Each engine gets one at a time.
     pub fn decide(
         &mut self,
@@ -286,7 +198,10 @@
         }
     }
 
-    fn engines_of<'e>(&'e self, service: &'e str) -> impl Iterator<Item = &'e EngineBelief> {
+    pub(super) fn engines_of<'e>(
+        &'e self,
+        service: &'e str,
+    ) -> impl Iterator<Item = &'e EngineBelief> {
         self.engines
             .values()
             .filter(move |belief| belief.entry.service == service)
@@ -402,109 +317,6 @@
         }
     }
 
-    fn decide_adapters(
-        &mut self,
-        service: &str,
-        engine: &EnginePlan,
-        gateways: &GatewayTable,
-        orders: &mut Vec<WantedOrder>,
-        now: Duration,
-    ) {
-        let lasting = self.engines_of(service);
-        let lasting = lasting.filter(|belief| !belief.entry.is_leaving).count();
-        let total: f64 = gateways.all_demand(now).map(|(_, tokens)| tokens).sum();
-        #[allow(clippy::cast_precision_loss)] // Counts of engines are small.
-        let mean = total / lasting.max(1) as f64;
-        let mut wanted: Vec<&ServedModel> = gateways
-            .wanted()
-            .filter(|model| model.service == service && is_adapter(&model.model))
-            .collect();
-        wanted.sort();
-        wanted.dedup();
-        for model in wanted {
-            if self.adapter_copies(service, &model.model) == 0 {
-                self.order_adapter(service, engine, model, "awaited", orders, now);
-            }
-        }
-        for (model, tokens) in gateways.all_demand(now) {
-            if model.service != service || !is_adapter(&model.model) {
-                continue;
-            }
-            let copies = self.adapter_copies(service, &model.model);
-            #[allow(clippy::cast_precision_loss)] // Counts of copies are small.
-            let share = tokens / copies.max(1) as f64;
-            if copies > 0 && share > HOT_ADAPTER * mean {
-                self.order_adapter(service, engine, model, "demand", orders, now);
-            }
-        }
-    }
-
-    fn adapter_copies(&self, service: &str, adapter: &ModelId) -> usize {
-        let holding = self.engines_of(service).filter(|belief| {
-            !belief.entry.is_leaving
-                && belief
-                    .held
-                    .iter()
-                    .any(|held| held.adapters.contains(adapter))
-        });
-        holding.count()
-    }
-
-    fn order_adapter(
-        &mut self,
-        service: &str,
-        engine: &EnginePlan,
-        wanted: &ServedModel,
-        reason: &'static str,
-        orders: &mut Vec<WantedOrder>,
-        now: Duration,
-    ) {
-        let model = base(&wanted.model);
-        let places = engine.adapter_places as usize;
-        let open = self.engines_of(service).filter(|belief| {
-            let is_ordered = orders.iter().any(|order| order.target == belief.entry.id);
-            let held = belief.held.iter().find(|held| held.model == model);
-            belief.orders.is_some()
-                && !belief.is_called
-                && !belief.is_fenced
-                && !belief.entry.is_leaving
-                && !is_ordered
-                && held.is_some_and(|held| !held.adapters.contains(&wanted.model))
-        });
-        let Some(belief) = open.min_by_key(|belief| (belief.adapters(), belief.held.len())) else {
-            return;
-        };
-        let (Some(after_orders), target) = (belief.orders, belief.entry.id.clone()) else {
-            return;
-        };
-        let (action, model) = if belief.adapters() < places {
-            (OrderAction::Load, wanted.model.clone())
-        } else {
-            match self.idle_adapter(belief, now) {
-                Some(idle) => (OrderAction::Unload, idle),
-                None => return,
-            }
-        };
-        orders.push(WantedOrder {
-            target,
-            action,
-            model,
-            after_orders,
-            reason,
-        });
-    }
-
-    /// Returns the adapter of an engine that was asked for least lately.
-    fn idle_adapter(&self, belief: &EngineBelief, now: Duration) -> Option<ModelId> {
-        let used = |adapter: &ModelId| {
-            let key = (belief.entry.id.clone(), adapter.clone());
-            self.adapter_uses.get(&key).copied().unwrap_or_default()
-        };
-        let adapters = belief.held.iter().flat_map(|held| &held.adapters);
-        let idle = adapters.filter(|adapter| now.saturating_sub(used(adapter)) > ADAPTER_REST);
-        idle.min_by_key(|adapter| used(adapter)).cloned()
-    }
-
     /// Notes that requests for an adapter came, wherever it is held.
     pub fn note_adapter_use(&mut self, adapter: &ModelId, now: Duration) {
         if !is_adapter(adapter) {
@@ -531,26 +343,10 @@
     }
 }
 
-fn is_adapter(model: &str) -> bool {
+pub(super) fn is_adapter(model: &str) -> bool {
     model.contains('/')
 }
 
-fn base(model: &str) -> &str {
+pub(super) fn base(model: &str) -> &str {
     model.split_once('/').map_or(model, |(base, _)| base)
 }
-
-fn change_adapter(held: &mut [HeldModel], order: &WantedOrder) -> bool {
-    let Some(held) = held
-        .iter_mut()
-        .find(|held| held.model == base(&order.model))
-    else {
-        return false;
-    };
-    let is_held = held.adapters.contains(&order.model);
-    match order.action {
-        OrderAction::Load if !is_held => held.adapters.push(order.model.clone()),
-        OrderAction::Unload if is_held => held.adapters.retain(|known| *known != order.model),
-        _ => return false,
-    }
-    true
-}
--- /dev/null
+++ b/src/coordinator/outcomes.rs
@@ -0,0 +1,107 @@
+//! What becomes of orders: what the leader believes while one is under way and after its answer.
+
+use std::time::Duration;
+
+use super::engines::{EngineTable, WantedOrder, base, is_adapter};
+use crate::adapter::{HeldModel, OrderAction, OrderAnswer};
+
+impl EngineTable {
+    /// Marks an engine as called with an order.
+    pub fn begin_order(&mut self, order: &WantedOrder, now: Duration) {
+        let Some(belief) = self.engines.get_mut(&order.target) else {
+            return;
+        };
+        belief.is_called = true;
+        if is_adapter(&order.model) {
+            let key = (order.target.clone(), order.model.clone());
+            self.adapter_uses.insert(key, now);
+        } else {
+            belief.underway = Some((order.action, order.model.clone(), now));
+            belief.retiring = None;
+            if order.action == OrderAction::Load {
+                belief.reserved = None;
+            }
+        }
+    }
+
+    /// Takes over the outcome of an order; `None` when the engine gave no answer and may carry it
+    /// out later. Returns whether gateways need to know.
+    pub fn end_order(
+        &mut self,
+        order: &WantedOrder,
+        answer: Option<OrderAnswer>,
+        now: Duration,
+    ) -> bool {
+        let Some(belief) = self.engines.get_mut(&order.target) else {
+            return false;
+        };
+        belief.is_called = false;
+        let is_whole = !is_adapter(&order.model);
+        match answer {
+            Some(OrderAnswer::Accepted) => {
+                if !is_whole && order.action == OrderAction::Load {
+                    belief.resident_adapters.push(order.model.clone());
+                }
+                belief.orders = belief.orders.map(|orders| orders + 1);
+                belief.asked_at = now;
+                belief.ordered_at = now;
+                if is_whole {
+                    return false;
+                }
+            }
+            Some(OrderAnswer::Holds) => {
+                if is_whole {
+                    belief.underway = None;
+                    belief.orders = None;
+                    belief.asked_at = Duration::ZERO;
+                    return false;
+                }
+                // An adapter that no request uses is gone at once, and the order counts.
+                if order.action == OrderAction::Unload {
+                    belief.orders = belief.orders.map(|orders| orders + 1);
+                    belief.ordered_at = now;
+                    belief
+                        .resident_adapters
+                        .retain(|known| *known != order.model);
+                }
+            }
+            Some(OrderAnswer::Fenced) => {
+                belief.is_fenced = true;
+                belief.underway = None;
+                return false;
+            }
+            Some(OrderAnswer::Busy | OrderAnswer::Refused) => {
+                belief.underway = None;
+                belief.orders = None;
+                belief.asked_at = Duration::ZERO;
+                return false;
+            }
+            None => {
+                if order.action == OrderAction::Load {
+                    belief.doubtful.push((order.model.clone(), now));
+                }
+                belief.underway = None;
+                belief.orders = None;
+                belief.asked_at = Duration::ZERO;
+                return false;
+            }
+        }
+        change_adapter(&mut belief.held, order)
+    }
+}
+
+fn change_adapter(held: &mut [HeldModel], order: &WantedOrder) -> bool {
+    let Some(held) = held
+        .iter_mut()
+        .find(|held| held.model == base(&order.model))
+    else {
+        return false;
+    };
+    let is_held = held.adapters.contains(&order.model);
+    match order.action {
+        OrderAction::Load if !is_held => held.adapters.push(order.model.clone()),
+        OrderAction::Unload if is_held => held.adapters.retain(|known| *known != order.model),
+        _ => return false,
+    }
+    true
+}
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -1,12 +1,14 @@
 //! The gateway: forwards callers' requests to targets as the serving plan says; see
 //! docs/platform.md.
 
+mod admission;
 mod config;
 mod connections;
 mod daemon;
 mod exchange;
 mod follower;
 mod peers;
+mod pools;
 mod port;
 mod proxy;
 mod ready;
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -5,19 +5,20 @@
     time::{Duration, Instant},
 };
 
-use compact_str::format_compact;
-use smallvec::SmallVec;
 use spdlog::prelude::*;
 use tokio::sync::Notify;
 
-use super::peers::PeerLoad;
+use super::{
+    peers::PeerLoad,
+    pools::{spec_of, split_model},
+};
 use crate::{
     adapter::TargetEntry,
     ids::{DataCentreId, TargetId},
     plan::PlanIndex,
     route::{
-        Availability, Exchange, LoadReport, PoolId, PrefixBlock, ReplicaSpec, ReplicaTable,
-        RouteChoice, RouteRequest, RouteTuning,
+        Availability, Exchange, LoadReport, PrefixBlock, ReplicaTable, RouteChoice, RouteRequest,
+        RouteTuning,
     },
     sync::{ListVersion, ServedModel, TargetList},
 };
@@ -88,7 +89,7 @@
 
 impl TargetTable {
     /// Returns an empty table of a gateway in a data centre.
-    pub fn new(_data_centre: &DataCentreId) -> Self {
+    pub fn new(data_centre: &DataCentreId) -> Self {
         let tuning = RouteTuning {
             prefill_ms_per_token: PREFILL_MS_PER_TOKEN,
             slot_ms: SLOT_MS,
@@ -104,7 +105,7 @@
                 unread: BTreeMap::new(),
                 prefill_ms: PREFILL_MS_PER_TOKEN,
                 pulses: HashMap::new(),
-                replicas: ReplicaTable::new(tuning, &[]),
+                replicas: ReplicaTable::new(tuning, &[(data_centre.clone(), Duration::ZERO)]),
                 entries: HashMap::new(),
                 running: BTreeMap::new(),
                 version: ListVersion::default(),
@@ -433,64 +434,3 @@
         self.entries = targets;
     }
 }
-
-/// Names the pool of a model within its service, since two services may hold the same model.
-pub fn model_pool(model: &ServedModel) -> PoolId {
-    PoolId::Model(format_compact!("{}:{}", model.service, model.model))
-}
-
-/// Splits `model/adapter`.
-pub fn split_model(model: &str) -> (&str, Option<&str>) {
-    match model.split_once('/') {
-        Some((base, adapter)) => (base, Some(adapter)),
-        None => (model, None),
-    }
-}
-
-fn spec_of(plan: &PlanIndex, entry: &TargetEntry) -> ReplicaSpec {
-    let has_engine = plan
-        .service(&entry.service)
-        .is_some_and(|service| service.engine.is_some());
-    let pools = if has_engine {
-        let models = entry.models.iter().flat_map(|held| {
-            std::iter::once(held.model.clone()).chain(held.adapters.iter().cloned())
-        });
-        let pool = |model| {
-            let model = ServedModel {
-                service: entry.service.clone(),
-                model,
-            };
-            (model_pool(&model), None)
-        };
-        models.map(pool).collect()
-    } else {
-        vec![(PoolId::Service(entry.service.clone()), None)]
-    };
-    ReplicaSpec {
-        target: entry.id.clone(),
-        data_centre: entry.data_centre.clone(),
-        slots: entry.slots,
-        pools,
-    }
-}
-
-/// Returns the prefixes of a prompt for the choice of a target. The hash of a prefix covers all
-/// parts up to its end, and the model, whose cache is its own.
-pub fn prefix_blocks(
-    model: &str,
-    parts: &[crate::adapter::PromptPart],
-) -> SmallVec<[PrefixBlock; 4]> {
-    use std::hash::{DefaultHasher, Hash, Hasher};
-    let mut hasher = DefaultHasher::new();
-    model.hash(&mut hasher);
-    let mut tokens = 0_u32;
-    let blocks = parts.iter().map(|part| {
-        part.hash.hash(&mut hasher);
-        tokens = tokens.saturating_add(part.tokens);
-        PrefixBlock {
-            hash: hasher.finish(),
-            tokens,
-        }
-    });
-    blocks.collect()
-}
