Relay loads between data centres, send lists as changes and grant tokens over UDP

Each gateway told 67 others its whole load every 4 ms, which is more than its link carries; each change at an engine sent the whole list of targets to all gateways; each request without tokens made a sync; and each round of orders compared 104 models with 60 engines by name, 100 times a second, on the leader's 0.075 cores. Syncs took longer than their timeout, so gateways had no tokens ('no leader grants tokens').

Ruled out: the gateways' processor (0.0135 of 0.12 cores) and the engines (359 arrivals).

Change: above 20 gateways one gateway in each data centre relays sums of loads, and only changes are told (LoadBook); the list goes out as changes since the gateway's version (TargetJournal); the leader tells gateways how often to sync; waiting requests ask for tokens over UDP (GrantPort, GrantClient); copies are planned by index every 150 ms.

The leader's processor binds on grown sites.

--- a/src/coordinator/daemon.rs
+++ b/src/coordinator/daemon.rs
@@ -5,8 +5,8 @@
 use tokio::sync::watch;
 
 use super::{
-    api, config::CoordinatorConfig, desk::CoordinatorDesk, member_duty::MemberDuty,
-    orders::OrderDuty, plan_desk::PlanDesk,
+    api, config::CoordinatorConfig, desk::CoordinatorDesk, grant_port::GrantPort,
+    member_duty::MemberDuty, orders::OrderDuty, plan_desk::PlanDesk,
 };
 use crate::{
     adapter::PlatformAdapter,
@@ -85,6 +85,7 @@
             voter.clone(),
             Arc::clone(&self.adapter),
         ));
+        let grants = GrantPort::open(control.system_listen.socket(), Arc::clone(&desk)).await?;
         let plans = Arc::new(PlanDesk::new(voter.clone(), self.adapter));
         let system = build(&control.system_listen)
             .manage(SystemSecret(self.secret.clone()))
@@ -99,6 +100,7 @@
             FleetFounder::new(control, voter.clone(), client.clone(), self.secret.clone());
         let members = MemberDuty::new(voter.clone(), client, self.secret, config.voters);
         let orders = OrderDuty::new(desk, config.vm.clone(), config.holder_lease);
+        tokio::spawn(grants.run());
         tokio::spawn(founder.run());
         tokio::spawn(members.run());
         tokio::spawn(Arc::new(orders).run());
--- a/src/coordinator/desk.rs
+++ b/src/coordinator/desk.rs
@@ -5,7 +5,7 @@
 
 use tokio::sync::{Notify, watch};
 
-use super::{engines::EngineTable, gateways::GatewayTable};
+use super::{engines::EngineTable, gateways::GatewayTable, target_journal::TargetJournal};
 use crate::{
     adapter::{PlatformAdapter, TargetEntry},
     allowance::{AllowanceLedger, RateLimit, ShareGrant},
@@ -13,7 +13,7 @@
     ids::Term,
     plan::{PlanIndex, PlanVersion},
     state::ControlState,
-    sync::{GatewayReply, GatewayReport, ListVersion, TargetList},
+    sync::{GatewayReply, GatewayReport, GrantAnswer, GrantQuestion},
     voter::{LeaderLease, VoterHandle},
 };
 
@@ -42,7 +42,7 @@
     pub engines: EngineTable,
     pub plan: Option<Arc<PlanIndex>>,
     pub listed_at: Option<Duration>,
-    list_number: u64,
+    list: TargetJournal,
 }
 
 impl LeaderTables {
@@ -55,14 +55,7 @@
             engines: EngineTable::default(),
             plan: None,
             listed_at: None,
-            list_number: 0,
-        }
-    }
-
-    fn list_version(&self) -> ListVersion {
-        ListVersion {
-            term: self.term,
-            number: self.list_number,
+            list: TargetJournal::new(),
         }
     }
 }
@@ -110,10 +103,11 @@
         })
     }
 
-    /// Tells gateways about a new list.
+    /// Tells gateways what changed at targets.
     pub(super) fn publish_targets(&self, tables: &mut LeaderTables) {
-        tables.list_number += 1;
-        self.changed.send_modify(|number| *number += 1);
+        if tables.engines.take_change() && tables.list.update(tables.engines.targets()) {
+            self.changed.send_modify(|number| *number += 1);
+        }
     }
 
     /// Brings the decoded plan up to the log.
@@ -157,7 +151,7 @@
         let grants = self.record(&report, lease);
         if !report.wanted.is_empty() {
             self.wanted.notify_one();
-            if self.tables(lease).list_version() == report.list {
+            if self.tables(lease).list.version(lease.term) == report.list {
                 // A reply without news is as good as one at the limit.
                 let _ = tokio::time::timeout(HOLD_LIMIT, changed.changed()).await;
             }
@@ -170,6 +164,31 @@
         }
     }
 
+    /// Answers a gateway whose requests lack tokens.
+    ///
+    /// # Errors
+    /// [`Error::NotLeader`] when this daemon does not lead.
+    pub fn grant(&self, question: &GrantQuestion) -> Result<GrantAnswer> {
+        let lease = self.lease()?;
+        let now = self.now();
+        let grants = {
+            let mut tables = self.tables(lease);
+            self.follow_plan(&mut tables);
+            tables.ledger.expire(now);
+            let ledger = &mut tables.ledger;
+            ledger.exchange(&question.gateway, &question.shares, now)
+        };
+        // The lease may have ended meanwhile; another leader grants then.
+        if lease.holds() {
+            Ok(GrantAnswer {
+                serial: question.serial,
+                grants: grants.into_vec(),
+            })
+        } else {
+            Err(Error::NotLeader { leader: None })
+        }
+    }
+
     fn record(&self, report: &GatewayReport, lease: LeaderLease) -> Vec<ShareGrant> {
         let now = self.now();
         let mut tables = self.tables(lease);
@@ -195,12 +214,9 @@
         let plan = self.voter.local(ControlState::plan);
         let is_newer = |version: PlanVersion| version > report.plan;
         let plan = plan.filter(|plan| is_newer(plan.version));
-        let version = tables.list_version();
         let is_listed = tables.listed_at.is_some();
-        let targets = (is_listed && version != report.list).then(|| TargetList {
-            version,
-            targets: tables.engines.targets(),
-        });
+        let lacking = || tables.list.since(report.list, tables.term);
+        let targets = is_listed.then(lacking).flatten();
         let age = tables.listed_at.map(|at| now.saturating_sub(at));
         let own = self.voter.addresses().own().system;
         let others = self.voter.addresses().others();
@@ -211,7 +227,8 @@
             grants,
             targets,
             list_age_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
-            peers: tables.gateways.peers(&report.gateway),
+            loads: tables.gateways.load_topology(&report.gateway),
+            period_ms: u64::try_from(tables.gateways.sync_period().as_millis()).unwrap_or(u64::MAX),
             coordinators: std::iter::once(own).chain(others).collect(),
         }
     }
@@ -222,10 +239,8 @@
         let Some(plan) = tables.plan.clone() else {
             return;
         };
-        let is_first = tables.listed_at.is_none();
         tables.listed_at = Some(asked);
-        if tables.engines.apply_list(&plan, list) || is_first {
-            self.publish_targets(&mut tables);
-        }
+        tables.engines.apply_list(&plan, list);
+        self.publish_targets(&mut tables);
     }
 }
--- a/src/coordinator/engines.rs
+++ b/src/coordinator/engines.rs
@@ -24,6 +24,9 @@
 const IDLE_CHECK_PERIOD: Duration = Duration::from_secs(8);
 /// Time between two log lines about demand and load.
 const DESCRIBE_PERIOD: Duration = Duration::from_secs(2);
+/// Time between two plans for all copies, which look at each model for each engine. Orders for
+/// adapters and those that were waited for go out between them.
+const COPY_PERIOD: Duration = Duration::from_millis(150);
 /// Time for gateways to stop sending requests for a model before it is unloaded.
 const RETIRE_DELAY: Duration = Duration::from_millis(350);
 /// Time after which an order that the engine does not show counts as lost.
@@ -59,15 +62,17 @@
     load_tokens: f64,
     load_tokens_at: Duration,
     described_at: Duration,
+    copies_at: Option<Duration>,
+    /// Whether gateways lack something of what the table says.
+    pub(super) is_changed: bool,
 }
 
 impl EngineTable {
     /// Takes over the platform's list. Models of engines that were asked themselves stay, since the
-    /// list is older. Returns whether anything changed that gateways need to know.
-    pub fn apply_list(&mut self, plan: &PlanIndex, list: Vec<TargetEntry>) -> bool {
+    /// list is older.
+    pub fn apply_list(&mut self, plan: &PlanIndex, list: Vec<TargetEntry>) {
         let mut engines = BTreeMap::new();
         let mut services = Vec::new();
-        let mut is_changed = false;
         for entry in list {
             let service = plan.service(&entry.service);
             if service.is_none_or(|service| service.engine.is_none()) {
@@ -76,19 +81,21 @@
             }
             let old = self.engines.remove(&entry.id);
             let old = old.filter(|old| old.entry.born_ms == entry.born_ms);
-            is_changed |= old.as_ref().is_none_or(|old| {
-                old.entry.is_leaving != entry.is_leaving || old.entry.address != entry.address
-            });
+            self.is_changed |= old.as_ref().is_none_or(|old| old.entry != entry);
             let belief = match old {
                 Some(old) => EngineBelief { entry, ..old },
                 None => EngineBelief::new(entry),
             };
             engines.insert(belief.entry.id.clone(), belief);
         }
-        is_changed |= !self.engines.is_empty() || services != self.plain;
+        self.is_changed |= !self.engines.is_empty() || services != self.plain;
         self.engines = engines;
         self.plain = services;
-        is_changed
+    }
+
+    /// Tells whether gateways lack something, once.
+    pub fn take_change(&mut self) -> bool {
+        std::mem::take(&mut self.is_changed)
     }
 
     /// Returns the targets with the models that requests can use.
@@ -127,13 +134,13 @@
         target: &TargetId,
         status: Option<EngineStatus>,
         now: Duration,
-    ) -> bool {
+    ) {
         let Some(belief) = self.engines.get_mut(target) else {
-            return false;
+            return;
         };
         belief.is_called = false;
         let Some(status) = status else {
-            return false;
+            return;
         };
         let before = belief.held.clone();
         let is_lost = belief
@@ -144,7 +151,7 @@
             belief.underway = None;
         }
         belief.accept(status, now);
-        belief.held != before
+        self.is_changed |= belief.held != before;
     }
 
     /// Decides on orders. Each engine gets one at a time.
@@ -155,6 +162,11 @@
         now: Duration,
     ) -> Vec<WantedOrder> {
         let mut orders = Vec::new();
+        let copies_at = self.copies_at.replace(now);
+        let is_due = copies_at.is_none_or(|at| now.saturating_sub(at) >= COPY_PERIOD);
+        if !is_due {
+            self.copies_at = copies_at;
+        }
         for service in plan.services() {
             let Some(engine) = &service.engine else {
                 continue;
@@ -162,7 +174,9 @@
             self.refill_loads(engine, now);
             self.decide_retired(&mut orders, now);
             self.decide_adapters(&service.id, engine, gateways, &mut orders, now);
-            self.decide_copies(&service.id, engine, gateways, &mut orders, now);
+            if is_due {
+                self.decide_copies(&service.id, engine, gateways, &mut orders, now);
+            }
         }
         for order in &orders {
             self.begin_order(order, now);
@@ -241,6 +255,7 @@
                         reason = step.reason,
                     });
                     belief.held.retain(|held| held.model != model);
+                    self.is_changed = true;
                     belief.retiring = Some((model, now));
                     belief.reserved = Some((step.model, now));
                 }
--- a/src/coordinator/gateways.rs
+++ b/src/coordinator/gateways.rs
@@ -5,8 +5,8 @@
 };
 
 use crate::{
-    ids::EntryKey,
-    sync::{GatewayReport, ServedModel},
+    ids::{DataCentreId, EntryKey},
+    sync::{GatewayReport, LoadTopology, ServedModel},
 };
 
 /// Silence after which a gateway counts as gone.
@@ -14,6 +14,15 @@
 /// Time constant of the demand estimate, in seconds: below the time of a load, so that a shift of
 /// demand is seen before the load that answers it ends.
 const DEMAND_SECONDS: f64 = 2.5;
+/// Gateways up to which each tells every other one its load. Above, the messages of a gateway would
+/// grow with the fleet beyond what a small VM's link and processor bear.
+const MOST_DIRECT_GATEWAYS: usize = 20;
+/// Time between two syncs that the leader answers; one costs it some tenths of a millisecond.
+const SYNC_SPACING: Duration = Duration::from_millis(10);
+/// Bounds of the time between two syncs of a gateway. A change of plan must be in force within two
+/// seconds.
+const SHORTEST_SYNC_PERIOD: Duration = Duration::from_millis(250);
+const LONGEST_SYNC_PERIOD: Duration = Duration::from_millis(1_000);
 /// Time for which requests are seen before copies are moved for their sake.
 const SHORTEST_OBSERVATION: Duration = Duration::from_millis(2_500);
 /// Demand below this many tokens a second is forgotten.
@@ -31,6 +40,7 @@
 #[derive(Debug)]
 struct GatewayState {
     seen_at: Duration,
+    data_centre: DataCentreId,
     load_address: SocketAddr,
     wanted: Vec<ServedModel>,
 }
@@ -66,6 +76,7 @@
         }
         let state = GatewayState {
             seen_at: now,
+            data_centre: report.data_centre.clone(),
             load_address: report.load_address,
             wanted: report.wanted.clone(),
         };
@@ -80,10 +91,44 @@
             .retain(|_, estimate| estimate.at(now) > FORGOTTEN_RATE);
     }
 
-    /// Returns where gateways other than `own` are told about load.
-    pub fn peers(&self, own: &EntryKey) -> Vec<SocketAddr> {
+    /// Returns whom a gateway tells about load. In a large fleet the first gateway of each data
+    /// centre relays; the order of names keeps the choice while it lives.
+    #[must_use]
+    pub fn load_topology(&self, own: &EntryKey) -> LoadTopology {
         let others = self.gateways.iter().filter(|(key, _)| *key != own);
-        others.map(|(_, state)| state.load_address).collect()
+        if self.gateways.len() <= MOST_DIRECT_GATEWAYS {
+            let peers = others.map(|(_, state)| state.load_address);
+            return LoadTopology::Direct {
+                peers: peers.collect(),
+            };
+        }
+        let mut relays: BTreeMap<&DataCentreId, (&EntryKey, SocketAddr)> = BTreeMap::new();
+        for (key, state) in &self.gateways {
+            let relay = (key, state.load_address);
+            relays.entry(&state.data_centre).or_insert(relay);
+        }
+        let Some(state) = self.gateways.get(own) else {
+            return LoadTopology::Unknown;
+        };
+        match relays.get(&state.data_centre) {
+            Some((relay, _)) if *relay == own => {
+                let members = others.filter(|(_, other)| other.data_centre == state.data_centre);
+                let relays = relays.values().filter(|(relay, _)| *relay != own);
+                LoadTopology::Relay {
+                    members: members.map(|(_, other)| other.load_address).collect(),
+                    relays: relays.map(|(_, address)| *address).collect(),
+                }
+            }
+            Some((_, relay)) => LoadTopology::Member { relay: *relay },
+            None => LoadTopology::Unknown,
+        }
+    }
+
+    /// Returns the time between two syncs of a gateway, which bounds the syncs of all of them.
+    #[must_use]
+    pub fn sync_period(&self) -> Duration {
+        let gateways = u32::try_from(self.gateways.len()).unwrap_or(u32::MAX);
+        (SYNC_SPACING * gateways).clamp(SHORTEST_SYNC_PERIOD, LONGEST_SYNC_PERIOD)
     }
 
     /// Returns the models that requests wait for.
@@ -92,6 +137,7 @@
     }
 
     /// Tells whether requests were seen for long enough that their mix says something.
+    #[must_use]
     pub fn knows_demand(&self, now: Duration) -> bool {
         self.first_demand
             .is_some_and(|first| now.saturating_sub(first) >= SHORTEST_OBSERVATION)
--- a/src/coordinator/orders.rs
+++ b/src/coordinator/orders.rs
@@ -83,11 +83,8 @@
         for entry in tables.engines.due_checks(now) {
             tokio::spawn(check(Arc::clone(&self.desk), lease, entry));
         }
-        let held: Vec<_> = tables.engines.targets();
         let orders = tables.engines.decide(&plan, &tables.gateways, now);
-        if held != tables.engines.targets() {
-            self.desk.publish_targets(tables);
-        }
+        self.desk.publish_targets(tables);
         for order in orders {
             let Some(engine) = tables.engines.get(&order.target) else {
                 continue;
@@ -114,9 +111,8 @@
     let now = desk.now();
     let mut tables = desk.tables(lease);
     let status = status.ok();
-    if tables.engines.accept_status(&entry.id, status, now) {
-        desk.publish_targets(&mut tables);
-    }
+    tables.engines.accept_status(&entry.id, status, now);
+    desk.publish_targets(&mut tables);
 }
 
 async fn give(
@@ -148,10 +144,9 @@
     }
     let now = desk.now();
     let mut tables = desk.tables(lease);
-    if tables.engines.end_order(&order, answer.ok(), now) {
-        desk.publish_targets(&mut tables);
-        desk.wanted.notify_one();
-    }
+    tables.engines.end_order(&order, answer.ok(), now);
+    desk.publish_targets(&mut tables);
+    desk.wanted.notify_one();
 }
 
 async fn within<T>(call: impl Future<Output = Result<T>>) -> Result<T> {
--- a/src/coordinator/outcomes.rs
+++ b/src/coordinator/outcomes.rs
@@ -25,15 +25,10 @@
     }
 
     /// Takes over the outcome of an order; `None` when the engine gave no answer and may carry it
-    /// out later. Returns whether gateways need to know.
-    pub fn end_order(
-        &mut self,
-        order: &WantedOrder,
-        answer: Option<OrderAnswer>,
-        now: Duration,
-    ) -> bool {
+    /// out later.
+    pub fn end_order(&mut self, order: &WantedOrder, answer: Option<OrderAnswer>, now: Duration) {
         let Some(belief) = self.engines.get_mut(&order.target) else {
-            return false;
+            return;
         };
         belief.is_called = false;
         let is_whole = !is_adapter(&order.model);
@@ -46,7 +41,7 @@
                 belief.asked_at = now;
                 belief.ordered_at = now;
                 if is_whole {
-                    return false;
+                    return;
                 }
             }
             Some(OrderAnswer::Holds) => {
@@ -54,7 +49,7 @@
                     belief.underway = None;
                     belief.orders = None;
                     belief.asked_at = Duration::ZERO;
-                    return false;
+                    return;
                 }
                 // An adapter that no request uses is gone at once, and the order counts.
                 if order.action == OrderAction::Unload {
@@ -68,13 +63,13 @@
             Some(OrderAnswer::Fenced) => {
                 belief.is_fenced = true;
                 belief.underway = None;
-                return false;
+                return;
             }
             Some(OrderAnswer::Busy | OrderAnswer::Refused) => {
                 belief.underway = None;
                 belief.orders = None;
                 belief.asked_at = Duration::ZERO;
-                return false;
+                return;
             }
             None => {
                 if order.action == OrderAction::Load {
@@ -83,10 +78,10 @@
                 belief.underway = None;
                 belief.orders = None;
                 belief.asked_at = Duration::ZERO;
-                return false;
+                return;
             }
         }
-        change_adapter(&mut belief.held, order)
+        self.is_changed |= change_adapter(&mut belief.held, order);
     }
 }
 
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -7,7 +7,8 @@
 mod daemon;
 mod exchange;
 mod follower;
-mod peers;
+mod grants;
+mod loads;
 mod pools;
 mod port;
 mod proxy;
@@ -19,3 +20,4 @@
 
 pub use config::GatewayConfig;
 pub use daemon::GatewayDaemon;
+pub use loads::LoadBook;
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -17,7 +17,8 @@
     config::GatewayConfig,
     connections::TargetConnections,
     follower::{FollowerParts, GatewayFollower},
-    peers::LoadExchange,
+    grants::GrantClient,
+    loads::LoadExchange,
     port,
     proxy::GatewayProxy,
     ready::ReadyPort,
@@ -29,6 +30,7 @@
     client,
     entry::SharedAllowance,
     error::{Error, Result},
+    ids::EntryKey,
     route::RetryBudget,
 };
 
@@ -92,6 +94,17 @@
         let follower =
             GatewayFollower::new(config.clone(), incarnation, parts, client, self.secret);
         let follower = Arc::new(follower);
+        let key = EntryKey {
+            vm: config.vm.clone(),
+            incarnation,
+        };
+        let grants = GrantClient::open(
+            config.load_listen,
+            key,
+            Arc::clone(&allowance),
+            Arc::clone(&follower),
+        );
+        let grants = grants.await?;
         let connections = Arc::new(TargetConnections::default());
         let (refuse, refusing) = watch::channel(false);
         let proxy = Arc::new(GatewayProxy {
@@ -116,6 +129,7 @@
         let (close, closing) = watch::channel(false);
         tokio::spawn(ready_port.run(ready));
         tokio::spawn(async move { follower.run().await });
+        tokio::spawn(grants.run());
         tokio::spawn(async move { loads.run().await });
         tokio::spawn(async move {
             let mut swept = Instant::now();
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -11,7 +11,7 @@
 
 use super::{
     config::GatewayConfig,
-    peers::LoadExchange,
+    loads::LoadExchange,
     targets::TargetTable,
     view::{ModelDemand, PlanView},
 };
@@ -27,12 +27,11 @@
     },
 };
 
-/// Time between two syncs without a reason for an earlier one. A change of plan must be in force
-/// within two seconds, and what other gateways run is news for about as long.
-const SYNC_PERIOD: Duration = Duration::from_millis(250);
+/// Time between two syncs without a reason for an earlier one, until the leader has told another.
+const FIRST_SYNC_PERIOD: Duration = Duration::from_millis(250);
 /// Shortest time between two syncs.
 const SHORTEST_PERIOD: Duration = Duration::from_millis(15);
-/// Time after which a sync counts as lost and another coordinator is tried.
+/// Shortest time after which a sync counts as lost and another coordinator is tried.
 const SYNC_TIMEOUT: Duration = Duration::from_millis(600);
 /// Wait after a failed sync.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
@@ -54,7 +53,7 @@
     client: Client,
     secret: String,
     wanted: Mutex<HashMap<ServedModel, usize>>,
-    hurry: Notify,
+    hurried: Notify,
     state: Mutex<FollowerState>,
 }
 
@@ -65,6 +64,7 @@
     listed_at: Option<Instant>,
     is_connected: bool,
     synced_at: Option<Instant>,
+    period: Duration,
 }
 
 /// Parts of the gateway that the follower reads and updates.
@@ -90,6 +90,7 @@
             listed_at: None,
             is_connected: false,
             synced_at: None,
+            period: FIRST_SYNC_PERIOD,
         };
         Self {
             key: EntryKey {
@@ -106,7 +107,7 @@
             client,
             secret,
             wanted: Mutex::default(),
-            hurry: Notify::new(),
+            hurried: Notify::new(),
             state: Mutex::new(state),
         }
     }
@@ -114,7 +115,24 @@
     /// Asks the leader for a model with the next sync, which is sent at once.
     pub fn want(&self, model: &ServedModel) {
         self.wanted().entry(model.clone()).or_insert(0);
-        self.hurry.notify_one();
+        self.hurry();
+    }
+
+    /// Makes the next sync come at once.
+    pub fn hurry(&self) {
+        self.hurried.notify_one();
+    }
+
+    /// Returns the time between two syncs.
+    pub fn sync_period(&self) -> Duration {
+        self.state().period
+    }
+
+    /// Returns the leading coordinator, while it answers.
+    pub fn leader(&self) -> Option<SocketAddr> {
+        let state = self.state();
+        let leader = state.coordinators.first().copied();
+        leader.filter(|_| state.is_connected)
     }
 
     /// Asks for a model until the result is dropped.
@@ -130,7 +148,7 @@
     pub fn is_in_touch(&self) -> bool {
         let state = self.state();
         let synced_at = state.synced_at;
-        synced_at.is_some_and(|at| at.elapsed() < SYNC_PERIOD * 2)
+        synced_at.is_some_and(|at| at.elapsed() < state.period * 2)
     }
 
     fn wanted(&self) -> std::sync::MutexGuard<'_, HashMap<ServedModel, usize>> {
@@ -155,11 +173,10 @@
                 tokio::time::sleep(RETRY_DELAY).await;
                 continue;
             }
-            let rest = SYNC_PERIOD.saturating_sub(begun.elapsed());
+            let rest = self.sync_period().saturating_sub(begun.elapsed());
             tokio::select! {
                 () = tokio::time::sleep(rest) => {}
-                () = self.hurry.notified() => {}
-                () = self.allowance.lacking() => {}
+                () = self.hurried.notified() => {}
             }
             tokio::time::sleep(SHORTEST_PERIOD.saturating_sub(begun.elapsed())).await;
         }
@@ -235,7 +252,7 @@
             .client
             .post(format!("http://{coordinator}{GATEWAY_SYNC_PATH}"))
             .header(SECRET_HEADER, &self.secret)
-            .timeout(SYNC_TIMEOUT)
+            .timeout(self.sync_period().max(SYNC_TIMEOUT))
             .body(sync::encode(report)?)
             .send()
             .await
@@ -257,8 +274,9 @@
         if let (Some(plan), Some(list)) = (plan, reply.targets) {
             self.targets.apply(&plan, list);
         }
-        self.loads.set_peers(reply.peers);
+        self.loads.set_topology(reply.loads);
         let mut state = self.state();
+        state.period = Duration::from_millis(reply.period_ms);
         state.synced_at = Some(Instant::now());
         if let Some(age) = reply.list_age_ms {
             state.listed_at = Instant::now().checked_sub(Duration::from_millis(age));
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
     sync::{Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
@@ -8,10 +8,7 @@
 use spdlog::prelude::*;
 use tokio::sync::Notify;
 
-use super::{
-    peers::PeerLoad,
-    pools::{spec_of, split_model},
-};
+use super::pools::{spec_of, split_model};
 use crate::{
     adapter::TargetEntry,
     ids::{DataCentreId, TargetId},
@@ -20,7 +17,7 @@
         Availability, Exchange, LoadReport, PrefixBlock, ReplicaTable, RouteChoice, RouteRequest,
         RouteTuning,
     },
-    sync::{ListVersion, ServedModel, TargetList},
+    sync::{ListVersion, LoadKey, LoadSum, ServedModel, TargetList, load_key},
 };
 
 /// Time to read one prompt token; engines read tens of tokens in a millisecond.
@@ -77,7 +74,6 @@
 }
 
 struct Tables {
-    others: HashMap<TargetId, (u32, u32)>,
     unread: BTreeMap<TargetId, u32>,
     prefill_ms: f32,
     pulses: HashMap<TargetId, TargetPulse>,
@@ -101,7 +97,6 @@
         Self {
             started: Instant::now(),
             tables: Mutex::new(Tables {
-                others: HashMap::new(),
                 unread: BTreeMap::new(),
                 prefill_ms: PREFILL_MS_PER_TOKEN,
                 pulses: HashMap::new(),
@@ -147,8 +142,20 @@
     /// Takes over the leader's list.
     pub fn apply(&self, plan: &PlanIndex, list: TargetList) {
         let mut tables = self.tables();
+        match list.base {
+            None => tables.apply(plan, list.targets),
+            Some(base) if base == tables.version => {
+                for target in &list.gone {
+                    tables.remove(target);
+                }
+                for entry in list.targets {
+                    tables.put(plan, entry);
+                }
+            }
+            // The next sync asks for what this one does not bring.
+            Some(_) => return,
+        }
         tables.version = list.version;
-        tables.apply(plan, list.targets);
         drop(tables);
         self.changed.notify_waiters();
     }
@@ -170,34 +177,34 @@
         tables.apply(plan, targets);
     }
 
-    /// Takes over what other gateways run: requests and unread prompt tokens by target.
-    pub fn apply_others(&self, others: &HashMap<&str, (u32, u32)>) {
+    /// Takes over what other gateways run at targets.
+    pub fn apply_others(&self, others: &HashMap<LoadKey, LoadSum>) {
         let now = self.now();
         let mut tables = self.tables();
         let tables = &mut *tables;
-        tables.others.clear();
         for id in tables.entries.keys() {
-            let (running, unread) = others.get(id.as_str()).copied().unwrap_or_default();
-            tables.others.insert(id.clone(), (running, unread));
+            let others = others.get(&load_key(id)).copied().unwrap_or_default();
             let own = tables.running.get(id).copied().unwrap_or(0);
             let report = LoadReport {
-                running: running + own,
+                running: others.running + own,
                 queued: 0,
                 at: now,
             };
             tables.replicas.report(id, report);
-            tables.replicas.set_others_prefill(id, unread);
+            tables.replicas.set_others_prefill(id, others.unread_tokens);
         }
         self.room.notify_waiters();
     }
 
     /// Returns what this gateway runs.
-    pub fn own_loads(&self) -> Vec<PeerLoad> {
+    pub fn own_loads(&self) -> HashMap<LoadKey, LoadSum> {
         let tables = self.tables();
-        let loads = tables.running.iter().map(|(target, running)| PeerLoad {
-            target: target.clone(),
-            running: *running,
-            unread_tokens: tables.unread.get(target).copied().unwrap_or(0),
+        let loads = tables.running.iter().map(|(target, running)| {
+            let sum = LoadSum {
+                running: *running,
+                unread_tokens: tables.unread.get(target).copied().unwrap_or(0),
+            };
+            (load_key(target), sum)
         });
         loads.collect()
     }
@@ -403,34 +410,35 @@
     }
 
     fn apply(&mut self, plan: &PlanIndex, targets: Vec<TargetEntry>) {
-        let targets: HashMap<TargetId, TargetEntry> = targets
-            .into_iter()
-            .map(|entry| (entry.id.clone(), entry))
-            .collect();
-        let gone: Vec<TargetId> = self
-            .entries
-            .iter()
-            // A restart under the same name begins with an empty cache and no load.
-            .filter(|(id, old)| {
-                targets
-                    .get(*id)
-                    .is_none_or(|new| new.born_ms != old.born_ms)
-            })
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in gone {
-            self.replicas.remove(&id);
+        let known: HashSet<TargetId> = targets.iter().map(|entry| entry.id.clone()).collect();
+        let gone = self.entries.keys().filter(|id| !known.contains(*id));
+        for id in gone.cloned().collect::<Vec<_>>() {
+            self.remove(&id);
         }
-        for (id, entry) in &targets {
-            self.replicas.upsert(&spec_of(plan, entry));
-            let is_silent = self.pulses.get(id).is_some_and(|pulse| pulse.is_silent);
-            let availability = match () {
-                () if entry.is_leaving => Availability::Draining,
-                () if is_silent => Availability::Down,
-                () => Availability::Up,
-            };
-            self.replicas.set_availability(id, availability);
+        for entry in targets {
+            self.put(plan, entry);
         }
-        self.entries = targets;
+    }
+
+    fn remove(&mut self, target: &TargetId) {
+        self.replicas.remove(target);
+        self.entries.remove(target);
+    }
+
+    fn put(&mut self, plan: &PlanIndex, entry: TargetEntry) {
+        let old = self.entries.get(&entry.id);
+        // A restart under the same name begins with an empty cache and no load.
+        if old.is_some_and(|old| old.born_ms != entry.born_ms) {
+            self.replicas.remove(&entry.id);
+        }
+        self.replicas.upsert(&spec_of(plan, &entry));
+        let pulse = self.pulses.get(&entry.id);
+        let availability = match pulse {
+            _ if entry.is_leaving => Availability::Draining,
+            Some(pulse) if pulse.is_silent => Availability::Down,
+            _ => Availability::Up,
+        };
+        self.replicas.set_availability(&entry.id, availability);
+        self.entries.insert(entry.id.clone(), entry);
     }
 }
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -2,15 +2,17 @@
 
 mod claims;
 mod gateway;
+mod load;
 mod reply;
 mod report;
 mod request;
 
 pub use claims::{CLAIMS_PATH, CRASHES_PATH, ClaimMessage, CommandReply, CrashMessage};
 pub use gateway::{
-    GATEWAY_SYNC_PATH, GatewayReply, GatewayReport, ListVersion, ModelRequests, PublishedPlan,
-    ServedModel, TargetList,
+    GATEWAY_SYNC_PATH, GatewayReply, GatewayReport, GrantAnswer, GrantQuestion, ListVersion,
+    ModelRequests, PublishedPlan, ServedModel, TargetList,
 };
+pub use load::{LoadKey, LoadMessage, LoadScope, LoadSum, LoadTopology, load_key};
 pub use reply::{
     AvoidedSection, ConfigSection, CrashSection, ResidencySection, ResidentModel, SyncReply,
     TargetLoad,
@@ -41,6 +43,18 @@
     })
 }
 
+/// Encodes a message of a few bytes that must fit a packet. Fields are told apart by their order, so
+/// that only daemons of one release understand each other.
+///
+/// # Errors
+/// [`Error::Decode`] when the message cannot be encoded.
+pub fn encode_short<M: Serialize>(message: &M) -> Result<Vec<u8>> {
+    rmp_serde::to_vec(message).map_err(|error| Error::Decode {
+        what: "message",
+        reason: error.to_string(),
+    })
+}
+
 /// Decodes a message between the system's own processes.
 ///
 /// # Errors
--- a/src/sync/gateway.rs
+++ b/src/sync/gateway.rs
@@ -6,8 +6,9 @@
 use crate::{
     adapter::TargetEntry,
     allowance::{ShareGrant, ShareReport},
-    ids::{DataCentreId, EntryKey, ModelId, ServiceId, Term},
+    ids::{DataCentreId, EntryKey, ModelId, ServiceId, TargetId, Term},
     plan::PlanVersion,
+    sync::LoadTopology,
 };
 
 /// Path of a gateway's sync on the system port.
@@ -70,12 +71,14 @@
     pub plan: Option<PublishedPlan>,
     /// Grants of teams' allowance.
     pub grants: Vec<ShareGrant>,
-    /// Targets, when the gateway has another list.
+    /// What the gateway lacks of the list of targets.
     pub targets: Option<TargetList>,
     /// Age of the platform's list behind the targets, in milliseconds; `None` while there is none.
     pub list_age_ms: Option<u64>,
-    /// Where the other gateways are told what this one sends.
-    pub peers: Vec<SocketAddr>,
+    /// Whom the gateway tells what it sends.
+    pub loads: LoadTopology,
+    /// Time until the gateway is to sync again, in milliseconds, unless it needs something.
+    pub period_ms: u64,
     /// System addresses of the coordinators.
     pub coordinators: Vec<SocketAddr>,
 }
@@ -89,11 +92,35 @@
     pub document: ByteBuf,
 }
 
-/// Targets as the leader knows them.
+/// Targets as the leader knows them, or what changed since an earlier list.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetList {
     /// Names this state of the list.
     pub version: ListVersion,
-    /// The targets, with what they were ordered to hold.
+    /// The list that this one changes; `None` when it is whole.
+    pub base: Option<ListVersion>,
+    /// The targets that are new or changed, with what they were ordered to hold.
     pub targets: Vec<TargetEntry>,
+    /// Targets that are gone since `base`.
+    pub gone: Vec<TargetId>,
+}
+
+/// What a gateway asks of the leader over UDP when a request lacks tokens, apart from syncs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GrantQuestion {
+    /// The gateway.
+    pub gateway: EntryKey,
+    /// Names the question within the gateway's life.
+    pub serial: u64,
+    /// Shares of the teams that lack tokens.
+    pub shares: Vec<ShareReport>,
+}
+
+/// The leader's answer. Other coordinators do not answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GrantAnswer {
+    /// The question.
+    pub serial: u64,
+    /// Grants of teams' allowance.
+    pub grants: Vec<ShareGrant>,
 }
