Follow the trend of demand, set lost engines aside and send plans as changes

(1) Copies of a model whose demand rises were ordered one by one, 4 to 6 s late, since demand was averaged over 2.5 s. (2) An engine that ended was placed on, and sent to, until the platform's list dropped it 2 to 3 s later; orders to it were refused and repeated every 25 ms.

Change: demand has a trend from two averages that counts beyond what chance explains; an engine that gateways hear nothing of is asked for its state and counts as lost without an answer; a refusal rests an engine for 2 s; a target that refuses connections is set aside; one slow request at a plain target no longer makes it look silent. Plans go out as changes of the gateway's plan, whole ones compressed and one after the other.

--- a/src/coordinator/adapters.rs
+++ b/src/coordinator/adapters.rs
@@ -24,7 +24,7 @@
         now: Duration,
     ) {
         let lasting = self.engines_of(service);
-        let lasting = lasting.filter(|belief| !belief.entry.is_leaving).count();
+        let lasting = lasting.filter(|belief| belief.is_lasting()).count();
         let total: f64 = gateways.all_demand(now).map(|(_, tokens)| tokens).sum();
         #[allow(clippy::cast_precision_loss)] // Counts of engines are small.
         let mean = total / lasting.max(1) as f64;
@@ -54,7 +54,7 @@
 
     fn adapter_copies(&self, service: &str, adapter: &ModelId) -> usize {
         let holding = self.engines_of(service).filter(|belief| {
-            !belief.entry.is_leaving
+            belief.is_lasting()
                 && belief
                     .held
                     .iter()
@@ -77,10 +77,7 @@
         let open = self.engines_of(service).filter(|belief| {
             let is_ordered = orders.iter().any(|order| order.target == belief.entry.id);
             let held = belief.held.iter().find(|held| held.model == model);
-            belief.orders.is_some()
-                && !belief.is_called
-                && !belief.is_fenced
-                && !belief.entry.is_leaving
+            belief.takes_orders(now)
                 && !is_ordered
                 && held.is_some_and(|held| !held.adapters.contains(&wanted.model))
         });
--- a/src/coordinator/desk.rs
+++ b/src/coordinator/desk.rs
@@ -5,13 +5,16 @@
 
 use tokio::sync::{Notify, watch};
 
-use super::{engines::EngineTable, gateways::GatewayTable, target_journal::TargetJournal};
+use super::{
+    engines::EngineTable, gateways::GatewayTable, plan_archive::PlanArchive,
+    target_journal::TargetJournal,
+};
 use crate::{
     adapter::{PlatformAdapter, TargetEntry},
     allowance::{AllowanceLedger, RateLimit, ShareGrant},
     error::{Error, Result},
     ids::Term,
-    plan::{PlanIndex, PlanVersion},
+    plan::PlanIndex,
     state::ControlState,
     sync::{GatewayReply, GatewayReport, GrantAnswer, GrantQuestion},
     voter::{LeaderLease, VoterHandle},
@@ -41,6 +44,7 @@
     pub gateways: GatewayTable,
     pub engines: EngineTable,
     pub plan: Option<Arc<PlanIndex>>,
+    plans: PlanArchive,
     pub listed_at: Option<Duration>,
     list: TargetJournal,
 }
@@ -54,6 +58,7 @@
             gateways: GatewayTable::default(),
             engines: EngineTable::default(),
             plan: None,
+            plans: PlanArchive::new(),
             listed_at: None,
             list: TargetJournal::new(),
         }
@@ -119,6 +124,7 @@
         if held >= published.version {
             return;
         }
+        tables.plans.add(&published);
         match self.adapter.decode_plan(&published.document) {
             Ok(plan) => {
                 let now = self.now();
@@ -198,6 +204,9 @@
         for requests in &report.demand {
             tables.engines.note_adapter_use(&requests.model.model, now);
         }
+        for target in &report.silent {
+            tables.engines.suspect(target);
+        }
         tables.ledger.expire(now);
         let grants = tables.ledger.exchange(&report.gateway, &report.shares, now);
         grants.into_vec()
@@ -210,10 +219,8 @@
         lease: LeaderLease,
     ) -> GatewayReply {
         let now = self.now();
-        let tables = self.tables(lease);
-        let plan = self.voter.local(ControlState::plan);
-        let is_newer = |version: PlanVersion| version > report.plan;
-        let plan = plan.filter(|plan| is_newer(plan.version));
+        let mut tables = self.tables(lease);
+        let plan = tables.plans.news(report.plan, now);
         let is_listed = tables.listed_at.is_some();
         let lacking = || tables.list.since(report.list, tables.term);
         let targets = is_listed.then(lacking).flatten();
@@ -223,7 +230,7 @@
         let others = others.into_iter().map(|address| address.system);
         GatewayReply {
             term: tables.term,
-            plan: plan.map(|plan| plan.as_ref().clone()),
+            plan,
             grants,
             targets,
             list_age_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
--- a/src/coordinator/engine_belief.rs
+++ b/src/coordinator/engine_belief.rs
@@ -12,6 +12,10 @@
 /// Time that a report may be behind the engine.
 const REPORT_LAG: Duration = Duration::from_secs(1);
 
+/// Time for which an engine that refused an order as another one gets none; it has gone or started
+/// again, and the platform's list tells within this time.
+const REFUSAL_REST: Duration = Duration::from_secs(2);
+
 /// What the leader believes about one engine: its own report, and the orders given since.
 #[derive(Clone, Debug)]
 pub struct EngineBelief {
@@ -43,6 +47,12 @@
     pub doubtful: Vec<(ModelId, Duration)>,
     /// Whether a later holder has given it orders.
     pub is_fenced: bool,
+    /// Whether a gateway found that it does not answer, and it has not reported since.
+    pub is_suspected: bool,
+    /// Whether it did not report either when it was suspected.
+    pub is_lost: bool,
+    /// When it last refused an order, which another engine at its address does.
+    pub refused_at: Option<Duration>,
     /// When the engine was last asked.
     pub asked_at: Duration,
 }
@@ -71,6 +81,9 @@
             reserved: None,
             doubtful: Vec::new(),
             is_fenced: false,
+            is_suspected: false,
+            is_lost: false,
+            refused_at: None,
             asked_at: Duration::ZERO,
         }
     }
@@ -135,18 +148,32 @@
         plan.weights_mb - resident - loading - doubtful - adapters
     }
 
-    /// Tells whether the engine can be given an order for a whole model.
+    /// Tells whether the engine can be given an order.
     #[must_use]
-    pub fn is_free(&self) -> bool {
+    pub fn takes_orders(&self, now: Duration) -> bool {
+        let rests = |at: Duration| now.saturating_sub(at) < REFUSAL_REST;
         self.orders.is_some()
             && !self.is_called
-            && !self.is_busy
             && !self.is_fenced
-            && !self.entry.is_leaving
+            && self.is_lasting()
+            && !self.refused_at.is_some_and(rests)
+    }
+
+    /// Tells whether the engine can be given an order for a whole model.
+    #[must_use]
+    pub fn is_free(&self, now: Duration) -> bool {
+        self.takes_orders(now)
+            && !self.is_busy
             && self.underway.is_none()
             && self.retiring.is_none()
     }
 
+    /// Tells whether what it holds lasts: it is neither leaving nor lost.
+    #[must_use]
+    pub fn is_lasting(&self) -> bool {
+        !self.entry.is_leaving && !self.is_lost
+    }
+
     /// Tells whether it holds a model, or is loading it.
     #[must_use]
     pub fn has_or_loads(&self, model: &str) -> bool {
--- a/src/coordinator/engines.rs
+++ b/src/coordinator/engines.rs
@@ -16,6 +16,7 @@
     adapter::{EngineStatus, OrderAction, TargetEntry},
     ids::{ModelId, TargetId},
     plan::{EnginePlan, PlanIndex},
+    sync::ServedModel,
 };
 
 /// Time between two questions to an engine that carries out an order.
@@ -24,17 +25,21 @@
 const IDLE_CHECK_PERIOD: Duration = Duration::from_secs(8);
 /// Time between two log lines about demand and load.
 const DESCRIBE_PERIOD: Duration = Duration::from_secs(2);
+/// Longest time for which a trend of demand is continued.
+const LONGEST_HORIZON: Duration = Duration::from_secs(3);
 /// Time between two plans for all copies, which look at each model for each engine. Orders for
 /// adapters and those that were waited for go out between them.
 const COPY_PERIOD: Duration = Duration::from_millis(150);
-/// Time for gateways to stop sending requests for a model before it is unloaded.
-const RETIRE_DELAY: Duration = Duration::from_millis(350);
+/// Time beyond a sync of all gateways in which they stop sending requests for a model before it is
+/// unloaded.
+const RETIRE_MARGIN: Duration = Duration::from_millis(100);
 /// Time after which an order that the engine does not show counts as lost.
 const LOST_ORDER_LIMIT: Duration = Duration::from_secs(20);
 /// Time for which room is kept for the model that it was made for.
 const RESERVATION_LIMIT: Duration = Duration::from_secs(15);
-/// Loads that may begin at once after a quiet time.
-const LOAD_BURST: f64 = 2.0;
+/// Loads that may begin at once after a quiet time. The weight store counts them over several
+/// seconds and allows as many on top.
+const LOAD_BURST: f64 = 3.0;
 /// Part of the store's rate that is used; loads of a former leader may still begin.
 const LOAD_RATE_SHARE: f64 = 0.9;
 
@@ -113,7 +118,8 @@
     pub fn due_checks(&mut self, now: Duration) -> Vec<TargetEntry> {
         let mut due = Vec::new();
         for belief in self.engines.values_mut() {
-            let period = if belief.orders.is_none() || belief.underway.is_some() || belief.is_busy {
+            let is_awaited = belief.underway.is_some() || belief.is_busy || belief.is_suspected;
+            let period = if belief.orders.is_none() || is_awaited {
                 CHECK_PERIOD
             } else {
                 IDLE_CHECK_PERIOD
@@ -140,8 +146,14 @@
         };
         belief.is_called = false;
         let Some(status) = status else {
+            if belief.is_suspected && !belief.is_lost {
+                belief.is_lost = true;
+                warn!("place: an engine is lost", kv: { target = target.as_str() });
+            }
             return;
         };
+        belief.is_suspected = false;
+        belief.is_lost = false;
         let before = belief.held.clone();
         let is_lost = belief
             .underway
@@ -154,6 +166,14 @@
         self.is_changed |= belief.held != before;
     }
 
+    /// Notes that a gateway hears nothing of a target, so that it is asked for its state now. The
+    /// platform's list tells seconds later that it is gone.
+    pub fn suspect(&mut self, target: &TargetId) {
+        if let Some(belief) = self.engines.get_mut(target) {
+            belief.is_suspected = true;
+        }
+    }
+
     /// Decides on orders. Each engine gets one at a time.
     pub fn decide(
         &mut self,
@@ -172,7 +192,7 @@
                 continue;
             };
             self.refill_loads(engine, now);
-            self.decide_retired(&mut orders, now);
+            self.decide_retired(gateways, &mut orders, now);
             self.decide_adapters(&service.id, engine, gateways, &mut orders, now);
             if is_due {
                 self.decide_copies(&service.id, engine, gateways, &mut orders, now);
@@ -191,13 +211,17 @@
         self.load_tokens = (self.load_tokens + refill).min(LOAD_BURST);
     }
 
-    fn decide_retired(&self, orders: &mut Vec<WantedOrder>, now: Duration) {
+    fn decide_retired(
+        &self,
+        gateways: &GatewayTable,
+        orders: &mut Vec<WantedOrder>,
+        now: Duration,
+    ) {
+        let retire_delay = gateways.sync_period() + RETIRE_MARGIN;
         for belief in self.engines.values() {
             match (&belief.retiring, belief.orders) {
                 (Some((model, since)), Some(after_orders))
-                    if !belief.is_called
-                        && !belief.is_fenced
-                        && now.saturating_sub(*since) >= RETIRE_DELAY =>
+                    if belief.takes_orders(now) && now.saturating_sub(*since) >= retire_delay =>
                 {
                     orders.push(WantedOrder {
                         target: belief.entry.id.clone(),
@@ -287,7 +311,12 @@
         now: Duration,
     ) -> PlacementInput {
         let mut demand: HashMap<&str, f64> = HashMap::new();
-        for (model, tokens) in gateways.all_demand(now) {
+        let horizon = |model: &ServedModel| {
+            let plan = engine.model(base(&model.model));
+            plan.map_or(Duration::ZERO, |plan| plan.load_time)
+                .min(LONGEST_HORIZON)
+        };
+        for (model, tokens) in gateways.demand_ahead(now, horizon) {
             if model.service == service {
                 *demand.entry(base(&model.model)).or_default() += tokens;
             }
@@ -322,8 +351,8 @@
                 id: belief.entry.id.clone(),
                 models,
                 free_mb: belief.free_mb(engine),
-                is_free: belief.is_free() && !is_ordered,
-                is_lasting: !belief.entry.is_leaving,
+                is_free: belief.is_free(now) && !is_ordered,
+                is_lasting: belief.is_lasting(),
             }
         });
         PlacementInput {
--- a/src/coordinator/gateways.rs
+++ b/src/coordinator/gateways.rs
@@ -4,6 +4,7 @@
     time::Duration,
 };
 
+use super::demand_trend::DemandTrend;
 use crate::{
     ids::{DataCentreId, EntryKey},
     sync::{GatewayReport, LoadTopology, ServedModel},
@@ -11,9 +12,6 @@
 
 /// Silence after which a gateway counts as gone.
 const SILENCE_LIMIT: Duration = Duration::from_secs(2);
-/// Time constant of the demand estimate, in seconds: below the time of a load, so that a shift of
-/// demand is seen before the load that answers it ends.
-const DEMAND_SECONDS: f64 = 2.5;
 /// Gateways up to which each tells every other one its load. Above, the messages of a gateway would
 /// grow with the fleet beyond what a small VM's link and processor bear.
 const MOST_DIRECT_GATEWAYS: usize = 20;
@@ -32,7 +30,7 @@
 #[derive(Debug, Default)]
 pub struct GatewayTable {
     gateways: BTreeMap<EntryKey, GatewayState>,
-    demand: HashMap<ServedModel, DemandEstimate>,
+    demand: HashMap<ServedModel, DemandTrend>,
     /// When requests were first seen.
     first_demand: Option<Duration>,
 }
@@ -45,19 +43,6 @@
     wanted: Vec<ServedModel>,
 }
 
-#[derive(Debug)]
-struct DemandEstimate {
-    tokens_per_second: f64,
-    updated_at: Duration,
-}
-
-impl DemandEstimate {
-    fn at(&self, now: Duration) -> f64 {
-        let elapsed = now.saturating_sub(self.updated_at).as_secs_f64();
-        self.tokens_per_second * (-elapsed / DEMAND_SECONDS).exp()
-    }
-}
-
 impl GatewayTable {
     /// Records a report.
     #[allow(clippy::cast_precision_loss)] // Token counts are estimates.
@@ -66,13 +51,8 @@
             self.first_demand.get_or_insert(now);
         }
         for requests in &report.demand {
-            let estimate = self.demand.entry(requests.model.clone());
-            let estimate = estimate.or_insert(DemandEstimate {
-                tokens_per_second: 0.0,
-                updated_at: now,
-            });
-            estimate.tokens_per_second = estimate.at(now) + requests.tokens as f64 / DEMAND_SECONDS;
-            estimate.updated_at = now;
+            let trend = self.demand.entry(requests.model.clone()).or_default();
+            trend.record(requests.tokens as f64, f64::from(requests.requests), now);
         }
         let state = GatewayState {
             seen_at: now,
@@ -88,7 +68,7 @@
         self.gateways
             .retain(|_, state| now.saturating_sub(state.seen_at) < SILENCE_LIMIT);
         self.demand
-            .retain(|_, estimate| estimate.at(now) > FORGOTTEN_RATE);
+            .retain(|_, trend| trend.now(now) > FORGOTTEN_RATE);
     }
 
     /// Returns whom a gateway tells about load. In a large fleet the first gateway of each data
@@ -147,6 +127,18 @@
     pub fn all_demand(&self, now: Duration) -> impl Iterator<Item = (&ServedModel, f64)> {
         self.demand
             .iter()
-            .map(move |(model, demand)| (model, demand.at(now)))
+            .map(move |(model, trend)| (model, trend.now(now)))
+    }
+
+    /// Returns the demand for each model and adapter where its trend leads to within a time that
+    /// depends on the model.
+    pub fn demand_ahead(
+        &self,
+        now: Duration,
+        horizon: impl Fn(&ServedModel) -> Duration,
+    ) -> impl Iterator<Item = (&ServedModel, f64)> {
+        self.demand
+            .iter()
+            .map(move |(model, trend)| (model, trend.ahead(now, horizon(model))))
     }
 }
--- a/src/coordinator/outcomes.rs
+++ b/src/coordinator/outcomes.rs
@@ -65,7 +65,12 @@
                 belief.underway = None;
                 return;
             }
-            Some(OrderAnswer::Busy | OrderAnswer::Refused) => {
+            Some(OrderAnswer::Refused) => {
+                belief.refused_at = Some(now);
+                belief.underway = None;
+                return;
+            }
+            Some(OrderAnswer::Busy) => {
                 belief.underway = None;
                 belief.orders = None;
                 belief.asked_at = Duration::ZERO;
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -12,10 +12,19 @@
 use spdlog::prelude::*;
 use tokio::{net::TcpStream, task::AbortHandle};
 
-use crate::{
-    error::{Error, Result},
-    ids::TargetId,
-};
+use crate::ids::TargetId;
+
+/// Outcome of a call of this module.
+pub type Result<T> = std::result::Result<T, ConnectFailure>;
+
+/// Why there is no connection to a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectFailure {
+    /// Nothing listens there, or the target takes no more connections.
+    Refused,
+    /// No answer came; an opening packet may be lost.
+    Unanswered,
+}
 
 /// Time within which a connection to a target is established; round trips take a few milliseconds
 /// and one lost opening packet is sent again after a second.
@@ -67,7 +76,7 @@
     /// Takes an idle connection or opens one.
     ///
     /// # Errors
-    /// [`Error::Transport`] when the target accepts no connection.
+    /// [`ConnectFailure`] when the target accepts no connection.
     pub async fn take(&self, target: &TargetId, address: SocketAddr) -> Result<TargetConnection> {
         match self.take_idle(target) {
             Some(connection) => Ok(connection),
@@ -112,14 +121,14 @@
 }
 
 async fn connect(address: SocketAddr) -> Result<TargetConnection> {
-    let failed = |reason: String| Error::Transport {
-        peer: address.to_string(),
-        reason,
+    let refused = |reason: String| {
+        debug!("gateway: no connection to {address}: {reason}");
+        ConnectFailure::Refused
     };
     let opened = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let stream = opened
-        .map_err(|_| failed("no connection in time".to_owned()))?
-        .map_err(|error| failed(error.to_string()))?;
+        .map_err(|_| ConnectFailure::Unanswered)?
+        .map_err(|error| refused(error.to_string()))?;
     if let Err(error) = stream.set_nodelay(true) {
         debug!("gateway: {address}: small packets may wait: {error}");
     }
@@ -130,7 +139,7 @@
     let (sender, connection) = http1::Builder::new()
         .handshake(TokioIo::new(stream))
         .await
-        .map_err(|error| failed(error.to_string()))?;
+        .map_err(|error| refused(error.to_string()))?;
     let task = tokio::spawn(async move {
         if let Err(error) = connection.await {
             debug!("gateway: a connection to {address} ended: {error}");
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -92,12 +92,14 @@
     );
     let mut connection = match taken.await {
         Ok(Ok(connection)) => connection,
-        Ok(Err(_)) => {
+        Ok(Err(failure)) => {
             place.observe(Exchange::Failed);
+            place.targets.note_unreachable(&target, failure);
             return ExchangeStart::NotRun("the target accepts no connection");
         }
         Err(_) => return ExchangeStart::NotRun("the time is over"),
     };
+    place.targets.note_reachable(&target);
     place.sent = Instant::now();
     let left = request.left();
     if left.is_zero() {
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -12,6 +12,7 @@
 use super::{
     config::GatewayConfig,
     loads::LoadExchange,
+    proxy::spread,
     targets::TargetTable,
     view::{ModelDemand, PlanView},
 };
@@ -20,10 +21,9 @@
     entry::SharedAllowance,
     error::{Error, Result},
     ids::{EntryKey, Incarnation},
-    plan::PlanIndex,
+    plan::{PlanIndex, PlanVersion},
     sync::{
-        self, GATEWAY_SYNC_PATH, GatewayReply, GatewayReport, PublishedPlan, SECRET_HEADER,
-        ServedModel,
+        self, GATEWAY_SYNC_PATH, GatewayReply, GatewayReport, PlanNews, SECRET_HEADER, ServedModel,
     },
 };
 
@@ -33,6 +33,8 @@
 const SHORTEST_PERIOD: Duration = Duration::from_millis(15);
 /// Shortest time after which a sync counts as lost and another coordinator is tried.
 const SYNC_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time between two syncs while the leader sends the whole plan to other gateways.
+const PLAN_RETRY: [Duration; 2] = [Duration::from_millis(80), Duration::from_millis(250)];
 /// Wait after a failed sync.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
 /// Age of the leader's list after which the gateway reads the platform's list itself.
@@ -65,6 +67,10 @@
     is_connected: bool,
     synced_at: Option<Instant>,
     period: Duration,
+    /// Document that the leader's changes start from, and its number.
+    document: (PlanVersion, Vec<u8>),
+    /// Whether the leader has a plan that it sends with a later sync.
+    is_plan_awaited: bool,
 }
 
 /// Parts of the gateway that the follower reads and updates.
@@ -91,6 +97,8 @@
             is_connected: false,
             synced_at: None,
             period: FIRST_SYNC_PERIOD,
+            document: (0, Vec::new()),
+            is_plan_awaited: false,
         };
         Self {
             key: EntryKey {
@@ -173,7 +181,13 @@
                 tokio::time::sleep(RETRY_DELAY).await;
                 continue;
             }
-            let rest = self.sync_period().saturating_sub(begun.elapsed());
+            let is_plan_awaited = std::mem::take(&mut self.state().is_plan_awaited);
+            let period = if is_plan_awaited {
+                spread(PLAN_RETRY[0], PLAN_RETRY[1])
+            } else {
+                self.sync_period()
+            };
+            let rest = period.saturating_sub(begun.elapsed());
             tokio::select! {
                 () = tokio::time::sleep(rest) => {}
                 () = self.hurried.notified() => {}
@@ -202,11 +216,12 @@
         let report = GatewayReport {
             gateway: self.key.clone(),
             data_centre: self.config.data_centre.clone(),
-            plan: self.view.get().map_or(0, |plan| plan.plan().version),
+            plan: self.state().document.0,
             list: self.targets.version(),
             shares,
             load_address: self.config.load_listen,
             demand: self.demand.take(),
+            silent: self.targets.silent(),
             wanted: wanted.iter().cloned().collect(),
         };
         match self.send(coordinator, &report).await {
@@ -267,8 +282,12 @@
     }
 
     fn accept(&self, reply: GatewayReply) {
-        if let Some(published) = &reply.plan {
-            self.accept_plan(published);
+        if let Some(news) = &reply.plan
+            && let Err(error) = self.accept_plan(news)
+        {
+            error!("gateway: a plan cannot be used: {error}");
+            // Without a document the next sync brings the whole one.
+            self.state().document = (0, Vec::new());
         }
         let plan = self.view.get();
         if let (Some(plan), Some(list)) = (plan, reply.targets) {
@@ -288,19 +307,40 @@
         }
     }
 
-    fn accept_plan(&self, published: &PublishedPlan) {
-        let version = published.version;
-        match self.adapter.decode_plan(&published.document) {
-            Ok(plan) => {
-                if self.view.set(PlanIndex::new(plan)) {
-                    info!("gateway: a plan is in force", kv: { plan = version });
-                }
-                if let Some(plan) = self.view.get() {
-                    self.targets.refresh(&plan);
-                }
+    fn accept_plan(&self, news: &PlanNews) -> Result<()> {
+        let unusable = |reason: String| Error::Decode {
+            what: "plan",
+            reason,
+        };
+        let (version, document) = match news {
+            PlanNews::Later { .. } => {
+                self.state().is_plan_awaited = true;
+                return Ok(());
             }
-            Err(error) => error!("gateway: plan {version} cannot be read: {error}"),
+            PlanNews::Whole { version, packed } => {
+                let document = lz4_flex::decompress_size_prepended(packed);
+                (
+                    *version,
+                    document.map_err(|error| unusable(error.to_string()))?,
+                )
+            }
+            PlanNews::Change { version, delta, .. } => {
+                let document = delta.apply_to(&self.state().document.1);
+                (
+                    *version,
+                    document.map_err(|error| unusable(error.to_string()))?,
+                )
+            }
+        };
+        let plan = self.adapter.decode_plan(&document)?;
+        self.state().document = (version, document);
+        if self.view.set(PlanIndex::new(plan)) {
+            info!("gateway: a plan is in force", kv: { plan = version });
+        }
+        if let Some(plan) = self.view.get() {
+            self.targets.refresh(&plan);
         }
+        Ok(())
     }
 
     /// Reads the platform's list itself while no leader supplies it, so that leaving targets get
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -8,7 +8,10 @@
 use spdlog::prelude::*;
 use tokio::sync::Notify;
 
-use super::pools::{spec_of, split_model};
+use super::{
+    connections::ConnectFailure,
+    pools::{spec_of, split_model},
+};
 use crate::{
     adapter::TargetEntry,
     ids::{DataCentreId, TargetId},
@@ -77,6 +80,8 @@
     unread: BTreeMap<TargetId, u32>,
     prefill_ms: f32,
     pulses: HashMap<TargetId, TargetPulse>,
+    /// Connections in a row that a target did not accept.
+    unanswered: HashMap<TargetId, u32>,
     replicas: ReplicaTable,
     entries: HashMap<TargetId, TargetEntry>,
     running: BTreeMap<TargetId, u32>,
@@ -100,6 +105,7 @@
                 unread: BTreeMap::new(),
                 prefill_ms: PREFILL_MS_PER_TOKEN,
                 pulses: HashMap::new(),
+                unanswered: HashMap::new(),
                 replicas: ReplicaTable::new(tuning, &[(data_centre.clone(), Duration::ZERO)]),
                 entries: HashMap::new(),
                 running: BTreeMap::new(),
@@ -265,6 +271,39 @@
         }
     }
 
+    /// Notes that a target accepts connections.
+    pub fn note_reachable(&self, target: &TargetId) {
+        self.tables().unanswered.remove(target);
+    }
+
+    /// Sets a target aside that accepts no connection.
+    pub fn note_unreachable(&self, target: &TargetId, failure: ConnectFailure) {
+        let now = self.now();
+        let mut tables = self.tables();
+        let unanswered = tables.unanswered.entry(target.clone()).or_default();
+        *unanswered += 1;
+        let is_lost_packet = failure == ConnectFailure::Unanswered && *unanswered < 2;
+        if is_lost_packet || !tables.entries.contains_key(target) {
+            return;
+        }
+        let pulse = TargetPulse {
+            heard_at: now,
+            is_silent: true,
+        };
+        let known = tables.pulses.insert(target.clone(), pulse);
+        tables.replicas.set_availability(target, Availability::Down);
+        if !known.is_some_and(|known| known.is_silent) {
+            warn!("route: a target accepts no connection", kv: { target = target.as_str() });
+        }
+    }
+
+    /// Returns the targets that are set aside because nothing is heard of them.
+    pub fn silent(&self) -> Vec<TargetId> {
+        let tables = self.tables();
+        let silent = tables.pulses.iter().filter(|(_, pulse)| pulse.is_silent);
+        silent.map(|(target, _)| target.clone()).collect()
+    }
+
     /// Sets targets that fell silent aside, and takes those back that may be tried again.
     pub fn check_pulses(&self) {
         let now = self.now();
@@ -273,9 +312,16 @@
         let mut ended = Vec::new();
         for (target, pulse) in &mut tables.pulses {
             let age = now.saturating_sub(pulse.heard_at);
-            let is_running = tables.running.contains_key(target);
+            let running = tables.running.get(target).copied().unwrap_or(0);
+            let is_running = running > 0;
+            let is_engine = tables
+                .entries
+                .get(target)
+                .is_some_and(|entry| !entry.models.is_empty());
+            // A plain target sends nothing while it works on one slow request.
+            let is_expected = is_engine || running > 1;
             match pulse.is_silent {
-                false if is_running && age >= SILENCE_LIMIT => {
+                false if is_expected && is_running && age >= SILENCE_LIMIT => {
                     pulse.is_silent = true;
                     let down = Availability::Down;
                     tables.replicas.set_availability(target, down);
@@ -422,6 +468,7 @@
 
     fn remove(&mut self, target: &TargetId) {
         self.replicas.remove(target);
+        self.unanswered.remove(target);
         self.entries.remove(target);
     }
 
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -36,29 +36,39 @@
 /// Requests for models since the last report to the leader.
 #[derive(Debug, Default)]
 pub struct ModelDemand {
-    tokens: Mutex<HashMap<ServedModel, u64>>,
+    counts: Mutex<HashMap<ServedModel, (u32, u64)>>,
 }
 
 impl ModelDemand {
     /// Counts a request.
     pub fn record(&self, model: &ServedModel, tokens: u64) {
-        let mut counts = self.tokens.lock().unwrap_or_else(PoisonError::into_inner);
-        *counts.entry(model.clone()).or_default() += tokens;
+        self.add(model, 1, tokens);
+    }
+
+    fn add(&self, model: &ServedModel, requests: u32, tokens: u64) {
+        let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        let count = counts.entry(model.clone()).or_default();
+        count.0 += requests;
+        count.1 += tokens;
     }
 
     /// Takes what was counted.
     pub fn take(&self) -> Vec<ModelRequests> {
-        let mut counts = self.tokens.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
         let counts = std::mem::take(&mut *counts).into_iter();
         counts
-            .map(|(model, tokens)| ModelRequests { model, tokens })
+            .map(|(model, (requests, tokens))| ModelRequests {
+                model,
+                requests,
+                tokens,
+            })
             .collect()
     }
 
     /// Counts again what a failed report carried.
     pub fn put_back(&self, demand: &[ModelRequests]) {
         for requests in demand {
-            self.record(&requests.model, requests.tokens);
+            self.add(&requests.model, requests.requests, requests.tokens);
         }
     }
 }
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -5,6 +5,7 @@
 //! the document and each process decodes it.
 
 mod caller_limits;
+mod document_delta;
 mod engine_plan;
 mod index;
 mod route_plan;
@@ -13,6 +14,7 @@
 mod team_plan;
 
 pub use caller_limits::CallerLimits;
+pub use document_delta::DocumentDelta;
 pub use engine_plan::{EnginePlan, ModelPlan};
 pub use index::{PlanIndex, TeamMatch};
 pub use route_plan::{RouteKind, RoutePlan, ServiceShare};
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -10,7 +10,7 @@
 pub use claims::{CLAIMS_PATH, CRASHES_PATH, ClaimMessage, CommandReply, CrashMessage};
 pub use gateway::{
     GATEWAY_SYNC_PATH, GatewayReply, GatewayReport, GrantAnswer, GrantQuestion, ListVersion,
-    ModelRequests, PublishedPlan, ServedModel, TargetList,
+    ModelRequests, PlanNews, PublishedPlan, ServedModel, TargetList,
 };
 pub use load::{LoadKey, LoadMessage, LoadScope, LoadSum, LoadTopology, load_key};
 pub use reply::{
--- a/src/sync/gateway.rs
+++ b/src/sync/gateway.rs
@@ -7,7 +7,7 @@
     adapter::TargetEntry,
     allowance::{ShareGrant, ShareReport},
     ids::{DataCentreId, EntryKey, ModelId, ServiceId, TargetId, Term},
-    plan::PlanVersion,
+    plan::{DocumentDelta, PlanVersion},
     sync::LoadTopology,
 };
 
@@ -31,6 +31,8 @@
     pub load_address: SocketAddr,
     /// Requests for each model since the last report.
     pub demand: Vec<ModelRequests>,
+    /// Targets that accept no connection, or sent nothing to the requests that they run.
+    pub silent: Vec<TargetId>,
     /// Models that requests wait for because no target holds them.
     pub wanted: Vec<ServedModel>,
 }
@@ -58,7 +60,9 @@
 pub struct ModelRequests {
     /// The model.
     pub model: ServedModel,
-    /// Tokens of the requests.
+    /// How many they are.
+    pub requests: u32,
+    /// Their tokens.
     pub tokens: u64,
 }
 
@@ -67,8 +71,8 @@
 pub struct GatewayReply {
     /// Term of the leader.
     pub term: Term,
-    /// Newest plan, when the gateway has an older one.
-    pub plan: Option<PublishedPlan>,
+    /// What leads to the newest plan, when the gateway has an older one.
+    pub plan: Option<PlanNews>,
     /// Grants of teams' allowance.
     pub grants: Vec<ShareGrant>,
     /// What the gateway lacks of the list of targets.
@@ -83,6 +87,32 @@
     pub coordinators: Vec<SocketAddr>,
 }
 
+/// How a gateway gets the newest plan.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PlanNews {
+    /// By a change of the plan that it has.
+    Change {
+        /// Number of the new plan.
+        version: PlanVersion,
+        /// Number of the plan that it has.
+        base: PlanVersion,
+        /// The change.
+        delta: DocumentDelta,
+    },
+    /// As a whole.
+    Whole {
+        /// Number of the plan.
+        version: PlanVersion,
+        /// The document, compressed by LZ4 with its size in front.
+        packed: ByteBuf,
+    },
+    /// With a sync soon after, since others are being sent the whole plan.
+    Later {
+        /// Number of the plan.
+        version: PlanVersion,
+    },
+}
+
 /// A plan as it was published.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PublishedPlan {
