Pace large changes of a plan, and order no adapter while an engine loads a model

Change: news above 2 KB are compressed and sent to one gateway after the other; adapter orders go to engines without an order under way.

--- a/src/coordinator/adapters.rs
+++ b/src/coordinator/adapters.rs
@@ -77,7 +77,8 @@
         let open = self.engines_of(service).filter(|belief| {
             let is_ordered = orders.iter().any(|order| order.target == belief.entry.id);
             let held = belief.held.iter().find(|held| held.model == model);
-            belief.takes_orders(now)
+            // An engine that loads or unloads a whole model refuses other orders meanwhile.
+            belief.is_free(now)
                 && !is_ordered
                 && held.is_some_and(|held| !held.adapters.contains(&wanted.model))
         });
--- a/src/coordinator/desk.rs
+++ b/src/coordinator/desk.rs
@@ -220,7 +220,10 @@
     ) -> GatewayReply {
         let now = self.now();
         let mut tables = self.tables(lease);
-        let plan = tables.plans.news(report.plan, now);
+        let plan = tables.plans.news(report.plan, now).unwrap_or_else(|error| {
+            spdlog::error!("plan: no news for {}: {error}", report.gateway.vm);
+            None
+        });
         let is_listed = tables.listed_at.is_some();
         let lacking = || tables.list.since(report.list, tables.term);
         let targets = is_listed.then(lacking).flatten();
--- a/src/coordinator/plan_archive.rs
+++ b/src/coordinator/plan_archive.rs
@@ -6,27 +6,30 @@
 use serde_bytes::ByteBuf;
 
 use crate::{
+    error::Result,
     plan::{DocumentDelta, PlanVersion},
-    sync::{PlanNews, PublishedPlan},
+    sync::{self, PlanNews, PublishedPlan},
 };
 
 /// Plans that are kept, so that gateways get changes; operators may publish several a second, and a
 /// gateway may miss some syncs.
 const KEPT_PLANS: usize = 12;
-/// Bytes a second of whole plans that the leader sends. They must not keep syncs waiting, which all
+/// Bytes a second of large news that the leader sends. They must not keep syncs waiting, which all
 /// gateways need to serve at all.
-const WHOLE_BYTES_PER_SECOND: f64 = 2_000_000.0;
+const LARGE_BYTES_PER_SECOND: f64 = 3_000_000.0;
+/// Bytes up to which news are sent to all gateways at once.
+const SMALL_BYTES: usize = 2_000;
 
 /// The latest plans as gateways get them: as a change where the gateway's plan is known here, and
-/// else whole, one gateway after the other; see docs/platform.md.
+/// else whole. Large news go to one gateway after the other; see docs/platform.md.
 #[derive(Debug, Default)]
 pub struct PlanArchive {
     documents: BTreeMap<PlanVersion, ByteBuf>,
-    /// Changes to the newest plan by the version that they start from.
-    changes: HashMap<PlanVersion, DocumentDelta>,
-    packed: Option<ByteBuf>,
-    /// When the next whole plan may be sent.
-    whole_at: Duration,
+    /// Compressed changes to the newest plan, by the version that they start from.
+    changes: HashMap<PlanVersion, ByteBuf>,
+    whole: Option<ByteBuf>,
+    /// When the next large news may be sent.
+    large_at: Duration,
 }
 
 impl PlanArchive {
@@ -46,7 +49,7 @@
             self.documents.pop_first();
         }
         self.changes.clear();
-        self.packed = None;
+        self.whole = None;
     }
 
     /// Returns the version of the newest plan.
@@ -56,33 +59,57 @@
     }
 
     /// Returns what a gateway with the plan `held` needs; `None` when it has the newest.
-    pub fn news(&mut self, held: PlanVersion, now: Duration) -> Option<PlanNews> {
-        let (version, document) = self.documents.last_key_value()?;
+    ///
+    /// # Errors
+    /// [`crate::error::Error::Decode`] when a change cannot be encoded.
+    pub fn news(&mut self, held: PlanVersion, now: Duration) -> Result<Option<PlanNews>> {
+        let Some((version, document)) = self.documents.last_key_value() else {
+            return Ok(None);
+        };
         let version = *version;
-        if held >= version {
-            return None;
+        let news = match self.documents.get(&held) {
+            _ if held >= version => return Ok(None),
+            Some(old) => {
+                let packed = match self.changes.get(&held) {
+                    Some(packed) => packed.clone(),
+                    None => pack(&sync::encode_short(&DocumentDelta::between(old, document))?),
+                };
+                self.changes.insert(held, packed.clone());
+                PlanNews::Change {
+                    version,
+                    base: held,
+                    packed,
+                }
+            }
+            None => {
+                let packed = self.whole.get_or_insert_with(|| pack(document)).clone();
+                PlanNews::Whole { version, packed }
+            }
+        };
+        Ok(Some(self.pace(news, now)))
+    }
+
+    fn pace(&mut self, news: PlanNews, now: Duration) -> PlanNews {
+        let (PlanNews::Change {
+            version, packed, ..
         }
-        if let Some(old) = self.documents.get(&held) {
-            let change = self.changes.entry(held);
-            let delta = change.or_insert_with(|| DocumentDelta::between(old, document));
-            return Some(PlanNews::Change {
-                version,
-                base: held,
-                delta: delta.clone(),
-            });
+        | PlanNews::Whole { version, packed }) = &news
+        else {
+            return news;
+        };
+        if packed.len() <= SMALL_BYTES {
+            return news;
         }
-        if now < self.whole_at {
-            return Some(PlanNews::Later { version });
+        if now < self.large_at {
+            return PlanNews::Later { version: *version };
         }
-        let packed = self
-            .packed
-            .get_or_insert_with(|| ByteBuf::from(lz4_flex::compress_prepend_size(document)));
         #[allow(clippy::cast_precision_loss)] // Plans are far below 2^52 bytes.
-        let pause = Duration::from_secs_f64(packed.len() as f64 / WHOLE_BYTES_PER_SECOND);
-        self.whole_at = now + pause;
-        Some(PlanNews::Whole {
-            version,
-            packed: packed.clone(),
-        })
+        let pause = packed.len() as f64 / LARGE_BYTES_PER_SECOND;
+        self.large_at = now + Duration::from_secs_f64(pause);
+        news
     }
 }
+
+fn pack(bytes: &[u8]) -> ByteBuf {
+    ByteBuf::from(lz4_flex::compress_prepend_size(bytes))
+}
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -21,7 +21,7 @@
     entry::SharedAllowance,
     error::{Error, Result},
     ids::{EntryKey, Incarnation},
-    plan::{PlanIndex, PlanVersion},
+    plan::{DocumentDelta, PlanIndex, PlanVersion},
     sync::{
         self, GATEWAY_SYNC_PATH, GatewayReply, GatewayReport, PlanNews, SECRET_HEADER, ServedModel,
     },
@@ -319,17 +319,18 @@
             }
             PlanNews::Whole { version, packed } => {
                 let document = lz4_flex::decompress_size_prepended(packed);
-                (
-                    *version,
-                    document.map_err(|error| unusable(error.to_string()))?,
-                )
+                let document = document.map_err(|error| unusable(error.to_string()));
+                (*version, document?)
             }
-            PlanNews::Change { version, delta, .. } => {
+            PlanNews::Change {
+                version, packed, ..
+            } => {
+                let delta = lz4_flex::decompress_size_prepended(packed);
+                let delta = delta.map_err(|error| unusable(error.to_string()))?;
+                let delta: DocumentDelta = sync::decode("plan change", &delta)?;
                 let document = delta.apply_to(&self.state().document.1);
-                (
-                    *version,
-                    document.map_err(|error| unusable(error.to_string()))?,
-                )
+                let document = document.map_err(|error| unusable(error.to_string()));
+                (*version, document?)
             }
         };
         let plan = self.adapter.decode_plan(&document)?;
--- a/src/sync/gateway.rs
+++ b/src/sync/gateway.rs
@@ -7,7 +7,7 @@
     adapter::TargetEntry,
     allowance::{ShareGrant, ShareReport},
     ids::{DataCentreId, EntryKey, ModelId, ServiceId, TargetId, Term},
-    plan::{DocumentDelta, PlanVersion},
+    plan::PlanVersion,
     sync::LoadTopology,
 };
 
@@ -96,8 +96,8 @@
         version: PlanVersion,
         /// Number of the plan that it has.
         base: PlanVersion,
-        /// The change.
-        delta: DocumentDelta,
+        /// The [change](crate::plan::DocumentDelta), compressed by LZ4 with its size in front.
+        packed: ByteBuf,
     },
     /// As a whole.
     Whole {
@@ -106,7 +106,7 @@
         /// The document, compressed by LZ4 with its size in front.
         packed: ByteBuf,
     },
-    /// With a sync soon after, since others are being sent the whole plan.
+    /// With a sync soon after, since others are being sent it.
     Later {
         /// Number of the plan.
         version: PlanVersion,
--- a/tests/plan_news.rs
+++ b/tests/plan_news.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
+use rstest::rstest;
 use serde_bytes::ByteBuf;
 use waxwinglatch::{
     coordinator::PlanArchive,
@@ -61,7 +62,7 @@
     let mut changed = routes.clone();
     changed[250] = 1_000;
     archive.add(&plan(2, &changed));
-    let news = archive.news(1, Duration::ZERO);
+    let news = archive.news(1, Duration::ZERO).unwrap();
     let bytes = waxwinglatch::sync::encode(&news).unwrap();
     assert!(bytes.len() < 1_000, "{} bytes", bytes.len());
     assert!(matches!(
@@ -74,23 +75,26 @@
     ));
 }
 
-/// Pattern: all gateways have started again and none has a plan.
-#[test]
-fn whole_plans_are_sent_one_after_the_other() {
+/// Patterns: all gateways have started again and none has a plan; hundreds of routes are added.
+#[rstest]
+#[case::whole(0)]
+#[case::large_change(1)]
+fn large_news_are_sent_one_after_the_other(#[case] held: u64) {
     let routes: Vec<u32> = (0..500).collect();
     let mut archive = PlanArchive::new();
-    archive.add(&plan(1, &routes));
-    let mut whole = 0;
+    archive.add(&plan(1, &[]));
+    archive.add(&plan(2, &routes));
+    let mut sent = 0;
     for millis in 0..1_000 {
         // Seventy gateways ask all the time.
         for _ in 0..7 {
-            let news = archive.news(0, Duration::from_millis(millis));
-            whole += usize::from(matches!(news, Some(PlanNews::Whole { .. })));
+            let news = archive.news(held, Duration::from_millis(millis)).unwrap();
+            sent += usize::from(!matches!(news, Some(PlanNews::Later { .. })));
         }
     }
     assert!(
-        (70..500).contains(&whole),
-        "{whole} gateways got the plan in a second"
+        (70..700).contains(&sent),
+        "{sent} gateways got the plan in a second"
     );
 }
 
@@ -99,6 +103,6 @@
     let mut archive = PlanArchive::new();
     archive.add(&plan(4, &[1]));
     archive.add(&plan(3, &[2]));
-    assert_eq!(archive.news(4, Duration::ZERO), None);
+    assert_eq!(archive.news(4, Duration::ZERO).unwrap(), None);
     assert_eq!(archive.newest(), Some(4));
 }
