--- a/src/coordinator.rs
+++ b/src/coordinator.rs
@@ -23,7 +23,7 @@
 pub use daemon::CoordinatorDaemon;
 pub use demand_trend::DemandTrend;
 pub use desk::CoordinatorDesk;
-pub use engine_belief::EngineBelief;
+pub use engine_belief::{EngineBelief, EnginePresence};
 pub use gateways::GatewayTable;
 pub use placement::{CopyPlan, EngineLoad, ModelNeed, PlacementInput, PlacementOrder, plan_copies};
 pub use plan_archive::PlanArchive;
--- a/src/coordinator/daemon.rs
+++ b/src/coordinator/daemon.rs
@@ -1,4 +1,4 @@
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{io::ErrorKind, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 
 use rocket::{Build, Rocket, Route, routes};
 use spdlog::prelude::*;
@@ -14,7 +14,7 @@
     config::{ControlConfig, ListenAddress, VoterAddress},
     control::{FleetFounder, HttpPeerSender, SystemSecret, raft_routes, read_addresses},
     error::{Error, Result},
-    journal::DataFolder,
+    journal::{DataFolder, OpenedJournal},
     server,
     voter::{AddressBook, VoterHandle, VoterPhase, VoterSettings},
 };
@@ -25,6 +25,9 @@
 /// another daemon after a second.
 const PROPOSAL_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// Time between two tries to open a journal on a full disk.
+const DISK_RETRY: Duration = Duration::from_millis(500);
+
 /// One coordinator.
 pub struct CoordinatorDaemon {
     config: CoordinatorConfig,
@@ -64,7 +67,6 @@
     pub async fn run_until(self, stop: impl Future<Output = ()>) -> Result<()> {
         let config = &self.config;
         let control = control_config(config);
-        let folder = DataFolder::open(&config.data_folder)?;
         let own = VoterAddress {
             vm: config.vm.clone(),
             data_centre: config.data_centre.clone(),
@@ -78,7 +80,11 @@
         };
         let level = settings.applicable_level;
         let peers = HttpPeerSender::new(Arc::clone(&addresses), self.secret.clone(), level);
-        let journal = folder.open_journal(&config.vm, settings.journal)?;
+        let mut stop = pin!(stop);
+        let journal = tokio::select! {
+            journal = open_journal(config, &settings) => journal?,
+            () = &mut stop => return Ok(()),
+        };
         let voter = VoterHandle::start(journal, settings, addresses, Box::new(peers))?;
         let client = client::http_client()?;
         let desk = Arc::new(CoordinatorDesk::new(
@@ -125,7 +131,7 @@
             _ = phase.wait_for(|phase| *phase == VoterPhase::Stopped) => {
                 Some(Err(Error::Stopped { part: "voter" }))
             }
-            () = stop => None,
+            () = &mut stop => None,
         };
         if let Some(ended) = ended {
             voter.stop().await;
@@ -145,6 +151,31 @@
     }
 }
 
+/// Opens the journal, and waits while the disk takes no bytes: a process that ended for that would
+/// only be started again.
+async fn open_journal(
+    config: &CoordinatorConfig,
+    settings: &VoterSettings,
+) -> Result<OpenedJournal> {
+    let mut is_told = false;
+    loop {
+        let folder = DataFolder::open(&config.data_folder);
+        match folder.and_then(|folder| folder.open_journal(&config.vm, settings.journal)) {
+            Err(Error::File { path, source }) if source.kind() == ErrorKind::StorageFull => {
+                if !is_told {
+                    warn!(
+                        "coordinator: waits for room on the disk: {}: {source}",
+                        path.display()
+                    );
+                    is_told = true;
+                }
+                tokio::time::sleep(DISK_RETRY).await;
+            }
+            opened => return opened,
+        }
+    }
+}
+
 fn joined(served: std::result::Result<Result<()>, tokio::task::JoinError>) -> Result<()> {
     served.map_err(|error| Error::Server {
         reason: error.to_string(),
--- a/src/coordinator/engine_belief.rs
+++ b/src/coordinator/engine_belief.rs
@@ -16,6 +16,17 @@
 /// again, and the platform's list tells within this time.
 const REFUSAL_REST: Duration = Duration::from_secs(2);
 
+/// Whether an engine is heard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EnginePresence {
+    /// Nothing speaks against it.
+    Heard,
+    /// A gateway hears nothing of it, and it has not reported since.
+    Suspected,
+    /// It did not report either when it was suspected.
+    Lost,
+}
+
 /// What the leader believes about one engine: its own report, and the orders given since.
 #[derive(Clone, Debug)]
 pub struct EngineBelief {
@@ -47,10 +58,8 @@
     pub doubtful: Vec<(ModelId, Duration)>,
     /// Whether a later holder has given it orders.
     pub is_fenced: bool,
-    /// Whether a gateway found that it does not answer, and it has not reported since.
-    pub is_suspected: bool,
-    /// Whether it did not report either when it was suspected.
-    pub is_lost: bool,
+    /// Whether it is heard.
+    pub presence: EnginePresence,
     /// When it last refused an order, which another engine at its address does.
     pub refused_at: Option<Duration>,
     /// When the engine was last asked.
@@ -81,8 +90,7 @@
             reserved: None,
             doubtful: Vec::new(),
             is_fenced: false,
-            is_suspected: false,
-            is_lost: false,
+            presence: EnginePresence::Heard,
             refused_at: None,
             asked_at: Duration::ZERO,
         }
@@ -171,7 +179,7 @@
     /// Tells whether what it holds lasts: it is neither leaving nor lost.
     #[must_use]
     pub fn is_lasting(&self) -> bool {
-        !self.entry.is_leaving && !self.is_lost
+        !self.entry.is_leaving && self.presence != EnginePresence::Lost
     }
 
     /// Tells whether it holds a model, or is loading it.
--- a/src/coordinator/engines.rs
+++ b/src/coordinator/engines.rs
@@ -6,7 +6,7 @@
 use spdlog::prelude::*;
 
 use super::{
-    engine_belief::EngineBelief,
+    engine_belief::{EngineBelief, EnginePresence},
     gateways::GatewayTable,
     placement::{
         CopyPlan, EngineLoad, ModelNeed, PlacementInput, SPARE_REASON, describe_load, plan_copies,
@@ -118,7 +118,9 @@
     pub fn due_checks(&mut self, now: Duration) -> Vec<TargetEntry> {
         let mut due = Vec::new();
         for belief in self.engines.values_mut() {
-            let is_awaited = belief.underway.is_some() || belief.is_busy || belief.is_suspected;
+            let is_awaited = belief.underway.is_some()
+                || belief.is_busy
+                || belief.presence != EnginePresence::Heard;
             let period = if belief.orders.is_none() || is_awaited {
                 CHECK_PERIOD
             } else {
@@ -146,14 +148,13 @@
         };
         belief.is_called = false;
         let Some(status) = status else {
-            if belief.is_suspected && !belief.is_lost {
-                belief.is_lost = true;
+            if belief.presence == EnginePresence::Suspected {
+                belief.presence = EnginePresence::Lost;
                 warn!("place: an engine is lost", kv: { target = target.as_str() });
             }
             return;
         };
-        belief.is_suspected = false;
-        belief.is_lost = false;
+        belief.presence = EnginePresence::Heard;
         let before = belief.held.clone();
         let is_lost = belief
             .underway
@@ -169,8 +170,11 @@
     /// Notes that a gateway hears nothing of a target, so that it is asked for its state now. The
     /// platform's list tells seconds later that it is gone.
     pub fn suspect(&mut self, target: &TargetId) {
-        if let Some(belief) = self.engines.get_mut(target) {
-            belief.is_suspected = true;
+        match self.engines.get_mut(target) {
+            Some(belief) if belief.presence == EnginePresence::Heard => {
+                belief.presence = EnginePresence::Suspected;
+            }
+            _ => {}
         }
     }
 
--- a/src/coordinator/orders.rs
+++ b/src/coordinator/orders.rs
@@ -6,10 +6,12 @@
 use crate::{
     adapter::{EngineOrder, OrderAction, TargetEntry},
     error::Result,
-    ids::VmId,
+    ids::{Term, VmId},
     voter::LeaderLease,
 };
 
+/// Term of a fleet's first leader, before which nobody gave orders.
+const FIRST_TERM: Term = 1;
 /// Time between two rounds of decisions without a reason for an earlier one.
 const ROUND_PERIOD: Duration = Duration::from_millis(200);
 /// Shortest time between two rounds.
@@ -76,13 +78,14 @@
         let Some(plan) = tables.plan.clone() else {
             return;
         };
-        // Until its lease is over, a former leader's orders may still be under way.
-        if now.saturating_sub(tables.begun_at) < self.holder_lease {
-            return;
-        }
         for entry in tables.engines.due_checks(now) {
             tokio::spawn(check(Arc::clone(&self.desk), lease, entry));
         }
+        // Until its lease is over, a former leader's orders may still be under way.
+        let is_first = lease.term == FIRST_TERM;
+        if !is_first && now.saturating_sub(tables.begun_at) < self.holder_lease {
+            return;
+        }
         let orders = tables.engines.decide(&plan, &tables.gateways, now);
         self.desk.publish_targets(tables);
         for order in orders {
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -66,8 +66,9 @@
 const SILENCE_LIMIT: Duration = Duration::from_millis(700);
 /// Time after which a silent target is tried again when none of its requests is left.
 const SILENCE_REST: Duration = Duration::from_millis(1_500);
-/// Part of an engine's slots that requests fill before more of them only slow each other down.
-const ADMITTED_SLOTS: f32 = 0.75;
+/// Part of an engine's slots that requests fill; the rest is for requests that gateways send in the
+/// same moment, which would wait at the engine behind all others.
+const ADMITTED_SLOTS: f32 = 0.85;
 
 /// When a target that runs requests of this gateway was last heard.
 #[derive(Clone, Copy, Debug)]
--- a/tests/engine_belief.rs
+++ b/tests/engine_belief.rs
@@ -6,7 +6,7 @@
 use rstest::rstest;
 use waxwinglatch::{
     adapter::{EngineStatus, HeldModel, OrderAction, TargetEntry},
-    coordinator::EngineBelief,
+    coordinator::{EngineBelief, EnginePresence},
     plan::{EnginePlan, ModelPlan},
 };
 
@@ -68,9 +68,9 @@
         ..status(2, &["a"])
     };
     belief.accept(busy, NOW);
-    assert!(!belief.is_free());
+    assert!(!belief.is_free(NOW));
     belief.accept(status(2, &["a", "b"]), NOW);
-    assert!(belief.is_free());
+    assert!(belief.is_free(NOW));
 }
 
 /// Adapters on their way, and loads without an answer, take places like those that are held.
@@ -139,3 +139,24 @@
     belief.accept(status(2, &["a", "c"]), NOW + Duration::from_secs(20));
     assert!((belief.free_mb(&plan()) - (free - 65_000.0)).abs() < 1.0);
 }
+
+/// Orders to an engine that is gone were repeated every few milliseconds, and copies on it counted.
+#[test]
+fn an_engine_that_refused_an_order_rests() {
+    let mut belief = EngineBelief::new(entry());
+    belief.accept(status(0, &["a"]), NOW);
+    assert!(belief.is_free(NOW));
+    belief.refused_at = Some(NOW);
+    assert!(!belief.is_free(NOW + Duration::from_millis(500)));
+    assert!(belief.is_free(NOW + Duration::from_secs(3)));
+}
+
+#[test]
+fn copies_on_a_lost_engine_do_not_last() {
+    let mut belief = EngineBelief::new(entry());
+    belief.accept(status(0, &["a"]), NOW);
+    belief.presence = EnginePresence::Suspected;
+    assert!(belief.is_lasting());
+    belief.presence = EnginePresence::Lost;
+    assert!(!belief.is_lasting() && !belief.is_free(NOW));
+}
--- a/tests/load_book.rs
+++ b/tests/load_book.rs
@@ -64,6 +64,7 @@
                 shares: Vec::new(),
                 load_address: address(number),
                 demand: Vec::new(),
+                silent: Vec::new(),
                 wanted: Vec::new(),
             };
             table.record(&report, Duration::ZERO);
