Keep the last ready copy of a model, and free the port for tokens with the daemon

Room was made for more loads than the weight store allows soon. A coordinator that is started again in the same process finds its UDP port taken by the task of the former one; this is read from the code.

Change: a plan counts a copy as gone once it unloads it, and only copies that serve requests stand in for one that is unloaded; room is made for as many loads as can begin. The task that answers questions for tokens ends with its daemon.

--- a/src/coordinator/daemon.rs
+++ b/src/coordinator/daemon.rs
@@ -2,7 +2,7 @@
 
 use rocket::{Build, Rocket, Route, routes};
 use spdlog::prelude::*;
-use tokio::sync::watch;
+use tokio::{sync::watch, task::JoinSet};
 
 use super::{
     api, config::CoordinatorConfig, desk::CoordinatorDesk, grant_port::GrantPort,
@@ -106,7 +106,9 @@
             FleetFounder::new(control, voter.clone(), client.clone(), self.secret.clone());
         let members = MemberDuty::new(voter.clone(), client, self.secret, config.voters);
         let orders = OrderDuty::new(desk, config.vm.clone(), config.holder_lease);
-        tokio::spawn(grants.run());
+        // Dropped with the daemon, which frees the port.
+        let mut ports = JoinSet::new();
+        ports.spawn(grants.run());
         tokio::spawn(founder.run());
         tokio::spawn(members.run());
         tokio::spawn(Arc::new(orders).run());
--- a/src/coordinator/engines.rs
+++ b/src/coordinator/engines.rs
@@ -268,6 +268,9 @@
             let (models, engines) = describe_load(&input);
             info!("place: demand", kv: { models = models.as_str(), engines = engines.as_str() });
         }
+        let made = input.engines.iter().filter(|load| load.reserved.is_some());
+        #[allow(clippy::cast_precision_loss)] // Counts of engines are small.
+        let mut rooms = made.count() as f64;
         for step in plan_copies(&input) {
             let Some(belief) = self.engines.get_mut(&step.engine) else {
                 continue;
@@ -276,7 +279,10 @@
                 continue;
             };
             match step.copy {
+                // Room that no load can fill soon only takes a copy away.
+                CopyPlan::Unload(_) if rooms >= self.load_tokens + 1.0 => {}
                 CopyPlan::Unload(model) => {
+                    rooms += 1.0;
                     info!("place: retires a copy", kv: {
                         target = step.engine.as_str(),
                         model = model.as_str(),
@@ -342,7 +348,7 @@
                 _ => None,
             };
             let held = belief.held.iter().map(|held| held.model.clone());
-            let mut models: Vec<ModelId> = held.chain(loading).collect();
+            let mut models: Vec<ModelId> = held.chain(loading.clone()).collect();
             models.dedup();
             let is_ordered = orders.iter().any(|order| order.target == belief.entry.id);
             let reserved = belief.reserved.as_ref();
@@ -354,6 +360,7 @@
                 reserved,
                 id: belief.entry.id.clone(),
                 models,
+                loading,
                 free_mb: belief.free_mb(engine),
                 is_free: belief.is_free(now) && !is_ordered,
                 is_lasting: belief.is_lasting(),
--- a/src/coordinator/placement.rs
+++ b/src/coordinator/placement.rs
@@ -18,6 +18,8 @@
     pub id: TargetId,
     /// Models that it holds or loads.
     pub models: Vec<ModelId>,
+    /// The one of them that it loads.
+    pub loading: Option<ModelId>,
     /// Models that it loads without the weight store, in a fraction of the time.
     pub at_hand: Vec<ModelId>,
     /// Model for which room is being made.
--- a/src/coordinator/placement/board.rs
+++ b/src/coordinator/placement/board.rs
@@ -37,6 +37,8 @@
     need: &'i ModelNeed,
     /// Engines that hold the model, or make room for it, and stay.
     holders: SmallVec<[usize; 8]>,
+    /// How many of them serve requests already.
+    ready: usize,
 }
 
 impl ModelPlace<'_> {
@@ -57,6 +59,7 @@
             let place = ModelPlace {
                 need,
                 holders: SmallVec::new(),
+                ready: 0,
             };
             (need.id.as_str(), place)
         });
@@ -65,7 +68,12 @@
             let held = engine.models.iter().chain(&engine.reserved);
             for model in held.filter(|_| engine.is_lasting) {
                 match models.get_mut(model.as_str()) {
-                    Some(place) if !place.holders.contains(&number) => place.holders.push(number),
+                    Some(place) if !place.holders.contains(&number) => {
+                        place.holders.push(number);
+                        let is_ready =
+                            engine.loading.as_ref() != Some(model) && engine.models.contains(model);
+                        place.ready += usize::from(is_ready);
+                    }
                     _ => {}
                 }
             }
@@ -182,6 +190,16 @@
         copy: CopyPlan,
         reason: &'static str,
     ) {
+        if let CopyPlan::Unload(model) = &copy
+            && let Some(place) = self.models.get_mut(model.as_str())
+        {
+            // The next step of this plan must find the copies that are left.
+            let engines = &self.input.engines;
+            place
+                .holders
+                .retain(|number| engines[*number].id != engine.id);
+            place.ready = place.ready.saturating_sub(1);
+        }
         self.used.insert(engine.id.clone());
         self.steps.push(PlacementOrder {
             engine: engine.id.clone(),
@@ -203,7 +221,8 @@
             // A model that is not configured any more goes first.
             place.is_none_or(|place| {
                 let is_enough = engine.free_mb + place.need.weights_mb >= need.weights_mb;
-                place.holders.len() > 1
+                place.ready > 1
+                    && engine.loading.as_ref() != Some(*model)
                     && place.share() * HYSTERESIS <= share
                     && (share.is_infinite() || is_enough)
             })
--- a/tests/copies.rs
+++ b/tests/copies.rs
@@ -76,7 +76,13 @@
             };
             EngineLoad {
                 id: id.clone(),
-                models: engine.models.iter().cloned().chain(loading).collect(),
+                models: engine
+                    .models
+                    .iter()
+                    .cloned()
+                    .chain(loading.clone())
+                    .collect(),
+                loading,
                 at_hand: engine.at_hand.clone(),
                 reserved: engine.reserved.clone(),
                 free_mb: ENGINE_MB - engine.used_mb(),
@@ -302,3 +308,68 @@
         ("e01", &CopyPlan::Load("a".into()))
     );
 }
+
+fn engine(id: &str, models: &[&str], loading: Option<&str>) -> EngineLoad {
+    let models: Vec<ModelId> = models.iter().map(|model| ModelId::from(*model)).collect();
+    let copies = f64::from(u32::try_from(models.len()).unwrap());
+    EngineLoad {
+        id: id.into(),
+        at_hand: Vec::new(),
+        loading: loading.map(ModelId::from),
+        reserved: None,
+        free_mb: ENGINE_MB - copies * MODEL_MB,
+        is_free: loading.is_none(),
+        is_lasting: true,
+        models,
+    }
+}
+
+fn need(id: &str, demand: f64) -> ModelNeed {
+    ModelNeed {
+        id: id.into(),
+        weights_mb: MODEL_MB,
+        demand,
+        is_awaited: false,
+    }
+}
+
+fn unloads(input: &PlacementInput, model: &str) -> usize {
+    let orders = plan_copies(input);
+    let wanted = CopyPlan::Unload(model.into());
+    orders.iter().filter(|order| order.copy == wanted).count()
+}
+
+/// Pattern: two models rise together. Both copies of a third were unloaded for them in one plan, and
+/// it was gone for the time of a load from the store.
+#[test]
+fn models_that_rise_together_leave_the_last_copy_of_another() {
+    let engines = vec![
+        engine("e1", &["a", "b", "x"], None),
+        engine("e2", &["c", "d", "cold"], None),
+        engine("e3", &["e", "f", "cold"], None),
+    ];
+    let single = ["b", "c", "d", "e", "f"].map(|model| need(model, 1.0));
+    let models = [need("a", 500.0), need("x", 400.0), need("cold", 0.0)];
+    let input = PlacementInput {
+        engines,
+        models: models.into_iter().chain(single).collect(),
+    };
+    assert_eq!(unloads(&input, "cold"), 1);
+}
+
+/// Pattern: a model is being loaded elsewhere. A copy that is loading serves nobody yet.
+#[test]
+fn a_copy_that_loads_does_not_stand_in_for_the_only_one() {
+    let engines = vec![
+        engine("e1", &["a", "b", "x"], None),
+        engine("e2", &["c", "d", "cold"], None),
+        engine("e3", &["e", "cold"], Some("cold")),
+    ];
+    let single = ["b", "c", "d", "e", "x"].map(|model| need(model, 1.0));
+    let models = [need("a", 500.0), need("cold", 0.0)];
+    let input = PlacementInput {
+        engines,
+        models: models.into_iter().chain(single).collect(),
+    };
+    assert_eq!(unloads(&input, "cold"), 0);
+}
