Delay a sync until its own model is loaded, and split relays of loads into groups

Cause 1: the reply to a gateway whose requests wait for a model was sent with the first change of any target, or at once if the list had changed since its last sync. At 256 engines the list changes hundreds of times a second, so the reply came without the model and the request waited for the next sync, up to a second. Cause 2: one relay a data centre sends each change of the load to 62 members: worked out from 1,457 requests a second with three changes each, about 26 Mbit/s on a link of 10. Ruled out for 1: a longer delay alone, since the wait ended with a change and not with the time.

--- a/src/coordinator.rs
+++ b/src/coordinator.rs
@@ -11,8 +11,10 @@
 mod engine_view;
 mod gateway_table;
 mod grant_server;
+mod load_groups;
 mod membership_controller;
 mod model_copies;
+mod model_waits;
 mod order_dispatcher;
 mod order_outcomes;
 mod placement;
@@ -27,6 +29,7 @@
 pub use engine_table::{EngineTable, PlannedOrder, TargetChanges};
 pub use engine_view::{EngineLiveness, EngineView};
 pub use gateway_table::GatewayTable;
+pub use model_waits::{ModelWait, ModelWaits};
 pub use placement::{
     CopyAction, ModelNeed, PlacementEngine, PlacementInput, PlacementStep, plan_copies,
 };
--- a/src/coordinator/gateway_table.rs
+++ b/src/coordinator/gateway_table.rs
@@ -1,10 +1,11 @@
 use std::{
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
+    sync::OnceLock,
     time::Duration,
 };
 
-use super::demand_trend::DemandTrend;
+use super::{demand_trend::DemandTrend, load_groups::LoadGroups};
 use crate::{
     ids::{DataCentreId, EntryKey},
     sync::{GatewayReport, LoadTopology, ServedModel},
@@ -34,13 +35,15 @@
     demand: HashMap<ServedModel, DemandTrend>,
     /// When the first requests were reported.
     first_demand_at: Option<Duration>,
+    /// Groups of gateways that share a relay; empty after a gateway has come or gone.
+    groups: OnceLock<LoadGroups>,
 }
 
 #[derive(Debug)]
-struct GatewayState {
+pub(super) struct GatewayState {
     last_report_at: Duration,
-    data_centre: DataCentreId,
-    load_address: SocketAddr,
+    pub data_centre: DataCentreId,
+    pub load_address: SocketAddr,
     awaited_models: Vec<ServedModel>,
 }
 
@@ -61,20 +64,34 @@
             load_address: report.load_address,
             awaited_models: report.missing_models.clone(),
         };
-        self.gateways.insert(report.gateway.clone(), state);
+        let former = self.gateways.insert(report.gateway.clone(), state);
+        if former.is_none_or(|former| former.load_address != report.load_address) {
+            self.groups = OnceLock::new();
+        }
     }
 
     /// Removes gateways without recent reports and models without demand.
     pub fn expire(&mut self, now: Duration) {
+        let known = self.gateways.len();
         self.gateways
             .retain(|_, state| now.saturating_sub(state.last_report_at) < GATEWAY_TIMEOUT);
+        if self.gateways.len() < known {
+            self.groups = OnceLock::new();
+        }
         self.demand
             .retain(|_, trend| trend.current(now) > MIN_TOKENS_PER_SECOND);
     }
 
-    /// Returns where a gateway sends its loads. In a large fleet, the first gateway of each data
-    /// centre in the order of keys is the relay, so that the choice is stable while this gateway
-    /// runs.
+    /// Returns the number of gateways.
+    #[must_use]
+    pub fn count(&self) -> u32 {
+        u32::try_from(self.gateways.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns where a gateway sends its loads. In a large fleet, the gateways of each data centre
+    /// form groups, and the first one of each group in the order of keys is its relay, so that the
+    /// choice is stable while this gateway runs. A relay sends every change to each member of its
+    /// group, which bounds the size of the group.
     #[must_use]
     pub fn load_topology(&self, own: &EntryKey) -> LoadTopology {
         let others = self.gateways.iter().filter(|(key, _)| *key != own);
@@ -84,34 +101,15 @@
                 peers: peers.collect(),
             };
         }
-        let mut relays: BTreeMap<&DataCentreId, (&EntryKey, SocketAddr)> = BTreeMap::new();
-        for (key, state) in &self.gateways {
-            let relay = (key, state.load_address);
-            relays.entry(&state.data_centre).or_insert(relay);
-        }
-        let Some(state) = self.gateways.get(own) else {
-            return LoadTopology::Unknown;
-        };
-        match relays.get(&state.data_centre) {
-            Some((relay, _)) if *relay == own => {
-                let members = others.filter(|(_, other)| other.data_centre == state.data_centre);
-                let relays = relays.values().filter(|(relay, _)| *relay != own);
-                LoadTopology::Relay {
-                    members: members.map(|(_, other)| other.load_address).collect(),
-                    relays: relays.map(|(_, address)| *address).collect(),
-                }
-            }
-            Some((_, relay)) => LoadTopology::Member { relay: *relay },
-            None => LoadTopology::Unknown,
-        }
+        let groups = self.groups.get_or_init(|| LoadGroups::new(&self.gateways));
+        groups.topology(own)
     }
 
     /// Returns the sync interval of each gateway, which grows with the number of gateways so that
     /// the leader's load is bounded.
     #[must_use]
     pub fn sync_interval(&self) -> Duration {
-        let gateways = u32::try_from(self.gateways.len()).unwrap_or(u32::MAX);
-        (LEADER_SYNC_INTERVAL * gateways).clamp(MIN_SYNC_INTERVAL, MAX_SYNC_INTERVAL)
+        (LEADER_SYNC_INTERVAL * self.count()).clamp(MIN_SYNC_INTERVAL, MAX_SYNC_INTERVAL)
     }
 
     /// Returns the models that requests wait for.
--- /dev/null
+++ b/src/coordinator/model_waits.rs
@@ -0,0 +1,84 @@
+use std::{
+    collections::{BTreeMap, HashSet},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use tokio::sync::oneshot;
+
+use crate::{adapter::TargetEntry, ids::ModelId, sync::ServedModel};
+
+/// Replies to gateways that are delayed until a target holds one of the models that their requests
+/// wait for. In a large fleet targets change all the time, so a reply must not be sent with the
+/// first change.
+#[derive(Debug, Default)]
+pub struct ModelWaits {
+    waits: Arc<Mutex<WaitTable>>,
+}
+
+#[derive(Debug, Default)]
+struct WaitTable {
+    last_id: u64,
+    waits: BTreeMap<u64, (Vec<ModelId>, oneshot::Sender<()>)>,
+}
+
+/// A delayed reply. It is removed when dropped.
+#[derive(Debug)]
+pub struct ModelWait {
+    id: u64,
+    waits: Arc<Mutex<WaitTable>>,
+    loaded: oneshot::Receiver<()>,
+}
+
+fn lock(waits: &Mutex<WaitTable>) -> MutexGuard<'_, WaitTable> {
+    waits.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl ModelWaits {
+    /// Adds a reply that waits for any of `models`.
+    #[must_use]
+    pub fn add(&self, models: &[ServedModel]) -> ModelWait {
+        let (sender, loaded) = oneshot::channel();
+        let models = models.iter().map(|model| model.model.clone()).collect();
+        let mut table = lock(&self.waits);
+        table.last_id += 1;
+        let id = table.last_id;
+        table.waits.insert(id, (models, sender));
+        ModelWait {
+            id,
+            waits: Arc::clone(&self.waits),
+            loaded,
+        }
+    }
+
+    /// Wakes the replies that wait for a model or adapter that one of the changed targets holds.
+    pub fn wake(&self, changed: &[TargetEntry]) {
+        let mut table = lock(&self.waits);
+        if table.waits.is_empty() {
+            return;
+        }
+        let loaded = changed.iter().flat_map(|target| &target.models);
+        let loaded = loaded.flat_map(|held| std::iter::once(&held.model).chain(&held.adapters));
+        let loaded: HashSet<&ModelId> = loaded.collect();
+        let woken = table.waits.extract_if(.., |_, (models, _)| {
+            models.iter().any(|model| loaded.contains(model))
+        });
+        for (_, (_, sender)) in woken {
+            // An error means that the reply was sent at the same moment.
+            let _ = sender.send(());
+        }
+    }
+}
+
+impl ModelWait {
+    /// Waits until a target holds one of the models.
+    pub async fn loaded(&mut self) {
+        // An error means that the table was dropped, which ends the wait as well.
+        let _ = (&mut self.loaded).await;
+    }
+}
+
+impl Drop for ModelWait {
+    fn drop(&mut self) {
+        lock(&self.waits).waits.remove(&self.id);
+    }
+}
--- a/src/coordinator/state.rs
+++ b/src/coordinator/state.rs
@@ -3,11 +3,12 @@
     time::{Duration, Instant},
 };
 
-use tokio::sync::{Notify, watch};
+use tokio::sync::Notify;
 
 use super::{
     engine_table::{EngineTable, TargetChanges},
     gateway_table::GatewayTable,
+    model_waits::ModelWaits,
     plan_history::PlanHistory,
     target_history::TargetHistory,
 };
@@ -24,7 +25,7 @@
 
 /// Maximum time for which the reply to a sync is delayed while requests wait for a model. It covers
 /// an order to an engine and the load of an adapter.
-const MAX_REPLY_DELAY: Duration = Duration::from_millis(60);
+const MAX_REPLY_DELAY: Duration = Duration::from_millis(200);
 
 /// Shared state of a coordinator. What the leader knows of gateways and engines belongs to one
 /// term: each leader rebuilds it from the reports of gateways and engines.
@@ -33,8 +34,8 @@
     pub(super) adapter: Arc<dyn PlatformAdapter>,
     started_at: Instant,
     tables: Mutex<LeaderTables>,
-    /// Counts the changes of the targets; wakes delayed replies.
-    target_changes: watch::Sender<u64>,
+    /// Delayed replies to gateways whose requests wait for models.
+    model_waits: ModelWaits,
     /// Starts a planning round of the order dispatcher.
     pub(super) round_trigger: Notify,
 }
@@ -77,7 +78,7 @@
             adapter,
             started_at: Instant::now(),
             tables: Mutex::new(LeaderTables::new(0, Duration::ZERO)),
-            target_changes: watch::channel(0).0,
+            model_waits: ModelWaits::default(),
             round_trigger: Notify::new(),
         }
     }
@@ -115,12 +116,15 @@
 
     /// Publishes changed targets to gateways.
     pub(super) fn publish_targets(&self, tables: &mut LeaderTables) {
-        let is_changed = match tables.engines.take_unpublished() {
-            TargetChanges::All(targets) => tables.targets.update(targets),
-            TargetChanges::Some(targets) => tables.targets.upsert(targets),
-        };
-        if is_changed {
-            self.target_changes.send_modify(|count| *count += 1);
+        match tables.engines.take_unpublished() {
+            TargetChanges::All(targets) => {
+                self.model_waits.wake(&targets);
+                tables.targets.update(targets);
+            }
+            TargetChanges::Some(targets) => {
+                self.model_waits.wake(&targets);
+                tables.targets.upsert(targets);
+            }
         }
     }
 
@@ -166,14 +170,9 @@
     /// [`Error::NotLeader`] when this daemon does not lead.
     pub async fn sync(&self, report: GatewayReport) -> Result<GatewayReply> {
         let lease = self.lease()?;
-        let mut changes = self.target_changes.subscribe();
         let grants = self.record(&report, lease);
         if !report.missing_models.is_empty() {
-            self.round_trigger.notify_one();
-            if self.tables(lease).targets.version(lease.term) == report.list_version {
-                // After a timeout, the reply is sent without a change.
-                let _ = tokio::time::timeout(MAX_REPLY_DELAY, changes.changed()).await;
-            }
+            self.await_models(&report, lease).await;
         }
         let reply = self.reply(&report, grants, lease);
         if lease.is_valid() {
@@ -183,6 +182,18 @@
         }
     }
 
+    /// Waits until a target holds one of the models that the gateway is missing, or until the reply
+    /// has to be sent without.
+    async fn await_models(&self, report: &GatewayReport, lease: LeaderLease) {
+        let mut wait = self.model_waits.add(&report.missing_models);
+        if self.tables(lease).targets.holds_any(&report.missing_models) {
+            return;
+        }
+        self.round_trigger.notify_one();
+        // After a timeout, the reply is sent without a model.
+        let _ = tokio::time::timeout(MAX_REPLY_DELAY, wait.loaded()).await;
+    }
+
     /// Grants tokens to a gateway whose requests wait for them.
     ///
     /// # Errors
@@ -265,6 +276,7 @@
             grants,
             targets,
             list_age_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+            gateways: tables.gateways.count(),
             load_topology: tables.gateways.load_topology(&report.gateway),
             sync_interval_ms: u64::try_from(tables.gateways.sync_interval().as_millis())
                 .unwrap_or(u64::MAX),
--- a/src/coordinator/target_history.rs
+++ b/src/coordinator/target_history.rs
@@ -3,7 +3,7 @@
 use crate::{
     adapter::TargetEntry,
     ids::{TargetId, Term},
-    sync::{ListVersion, TargetList},
+    sync::{ListVersion, ServedModel, TargetList},
 };
 
 /// Maximum number of removals that are kept. A gateway that has missed older ones gets the whole
@@ -76,6 +76,18 @@
         }
     }
 
+    /// Returns whether a target holds one of the models.
+    #[must_use]
+    pub fn holds_any(&self, models: &[ServedModel]) -> bool {
+        let targets = self.entries.values().map(|(_, target)| target);
+        let mut held = targets.flat_map(|target| &target.models);
+        held.any(|held| {
+            models
+                .iter()
+                .any(|model| held.model == model.model || held.adapters.contains(&model.model))
+        })
+    }
+
     /// Returns the changes for a gateway that has the list `held`; `None` when it is up to date.
     #[must_use]
     pub fn changes_since(&self, held: ListVersion, term: Term) -> Option<TargetList> {
--- a/src/gateway/loads/exchange.rs
+++ b/src/gateway/loads/exchange.rs
@@ -20,6 +20,8 @@
 /// Minimum interval between messages where relays are used. A relay sends one message to each
 /// member per interval, which bounds the message rate of a data centre.
 const RELAY_SEND_INTERVAL: Duration = Duration::from_millis(20);
+/// Maximum rate of load messages that a gateway sends; a third of a link of 10 Mbit/s.
+const MAX_BYTES_PER_SECOND: f64 = 400_000.0;
 /// Maximum interval between checks for loads that are due to be repeated.
 const MAX_SEND_INTERVAL: Duration = Duration::from_millis(200);
 /// Maximum size of a message, which fits into one packet.
@@ -91,13 +93,17 @@
             (other_loads, aggregator.outgoing_messages(now), interval)
         };
         self.targets.apply_other_loads(&other_loads);
+        let mut sent_bytes = 0;
         for (receivers, message) in &messages {
             match sync::encode_compact(message) {
-                Ok(bytes) => self.send(&bytes, receivers).await,
+                Ok(bytes) => {
+                    sent_bytes += bytes.len() * receivers.len();
+                    self.send(&bytes, receivers).await;
+                }
                 Err(error) => warn!("gateway: cannot encode a load message; skipping it: {error}"),
             }
         }
-        interval
+        interval.max(transfer_time(sent_bytes))
     }
 
     async fn send(&self, bytes: &[u8], receivers: &[SocketAddr]) {
@@ -135,3 +141,11 @@
         }
     }
 }
+
+/// Returns the time that messages take at the maximum rate. The next messages wait for it, and the
+/// changes until then share them: a relay that sends more than its link carries delays everything.
+#[must_use]
+#[allow(clippy::cast_precision_loss)] // Messages are far below 2^52 bytes.
+pub fn transfer_time(bytes: usize) -> Duration {
+    Duration::from_secs_f64(bytes as f64 / MAX_BYTES_PER_SECOND)
+}
--- a/src/sync/gateway.rs
+++ b/src/sync/gateway.rs
@@ -84,6 +84,9 @@
     /// Age of the platform's list that the target list is based on, in milliseconds; `None` before
     /// the first one was read.
     pub list_age_ms: Option<u64>,
+    /// Number of gateways that sync with the leader.
+    #[serde(default)]
+    pub gateways: u32,
     /// Gateways that this gateway exchanges loads with.
     #[serde(rename = "loads")]
     pub load_topology: LoadTopology,
--- a/tests/load_aggregator.rs
+++ b/tests/load_aggregator.rs
@@ -111,6 +111,7 @@
 #[case::direct(12, 3)]
 #[case::relays(78, 3)]
 #[case::relays_in_five_data_centres(68, 5)]
+#[case::several_relays_in_each_data_centre(291, 5)]
 fn each_gateway_sums_the_load_of_all_others(#[case] gateways: usize, #[case] data_centres: usize) {
     let target = target_hash(&"i-1".into());
     let mut fleet = AggregatorFleet::new(gateways, data_centres);
@@ -188,6 +189,25 @@
     );
 }
 
+/// Pattern: hundreds of gateways. A relay for a whole data centre of 60 would have to send each change
+/// 60 times over a link of 10 Mbit/s.
+#[test]
+fn relays_of_a_large_fleet_serve_a_part_of_their_data_centre() {
+    let target = target_hash(&"i-1".into());
+    let mut fleet = AggregatorFleet::new(291, 5);
+    fleet.aggregators[0].set_own_loads(loads(&[(target, sum(1, 0))]));
+    fleet.step();
+    fleet.step();
+    fleet.aggregators[0].set_own_loads(loads(&[(target, sum(2, 0))]));
+    fleet.step();
+    let now = fleet.now + STEP;
+    for aggregator in &mut fleet.aggregators {
+        let messages = aggregator.outgoing_messages(now);
+        let receivers: usize = messages.iter().map(|(receivers, _)| receivers.len()).sum();
+        assert!(receivers <= 60, "one gateway sends to {receivers} others");
+    }
+}
+
 /// Datagrams may arrive out of order, and an older one must not overwrite newer loads.
 #[test]
 fn an_older_message_is_ignored() {
