Let gateways press a slow leader less, and say 'unknown' only from a proved plan

Cause: once syncs took longer than their timeout of one second, 291 gateways asked again after 60 ms, for answers that nobody waited for, and all of them read the platform's list each second: 6 calls a read, 1,746 calls a second where the platform accepts 50 from the whole fleet. Change: ListFallback spreads the reads of all gateways over the rate that the settings name, and backs off after failures; SyncPacing doubles the timeout after each sync that timed out and spreads retries; a route or key counts as unknown only while the last proof of the plan is younger than the time in which a plan must be in force, else the answer is 503 with a time to return; gateways whose requests wait for a model sync each 150 ms.

--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -17,6 +17,11 @@
     pub load_listen: SocketAddr,
     /// System addresses of the coordinators that are known at start-up.
     pub coordinators: Vec<SocketAddr>,
+    /// Calls per second that the platform accepts from the whole fleet for its list of targets.
+    pub list_calls_per_second: f64,
+    /// Maximum age of the proof that a plan is the newest one, beyond which the gateway does not
+    /// tell callers that a route or key is unknown.
+    pub max_plan_age: Duration,
     /// Time between SIGTERM and the kill of the process.
     pub grace_period: Duration,
 }
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -118,6 +118,7 @@
             sync_client: Arc::clone(&sync_client),
             retry_budget: RetryBudget::new().into(),
             started_at: Instant::now(),
+            max_plan_age: config.max_plan_age,
             is_closing: AtomicBool::new(false),
             is_refusing,
         });
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -61,6 +61,8 @@
     pub sync_client: Arc<SyncClient>,
     pub retry_budget: std::sync::Mutex<RetryBudget>,
     pub started_at: Instant,
+    /// Maximum age of the proof of the plan with which a route or key counts as unknown.
+    pub max_plan_age: Duration,
     /// Whether callers' connections are closed after the request in progress.
     pub is_closing: AtomicBool,
     /// Becomes true once new and waiting requests are refused.
@@ -133,12 +135,15 @@
             .unwrap_or_default();
         let host = host.split_once(':').map_or(host, |(host, _)| host);
         let route = plan.route(host, parts.uri.path());
-        let route = route.ok_or(RefusalNotice::new(RefusalKind::NoRoute, "no route matches"))?;
+        let route = route.ok_or_else(|| {
+            self.unknown_in_plan(RefusalNotice::new(RefusalKind::NoRoute, "no route matches"))
+        })?;
         let team = match plan.team(route, metadata.key.as_deref()) {
             TeamMatch::Team(team) => Some(team),
             TeamMatch::Anonymous => None,
             TeamMatch::Unknown => {
-                return Err(RefusalNotice::new(RefusalKind::UnknownKey, "unknown key"));
+                let unknown = RefusalNotice::new(RefusalKind::UnknownKey, "unknown key");
+                return Err(self.unknown_in_plan(unknown));
             }
         };
         let limit = route.timeout;
@@ -162,6 +167,15 @@
         })
     }
 
+    /// Returns the refusal of a request that the plan does not allow. A newer plan may allow it, so
+    /// this is only said while the plan is proved to be the newest one.
+    fn unknown_in_plan(&self, refusal: RefusalNotice) -> RefusalNotice {
+        match self.view.proof_age() {
+            Some(age) if age <= self.max_plan_age => refusal,
+            _ => unavailable("the plan may be outdated"),
+        }
+    }
+
     async fn read_body(
         &self,
         incoming: Incoming,
--- a/src/gateway/sync_client.rs
+++ b/src/gateway/sync_client.rs
@@ -11,8 +11,10 @@
 
 use super::{
     config::GatewayConfig,
+    list_fallback::ListFallback,
     loads::LoadExchange,
     proxy::random_duration,
+    sync_pacing::SyncPacing,
     targets::TargetTable,
     view::{ModelDemand, PlanView},
 };
@@ -32,18 +34,13 @@
 const INITIAL_SYNC_INTERVAL: Duration = Duration::from_millis(250);
 /// Minimum interval between syncs.
 const MIN_SYNC_INTERVAL: Duration = Duration::from_millis(15);
-/// Minimum time after which a sync counts as lost and another coordinator is tried.
-const MIN_SYNC_TIMEOUT: Duration = Duration::from_millis(600);
 /// Minimum and maximum interval between syncs while the leader is busy sending the full plan to
 /// other gateways.
 const PLAN_RETRY_INTERVAL: [Duration; 2] = [Duration::from_millis(80), Duration::from_millis(250)];
-/// Delay after a failed sync.
-const SYNC_RETRY_DELAY: Duration = Duration::from_millis(60);
-/// Maximum age of the leader's target list; the gateway reads an older one from the platform
-/// itself.
-const MAX_LIST_AGE: Duration = Duration::from_millis(1_800);
-/// Interval at which the age of the leader's list is checked, and the platform's list read.
-const LIST_POLL_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Interval between syncs while requests wait for a model.
+const MODEL_RETRY_INTERVAL: Duration = Duration::from_millis(150);
+/// Interval at which the age of the leader's list is checked.
+const LIST_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Client that synchronises plan, targets and token grants of a gateway with the leading
 /// coordinator.
@@ -75,6 +72,8 @@
     document: (PlanVersion, Vec<u8>),
     /// Whether the leader has a newer plan that it will send with a later sync.
     is_plan_pending: bool,
+    pacing: SyncPacing,
+    list_fallback: ListFallback,
 }
 
 /// Parts of the gateway that the client reads and updates.
@@ -103,6 +102,8 @@
             sync_interval: INITIAL_SYNC_INTERVAL,
             document: (0, Vec::new()),
             is_plan_pending: false,
+            pacing: SyncPacing::new(),
+            list_fallback: ListFallback::new(config.list_calls_per_second),
         };
         Self {
             key: EntryKey {
@@ -164,6 +165,11 @@
         synced_at.is_some_and(|at| at.elapsed() < state.sync_interval * 2)
     }
 
+    /// Returns whether requests wait for a model.
+    fn has_waiters(&self) -> bool {
+        self.wanted_models().values().any(|waiters| *waiters > 0)
+    }
+
     fn wanted_models(&self) -> std::sync::MutexGuard<'_, HashMap<ServedModel, usize>> {
         self.wanted_models
             .lock()
@@ -184,15 +190,17 @@
             let started_at = Instant::now();
             let synced = self.sync_once().await;
             self.record_leader_state(synced.as_ref().err());
-            if synced.is_err() {
-                tokio::time::sleep(SYNC_RETRY_DELAY).await;
+            if let Err(error) = &synced {
+                let delay = self.record_failure(error, started_at.elapsed());
+                tokio::time::sleep(delay).await;
                 continue;
             }
+            self.state().pacing.record_success();
             let is_plan_pending = std::mem::take(&mut self.state().is_plan_pending);
-            let interval = if is_plan_pending {
-                random_duration(PLAN_RETRY_INTERVAL[0], PLAN_RETRY_INTERVAL[1])
-            } else {
-                self.sync_interval()
+            let interval = match is_plan_pending {
+                true => random_duration(PLAN_RETRY_INTERVAL[0], PLAN_RETRY_INTERVAL[1]),
+                false if self.has_waiters() => MODEL_RETRY_INTERVAL.min(self.sync_interval()),
+                false => self.sync_interval(),
             };
             let delay = interval.saturating_sub(started_at.elapsed());
             tokio::select! {
@@ -203,6 +211,18 @@
         }
     }
 
+    /// Records a failed sync and returns the delay before the next one.
+    fn record_failure(&self, error: &Error, elapsed: Duration) -> Duration {
+        let mut state = self.state();
+        let interval = state.sync_interval;
+        match error {
+            Error::NotLeader { leader: Some(_) } => state.pacing.redirect_delay(&mut rand::rng()),
+            _ => state
+                .pacing
+                .record_failure(elapsed, interval, &mut rand::rng()),
+        }
+    }
+
     fn record_leader_state(&self, error: Option<&Error>) {
         let mut state = self.state();
         if state.is_connected == error.is_none() {
@@ -231,12 +251,13 @@
             unresponsive: self.targets.silent_targets(),
             missing_models: wanted.iter().cloned().collect(),
         };
+        let sent_at = Instant::now();
         match self.send_report(coordinator, &report).await {
             Ok(reply) => {
                 self.wanted_models()
                     .retain(|model, waiters| *waiters > 0 || !wanted.contains(model));
                 self.allowance.apply_grants(&reply.grants, reported_at);
-                self.apply_reply(reply);
+                self.apply_reply(reply, sent_at);
                 Ok(())
             }
             Err(error) => {
@@ -266,6 +287,11 @@
         }
     }
 
+    fn sync_timeout(&self) -> Duration {
+        let state = self.state();
+        state.pacing.timeout(state.sync_interval)
+    }
+
     async fn send_report(
         &self,
         coordinator: SocketAddr,
@@ -279,7 +305,7 @@
             .http_client
             .post(format!("http://{coordinator}{GATEWAY_SYNC_PATH}"))
             .header(SECRET_HEADER, &self.secret)
-            .timeout(self.sync_interval().max(MIN_SYNC_TIMEOUT))
+            .timeout(self.sync_timeout())
             .body(sync::encode(report)?)
             .send()
             .await
@@ -296,16 +322,21 @@
         )
     }
 
-    fn apply_reply(&self, reply: GatewayReply) {
+    fn apply_reply(&self, reply: GatewayReply, sent_at: Instant) {
+        let mut is_newest = !matches!(reply.plan, Some(PlanUpdate::Deferred { .. }));
         if let Some(update) = &reply.plan
             && let Err(error) = self.apply_plan_update(update)
         {
             error!(
                 "gateway: cannot apply the plan update; the next sync requests the full plan: {error}"
             );
+            is_newest = false;
             // Without a document the leader sends the full plan with the next sync.
             self.state().document = (0, Vec::new());
         }
+        if is_newest {
+            self.view.record_proof(sent_at);
+        }
         let plan = self.view.get();
         if let (Some(plan), Some(list)) = (plan, reply.targets) {
             self.targets.apply_list(&plan, list);
@@ -314,6 +345,7 @@
         let mut state = self.state();
         state.sync_interval = Duration::from_millis(reply.sync_interval_ms);
         state.synced_at = Some(Instant::now());
+        state.list_fallback.set_gateways(reply.gateways);
         if let Some(age) = reply.list_age_ms {
             state.listed_at = Instant::now().checked_sub(Duration::from_millis(age));
         }
@@ -369,21 +401,32 @@
     /// Reads the target list from the platform while no leader supplies it, so that leaving targets
     /// get no new requests.
     async fn poll_platform_list(&self) {
+        let started_at = Instant::now();
         loop {
-            tokio::time::sleep(LIST_POLL_INTERVAL).await;
-            let listed_at = self.state().listed_at;
-            let is_fresh = listed_at.is_some_and(|at| at.elapsed() < MAX_LIST_AGE);
-            let Some(plan) = self.view.get().filter(|_| !is_fresh) else {
+            tokio::time::sleep(LIST_CHECK_INTERVAL).await;
+            let Some(plan) = self.view.get() else {
                 continue;
             };
-            match self.adapter.list_targets().await {
+            let is_due = {
+                let mut state = self.state();
+                let list_age = state.listed_at.map(|at| at.elapsed());
+                let (targets, now) = (self.targets.count(), started_at.elapsed());
+                let fallback = &mut state.list_fallback;
+                fallback.is_due(list_age, targets, now, &mut rand::rng())
+            };
+            if !is_due {
+                continue;
+            }
+            let listed = self.adapter.list_targets().await;
+            self.state().list_fallback.record(listed.is_ok());
+            match listed {
                 Ok(targets) => {
                     info!("gateway: the leader's target list is outdated; using the platform's list instead", kv: { targets = targets.len() });
                     self.targets.apply_platform_list(&plan, targets);
                 }
                 Err(error) => warn!(
                     "gateway: cannot read the target list from the platform; \
-                     retrying at the next interval: {error}"
+                     retrying at a longer interval: {error}"
                 ),
             }
         }
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -139,6 +139,11 @@
         self.state().entries.is_empty()
     }
 
+    /// Returns the number of known targets.
+    pub fn count(&self) -> usize {
+        self.state().entries.len()
+    }
+
     /// Returns whether the list contains a target.
     pub fn contains(&self, target: &TargetId) -> bool {
         self.state().entries.contains_key(target)
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -1,6 +1,7 @@
 use std::{
     collections::HashMap,
     sync::{Arc, Mutex, PoisonError, RwLock},
+    time::{Duration, Instant},
 };
 
 use crate::{
@@ -12,6 +13,8 @@
 #[derive(Debug, Default)]
 pub struct PlanView {
     plan: RwLock<Option<Arc<PlanIndex>>>,
+    /// Start of the last sync in which the leader had no newer plan.
+    proved_at: RwLock<Option<Instant>>,
 }
 
 impl PlanView {
@@ -21,6 +24,24 @@
         plan.clone()
     }
 
+    /// Records that the plan was the newest one at `proved_at`.
+    pub fn record_proof(&self, proved_at: Instant) {
+        let mut known = self
+            .proved_at
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
+        *known = (*known).max(Some(proved_at));
+    }
+
+    /// Returns the time since the plan was last proved to be the newest one.
+    pub fn proof_age(&self) -> Option<Duration> {
+        let proved_at = *self
+            .proved_at
+            .read()
+            .unwrap_or_else(PoisonError::into_inner);
+        proved_at.map(|at| at.elapsed())
+    }
+
     /// Replaces the plan if `index` is newer, and returns whether it was. A gateway never returns
     /// to an older plan.
     pub fn set(&self, index: PlanIndex) -> bool {
