Do not believe a refusal that answers another request

Cause: a refusal without a signature ('not run') was taken for the answer to the request in progress, whatever request it named. A target that sends a second copy of a refusal late, on a connection that is in use again, would have the request run twice, or its caller told that it had not run. Ruled out: signed answers, which were compared by request already. Change: an answer must name the request; one that names none is believed on a new connection only.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -124,7 +124,7 @@
     };
     guard.targets.record_activity(&target);
     let metadata = adapter.parse_response(response.status(), response.headers());
-    if metadata.request_id != request.metadata.request_id && metadata.is_signed {
+    if !is_own_answer(request, &metadata, &connection) {
         // A late answer to an earlier request: this connection can no longer be trusted.
         guard.record_outcome(ExchangeOutcome::Failed);
         return ExchangeStart::MayHaveRun("the answer belongs to another request");
@@ -145,6 +145,20 @@
     }
 }
 
+/// Returns whether an answer belongs to the request that was sent. Targets name the request in their
+/// answers; one that does not, such as a refusal by a proxy, is only accepted on a new connection,
+/// since on a reused one it may be the late answer to an earlier request.
+fn is_own_answer(
+    request: &GatewayRequest,
+    metadata: &ResponseMetadata,
+    connection: &TargetConnection,
+) -> bool {
+    match (&metadata.request_id, &request.metadata.request_id) {
+        (None, Some(_)) => !metadata.is_signed && !connection.is_reused,
+        (answered, sent) => answered == sent,
+    }
+}
+
 fn build_request(
     adapter: &dyn PlatformAdapter,
     request: &GatewayRequest,
