Report used tokens within 100 ms, and say 'over the limit' only once the leader has answered

Cause: tokens count as outstanding, and are not refilled, until the leader hears that they were used, which at 291 gateways took up to the sync interval of a second: as much as a team's burst. Ruled out: advance holdings of thin teams (the target of a single request is 0). Change: gateways send the counters of teams that used tokens by datagram after 100 ms, without a reply; 429 is said once the leader has answered a report made since the request began to wait, else the request waits within its time; a datagram that is no reply no longer ends the wait for one.

--- a/src/allowance/share.rs
+++ b/src/allowance/share.rs
@@ -140,6 +140,25 @@
             .collect()
     }
 
+    /// Returns the reports of those `teams` without waiting requests. They request no tokens, so that
+    /// no reply is needed, and tell the leader what was used: only used tokens are refilled.
+    pub fn make_usage_reports(&mut self, teams: &[TeamId], now: Duration) -> Vec<ShareReport> {
+        let mut reports = Vec::new();
+        for team in teams {
+            match self.teams.get_mut(team) {
+                Some(share) if !share.is_waiting() => {
+                    let report = share.make_report(team, self.is_leaving, now);
+                    reports.push(ShareReport {
+                        requested: 0,
+                        ..report
+                    });
+                }
+                _ => {}
+            }
+        }
+        reports
+    }
+
     /// Marks the process as shutting down. From the next reports on, all free tokens are returned
     /// to the leader.
     pub fn begin_shutdown(&mut self) {
--- a/src/allowance/team_share.rs
+++ b/src/allowance/team_share.rs
@@ -63,6 +63,11 @@
         self.final_report_at = None;
     }
 
+    /// Returns whether a request waits for tokens.
+    pub fn is_waiting(&self) -> bool {
+        self.all_waiting > 0
+    }
+
     /// Returns whether a waiting request is missing tokens that no pending report requests.
     pub fn needs_urgent_report(&self, now: Duration) -> bool {
         self.first_waiting.saturating_sub(self.available(now)) > self.pending_urgent
--- a/src/coordinator/grant_server.rs
+++ b/src/coordinator/grant_server.rs
@@ -52,7 +52,11 @@
     /// coordinator, so that failures are only logged.
     async fn answer(&self, bytes: &[u8], gateway: SocketAddr) {
         let request: Result<GrantRequest> = sync::decode("grant request", bytes);
+        let is_usage_only = request.as_ref().is_ok_and(|request| request.is_usage_only);
         let reply = request.and_then(|request| self.state.grant(&request));
+        if is_usage_only && reply.is_ok() {
+            return;
+        }
         let sent = match reply.and_then(|reply| sync::encode_compact(&reply)) {
             Ok(bytes) => self.socket.send_to(&bytes, gateway).await,
             Err(error) => {
--- a/src/entry/allowance.rs
+++ b/src/entry/allowance.rs
@@ -30,6 +30,10 @@
     last_report: Duration,
     /// Teams whose shortage is reported by an urgent sync in flight.
     urgent_teams: HashSet<TeamId>,
+    /// Teams that have used tokens since the last report.
+    used_teams: HashSet<TeamId>,
+    /// Time of the latest report about a team that the leader has answered.
+    answered_reports: HashMap<TeamId, Duration>,
 }
 
 /// The entry's share of every team's allowance, with the requests that wait for tokens.
@@ -41,6 +45,8 @@
     changed: Notify,
     /// Wakes the urgent sync when the share does not cover a request.
     shortage: Notify,
+    /// Wakes the report of used tokens.
+    usage: Notify,
     is_shutting_down: AtomicBool,
 }
 
@@ -53,6 +59,7 @@
             tables: Mutex::default(),
             changed: Notify::new(),
             shortage: Notify::new(),
+            usage: Notify::new(),
             is_shutting_down: AtomicBool::new(false),
         }
     }
@@ -78,6 +85,7 @@
             if let Some(id) = self.try_reserve(team, &position, tokens) {
                 return Some(ReservedTokens {
                     allowance: Arc::clone(self),
+                    team: team.clone(),
                     id,
                     remaining: tokens,
                 });
@@ -156,6 +164,35 @@
         }
     }
 
+    /// Waits until tokens were used that no report tells the leader.
+    pub async fn wait_for_usage(&self) {
+        self.usage.notified().await;
+    }
+
+    /// Returns the reports of the teams that have used tokens since their last report.
+    #[must_use]
+    pub fn make_usage_reports(&self) -> Vec<ShareReport> {
+        let mut tables = self.tables();
+        let teams: Vec<TeamId> = std::mem::take(&mut tables.used_teams).into_iter().collect();
+        let now = tables.next_report_time(self.started.elapsed());
+        tables.share.make_usage_reports(&teams, now)
+    }
+
+    /// Returns the time of this process, to which [`Self::is_answered_since`] refers.
+    #[must_use]
+    pub fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// Returns whether the leader has answered a report about a team that was made at `since` or
+    /// later. Only then a lack of tokens means that the team is over its limit.
+    #[must_use]
+    pub fn is_answered_since(&self, team: &TeamId, since: Duration) -> bool {
+        let tables = self.tables();
+        let answered = tables.answered_reports.get(team);
+        answered.is_some_and(|reported_at| *reported_at >= since)
+    }
+
     /// Returns the reports for the next sync and the time that identifies them.
     #[must_use]
     pub fn make_reports(&self) -> (Vec<ShareReport>, Duration) {
@@ -169,7 +206,14 @@
 
     /// Applies the leader's grants in reply to the reports of `reported_at`.
     pub fn apply_grants(&self, grants: &[ShareGrant], reported_at: Duration) {
-        self.tables().share.apply_grants(grants, reported_at);
+        let mut tables = self.tables();
+        tables.share.apply_grants(grants, reported_at);
+        for grant in grants {
+            let answered = tables.answered_reports.entry(grant.team.clone());
+            let answered = answered.or_default();
+            *answered = (*answered).max(reported_at);
+        }
+        drop(tables);
         self.changed.notify_waiters();
     }
 
@@ -235,6 +279,7 @@
 #[derive(Debug)]
 pub struct ReservedTokens {
     allowance: Arc<SharedAllowance>,
+    team: TeamId,
     id: ReservationId,
     remaining: u64,
 }
@@ -260,10 +305,11 @@
 
 impl Drop for ReservedTokens {
     fn drop(&mut self) {
-        self.allowance
-            .tables()
-            .share
-            .settle(self.id, self.remaining);
+        let mut tables = self.allowance.tables();
+        tables.share.settle(self.id, self.remaining);
+        tables.used_teams.insert(self.team.clone());
+        drop(tables);
+        self.allowance.usage.notify_one();
         self.allowance.changed.notify_waiters();
     }
 }
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -121,6 +121,7 @@
         let mut wait = wait.clamp(MIN_TOKEN_WAIT, MAX_TOKEN_WAIT);
         let priority = 9 - request.rank();
         let leader_deadline = Instant::now() + request.time_left().mul_f64(LEADER_WAIT_SHARE);
+        let waiting_since = self.allowance.now();
         loop {
             let deadline = Instant::now() + wait;
             let reserved =
@@ -129,7 +130,7 @@
             if let Some(tokens) = reserved.await {
                 return Ok(Some(tokens));
             }
-            if self.sync_client.is_leader_responding() {
+            if self.allowance.is_answered_since(&team.id, waiting_since) {
                 info!("gateway: over limit", kv: {
                     request = request.log_id(),
                     team = team.id.as_str(),
--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -16,6 +16,8 @@
 /// Maximum number of grant requests that a gateway sends per sync interval. Without it, teams over
 /// their limit would make each gateway send requests as fast as the network carries them.
 const REQUESTS_PER_SYNC_INTERVAL: u32 = 25;
+/// Delay after which used tokens are reported, so that the requests of a moment share a datagram.
+const USAGE_REPORT_DELAY: Duration = Duration::from_millis(100);
 /// Maximum size of a reply, which fits into one packet.
 const MAX_REPLY_BYTES: usize = 1_400;
 
@@ -52,6 +54,34 @@
 
     /// Runs until the task is dropped.
     pub async fn run(self) {
+        tokio::join!(self.run_requests(), self.run_usage());
+    }
+
+    /// Reports used tokens to the leader shortly after their use. With the periodic sync alone, a
+    /// second of use would be missing from the burst of each team, since only tokens that the leader
+    /// knows to be used are refilled.
+    async fn run_usage(&self) {
+        loop {
+            self.allowance.wait_for_usage().await;
+            tokio::time::sleep(USAGE_REPORT_DELAY).await;
+            let shares = self.allowance.make_usage_reports();
+            if shares.is_empty() {
+                continue;
+            }
+            let request = GrantRequest {
+                gateway: self.key.clone(),
+                serial: 0,
+                shares,
+                is_usage_only: true,
+            };
+            // The next sync repeats the cumulative counters.
+            if let Err(error) = self.send(&request).await {
+                debug!("gateway: cannot report used tokens to the leader: {error}");
+            }
+        }
+    }
+
+    async fn run_requests(&self) {
         let mut serial = 0;
         loop {
             self.allowance.wait_for_shortage().await;
@@ -64,6 +94,7 @@
                 gateway: self.key.clone(),
                 serial,
                 shares,
+                is_usage_only: false,
             };
             match self.request_grants(&request).await {
                 Ok(reply) => self.allowance.apply_grants(&reply.grants, reported_at),
@@ -77,34 +108,43 @@
         }
     }
 
-    async fn request_grants(&self, request: &GrantRequest) -> Result<GrantReply> {
+    async fn send(&self, request: &GrantRequest) -> Result<SocketAddr> {
         let leader = self.sync_client.leader();
         let leader = leader.ok_or(Error::NotLeader { leader: None })?;
-        let transport_error = |reason: String| Error::Transport {
-            peer: leader.to_string(),
-            reason,
-        };
         let bytes = sync::encode_compact(request)?;
-        let sent = self.socket.send_to(&bytes, leader);
-        sent.await
-            .map_err(|error| transport_error(error.to_string()))?;
+        let sent = self.socket.send_to(&bytes, leader).await;
+        sent.map_err(|error| transport_error(leader, &error.to_string()))?;
+        Ok(leader)
+    }
+
+    async fn request_grants(&self, request: &GrantRequest) -> Result<GrantReply> {
+        let leader = self.send(request).await?;
         let reply = tokio::time::timeout(REPLY_TIMEOUT, self.receive(request.serial)).await;
-        reply.map_err(|_| transport_error("no reply within the time-out".to_owned()))?
+        reply.map_err(|_| transport_error(leader, "no reply within the time-out"))?
     }
 
-    /// Waits for the reply to the request `serial` and discards late replies to earlier ones.
+    /// Waits for the reply to the request `serial`. Late replies to earlier requests and datagrams
+    /// that are no reply are discarded.
     async fn receive(&self, serial: u64) -> Result<GrantReply> {
         let mut buffer = [0; MAX_REPLY_BYTES];
         loop {
             let received = self.socket.recv_from(&mut buffer).await;
-            let (length, _) = received.map_err(|error| Error::Transport {
+            let (length, sender) = received.map_err(|error| Error::Transport {
                 peer: "leader".to_owned(),
                 reason: error.to_string(),
             })?;
-            let reply: GrantReply = sync::decode("token grant reply", &buffer[..length])?;
-            if reply.serial == serial {
-                return Ok(reply);
+            match sync::decode::<GrantReply>("token grant reply", &buffer[..length]) {
+                Ok(reply) if reply.serial == serial => return Ok(reply),
+                Ok(_) => {}
+                Err(error) => debug!("gateway: bad datagram from {sender}: {error}"),
             }
         }
     }
 }
+
+fn transport_error(peer: SocketAddr, reason: &str) -> Error {
+    Error::Transport {
+        peer: peer.to_string(),
+        reason: reason.to_owned(),
+    }
+}
--- a/src/gateway/sync_client.rs
+++ b/src/gateway/sync_client.rs
@@ -66,7 +66,6 @@
     /// When the leader's target list was read from the platform.
     listed_at: Option<Instant>,
     is_connected: bool,
-    synced_at: Option<Instant>,
     sync_interval: Duration,
     /// Plan that the leader's incremental updates apply to: version and document.
     document: (PlanVersion, Vec<u8>),
@@ -98,7 +97,6 @@
             coordinators: config.coordinators.clone(),
             listed_at: None,
             is_connected: false,
-            synced_at: None,
             sync_interval: INITIAL_SYNC_INTERVAL,
             document: (0, Vec::new()),
             is_plan_pending: false,
@@ -157,14 +155,6 @@
         }
     }
 
-    /// Returns whether the leader has answered within the last two sync intervals. Without a leader
-    /// no tokens are granted, whatever the limit of a team.
-    pub fn is_leader_responding(&self) -> bool {
-        let state = self.state();
-        let synced_at = state.synced_at;
-        synced_at.is_some_and(|at| at.elapsed() < state.sync_interval * 2)
-    }
-
     /// Returns whether requests wait for a model.
     fn has_waiters(&self) -> bool {
         self.wanted_models().values().any(|waiters| *waiters > 0)
@@ -344,7 +334,6 @@
         self.loads.set_topology(reply.load_topology);
         let mut state = self.state();
         state.sync_interval = Duration::from_millis(reply.sync_interval_ms);
-        state.synced_at = Some(Instant::now());
         state.list_fallback.set_gateways(reply.gateways);
         if let Some(age) = reply.list_age_ms {
             state.listed_at = Instant::now().checked_sub(Duration::from_millis(age));
--- a/src/sync/gateway.rs
+++ b/src/sync/gateway.rs
@@ -162,6 +162,8 @@
     pub serial: u64,
     /// Shares of the teams that need more tokens.
     pub shares: Vec<ShareReport>,
+    /// Whether the request only reports used tokens, so that no reply is expected.
+    pub is_usage_only: bool,
 }
 
 /// Reply of the leader to a [`GrantRequest`]. Coordinators that do not lead send none.
