Let as many engines make room as the weight store can fill

An eviction takes the drain delay of 1.1 s, the end of its streams and a load of 1.2 s, so about 1.3 copies a second could follow demand. Ruled out: the leader's processor (0.6 ms a plan now). Change: the bucket holds a quarter of a second of the store's rate; loads that the store allows by the end of the drain delay count, up to a tenth of the engines; a plan has one step for 16 engines. Measured: tests/leader_scale.rs, moved demand at 256 engines: 4 engines make room after a second before, at least 18 now, at most an eighth of all.

--- a/src/coordinator/engine_table.rs
+++ b/src/coordinator/engine_table.rs
@@ -40,9 +40,14 @@
 const ORDER_TIMEOUT: Duration = Duration::from_secs(20);
 /// Maximum time for which freed memory is reserved for a model.
 const RESERVATION_TIMEOUT: Duration = Duration::from_secs(15);
-/// Maximum number of loads that begin at once after an idle period. The weight store measures its
-/// rate over several seconds and tolerates as many loads in excess of it.
-const LOAD_BURST: f64 = 3.0;
+/// Minimum number of loads that may begin at once after an idle period. The weight store measures
+/// its rate over several seconds and tolerates as many loads in excess of it.
+const MIN_LOAD_BURST: f64 = 3.0;
+/// Time in which the weight store's rate amounts to the loads that may begin at once.
+const LOAD_BURST_SECONDS: f64 = 0.25;
+/// Maximum fraction of the engines that make room for another model at the same time. Each of them
+/// serves one model less meanwhile.
+const MAX_RESERVING_FRACTION: f64 = 0.1;
 /// Fraction of the weight store's rate that is used, since loads ordered by a former leader may
 /// still begin.
 const LOAD_RATE_FRACTION: f64 = 0.9;
@@ -245,7 +250,7 @@
             .as_secs_f64();
         self.load_tokens_updated_at = now;
         let refill = elapsed * engine.loads_per_second * LOAD_RATE_FRACTION;
-        self.load_tokens = (self.load_tokens + refill).min(LOAD_BURST);
+        self.load_tokens = (self.load_tokens + refill).min(load_burst(engine));
     }
 
     fn plan_drained_unloads(
@@ -254,7 +259,7 @@
         orders: &mut Vec<PlannedOrder>,
         now: Duration,
     ) {
-        let drain_delay = gateways.sync_interval() + DRAIN_MARGIN;
+        let drain_delay = drain_delay(gateways);
         for view in self.engines.values() {
             match (&view.draining_model, view.accepted_orders) {
                 (Some((model, since)), Some(expected_orders))
@@ -306,7 +311,12 @@
             .iter()
             .filter(|engine| engine.reserved_for.is_some());
         #[allow(clippy::cast_precision_loss)] // Counts of engines are small.
-        let mut reservations = reserving.count() as f64;
+        let (mut reservations, engines) = (reserving.count() as f64, input.engines.len() as f64);
+        // By the time that memory is free, the store allows more loads than it does now.
+        let refill = engine.loads_per_second * drain_delay(gateways).as_secs_f64();
+        let max_reservations = (self.load_tokens + refill)
+            .min(engines * MAX_RESERVING_FRACTION)
+            .max(self.load_tokens);
         for step in plan_copies(&input) {
             let Some(view) = self.engines.get_mut(&step.engine) else {
                 continue;
@@ -316,7 +326,7 @@
             };
             match step.action {
                 // Without load tokens to use the freed memory, an unload would only remove a copy.
-                CopyAction::Unload(_) if reservations >= self.load_tokens + 1.0 => {}
+                CopyAction::Unload(_) if reservations >= max_reservations + 1.0 => {}
                 CopyAction::Unload(model) => {
                     reservations += 1.0;
                     info!("place: retires a copy", kv: {
@@ -331,7 +341,7 @@
                 }
                 CopyAction::Load(model)
                     if !view.cached_models.contains(&model)
-                        && self.load_tokens < required_load_tokens(step.reason) => {}
+                        && self.load_tokens < required_load_tokens(step.reason, engine) => {}
                 CopyAction::Load(model) => {
                     if !view.cached_models.contains(&model) {
                         self.load_tokens -= 1.0;
@@ -418,13 +428,23 @@
 
 /// Returns the number of load tokens that must be available for a load. Spare copies are only
 /// loaded from a full bucket, which leaves tokens for loads that requests wait for.
-fn required_load_tokens(reason: &str) -> f64 {
+fn required_load_tokens(reason: &str, engine: &EnginePlan) -> f64 {
     match reason {
-        SPARE_COPY_REASON => LOAD_BURST,
+        SPARE_COPY_REASON => load_burst(engine),
         _ => 1.0,
     }
 }
 
+/// Returns the number of loads that may begin at once.
+fn load_burst(engine: &EnginePlan) -> f64 {
+    MIN_LOAD_BURST.max(engine.loads_per_second * LOAD_BURST_SECONDS)
+}
+
+/// Returns the time after which no gateway sends requests to a model that was taken from the list.
+fn drain_delay(gateways: &GatewayTable) -> Duration {
+    gateways.sync_interval() + DRAIN_MARGIN
+}
+
 pub(super) fn is_adapter(model: &str) -> bool {
     model.contains('/')
 }
--- a/src/coordinator/placement/planner.rs
+++ b/src/coordinator/placement/planner.rs
@@ -19,14 +19,17 @@
 /// Fraction of the mean load by which an engine with cached weights may exceed another engine and
 /// still be chosen for the load.
 const CACHED_WEIGHTS_BONUS: f64 = 0.5;
-/// Maximum number of steps in one plan.
-const MAX_STEPS: usize = 4;
+/// Number of steps in one plan that is allowed in any fleet.
+const MIN_STEPS: usize = 4;
+/// Number of engines for which a plan may have one step.
+const ENGINES_PER_STEP: usize = 16;
 
 /// Builder of one placement plan. Engines are referred to by their index in the input, since every
 /// model is checked against every engine.
 pub(super) struct PlacementPlanner<'i> {
     input: &'i PlacementInput,
     steps: Vec<PlacementStep>,
+    max_steps: usize,
     /// Engines that can get a step: they accept orders and have none in this plan.
     candidates: Vec<usize>,
     /// Free memory of the candidate with the most of it.
@@ -92,6 +95,7 @@
         Self {
             input,
             steps: Vec::new(),
+            max_steps: MIN_STEPS.max(input.engines.len() / ENGINES_PER_STEP),
             most_free_mb: free.fold(0.0, f64::max),
             candidates,
             loads: estimate_engine_loads(input),
@@ -136,7 +140,7 @@
     /// copy serves.
     pub fn add_copy(&mut self, need: &'i ModelNeed, share: f64, reason: &'static str) {
         let needs_eviction = self.most_free_mb < need.weights_mb;
-        if self.steps.len() >= MAX_STEPS || (needs_eviction && share <= 0.0) {
+        if self.steps.len() >= self.max_steps || (needs_eviction && share <= 0.0) {
             return;
         }
         let load_limit = if share.is_finite() && share > 0.0 {
--- a/tests/engine_fleet/mod.rs
+++ b/tests/engine_fleet/mod.rs
@@ -14,9 +14,10 @@
 pub const NOW: Duration = Duration::from_secs(60);
 const ADAPTERS_PER_MODEL: u32 = 3;
 const ENGINES_PER_MODEL: f64 = 0.58;
-const SERVICE: &str = "drafter";
+pub const SERVICE: &str = "drafter";
 
-fn model(number: usize) -> ModelId {
+/// Returns the name of a model.
+pub fn model(number: usize) -> ModelId {
     format_compact!("model-{number:04}")
 }
 
@@ -139,7 +140,7 @@
     }
 }
 
-fn report(demand: Vec<ModelRequests>) -> GatewayReport {
+pub fn report(demand: Vec<ModelRequests>) -> GatewayReport {
     GatewayReport {
         gateway: EntryKey {
             vm: "gateway".into(),
--- a/tests/leader_scale.rs
+++ b/tests/leader_scale.rs
@@ -6,7 +6,10 @@
 use std::time::{Duration, Instant};
 
 use engine_fleet::{EngineFleet, NOW, fleet};
-use waxwinglatch::coordinator::{TargetChanges, TargetHistory};
+use waxwinglatch::{
+    coordinator::{GatewayTable, TargetChanges, TargetHistory},
+    sync::{ModelRequests, ServedModel},
+};
 
 mod engine_fleet;
 
@@ -67,3 +70,46 @@
     assert_eq!(list.targets, [changed]);
     assert_eq!(list.base, Some(held));
 }
+
+/// Pattern: demand moves to forty other models of a fleet with 256 engines. The store allows 36 loads
+/// a second; engines must make room for a good part of them, not for a few at a time.
+#[test]
+fn moved_demand_uses_the_rate_of_the_weight_store() {
+    let mut fleet = fleet(441);
+    let requests = |models: std::ops::Range<usize>, tokens: u64| -> Vec<ModelRequests> {
+        let requests = models.map(|number| ModelRequests {
+            model: ServedModel {
+                service: engine_fleet::SERVICE.into(),
+                model: engine_fleet::model(number),
+            },
+            requests: 10,
+            tokens,
+        });
+        requests.collect()
+    };
+    fleet.gateways = GatewayTable::default();
+    let earlier = NOW.checked_sub(Duration::from_secs(5)).unwrap();
+    let usual = requests(0..441, 1_000);
+    fleet.gateways.record(&engine_fleet::report(usual), earlier);
+    let moved = requests(100..140, 200_000);
+    fleet.gateways.record(&engine_fleet::report(moved), NOW);
+    let mut now = NOW;
+    while now < NOW + Duration::from_secs(1) {
+        now += Duration::from_millis(150);
+        fleet.engines.plan_orders(&fleet.plan, &fleet.gateways, now);
+    }
+    let targets = fleet.engines.targets();
+    let views = targets
+        .iter()
+        .filter_map(|target| fleet.engines.get(&target.id));
+    let reserving = views.filter(|view| view.reservation.is_some()).count();
+    assert!(
+        reserving >= 18,
+        "{reserving} engines make room after a second"
+    );
+    assert!(
+        reserving <= targets.len() / 8,
+        "{reserving} of {} engines serve one model less",
+        targets.len()
+    );
+}
