List only the most loaded engines in the log of demand

Ruled out: leaving the line out, since it explains placement. Change: the eight highest loads, as for models.

--- a/src/coordinator/placement.rs
+++ b/src/coordinator/placement.rs
@@ -8,8 +8,8 @@
 
 /// Reason of a load that adds a second copy of a model to free memory ahead of demand.
 pub(super) const SPARE_COPY_REASON: &str = "spare copy";
-/// Maximum number of models listed in a log line.
-const MAX_LOGGED_MODELS: usize = 8;
+/// Maximum number of models and of engines listed in a log line.
+const MAX_LOGGED: usize = 8;
 
 /// State of one engine as input of the placement.
 #[derive(Clone, Debug)]
@@ -77,7 +77,7 @@
     Unload(ModelId),
 }
 
-/// Formats the demand for models and the resulting load of engines for the log.
+/// Formats the highest demands for models and the resulting highest loads of engines for the log.
 #[must_use]
 pub fn describe_load(input: &PlacementInput) -> (String, String) {
     let mut needs: Vec<&ModelNeed> = input.models.iter().collect();
@@ -88,7 +88,7 @@
             engines.filter(|engine| engine.is_available && engine.holds_or_reserves(model));
         holders.count()
     };
-    let models = needs.iter().take(MAX_LOGGED_MODELS);
+    let models = needs.iter().take(MAX_LOGGED);
     let models = models.map(|need| {
         format!(
             "{}:{:.0}x{}",
@@ -98,8 +98,12 @@
         )
     });
     let loads = estimate_engine_loads(input);
-    let engines = input.engines.iter().zip(loads);
-    let engines = engines.map(|(engine, load)| format!("{}:{load:.0}", engine.id));
+    let mut engines: Vec<_> = input.engines.iter().zip(loads).collect();
+    engines.sort_by(|a, b| b.1.total_cmp(&a.1));
+    let engines = engines
+        .iter()
+        .take(MAX_LOGGED)
+        .map(|(engine, load)| format!("{}:{load:.0}", engine.id));
     (
         models.collect::<Vec<_>>().join(" "),
         engines.collect::<Vec<_>>().join(" "),
