Send a new leader's list as what differs from the former one

Cause: versions of the list belong to a term. After a change of leader each of 291 gateways gets the full list, about 65 kB and 2 ms of processor time (estimated), so that a leader with 0.15 of a core is busy for about 4 s; the same after a target answered that it does not hold a model, and after the platform's list was read. Ruled out: keeping versions over terms, since the new leader does not have the former one's history. Change: a gateway whose list no leader may know sends its digests, 14 bytes a target, and gets the entries that differ; local changes of the list have versions of their own, so that an answer to an older digest is not applied. Measured: tests/target_history.rs: 2 of 251 entries are sent (the full list before).

--- a/src/coordinator/state.rs
+++ b/src/coordinator/state.rs
@@ -19,7 +19,7 @@
     ids::Term,
     plan::PlanIndex,
     state::ControlState,
-    sync::{GatewayReply, GatewayReport, GrantReply, GrantRequest},
+    sync::{GatewayReply, GatewayReport, GrantReply, GrantRequest, TargetList},
     voter::{LeaderLease, VoterHandle},
 };
 
@@ -69,6 +69,29 @@
     }
 }
 
+impl LeaderTables {
+    /// Returns the changes of the list for a gateway; `None` when it is up to date.
+    fn target_changes(&mut self, report: &GatewayReport) -> Option<TargetList> {
+        let held = report.list_version;
+        if report.list_digest.is_empty() || self.targets.is_known(held, self.term) {
+            return self.targets.changes_since(held, self.term);
+        }
+        let changes = self
+            .targets
+            .changes_from(&report.list_digest, held, self.term);
+        changes.map_or_else(
+            |error| {
+                spdlog::error!(
+                    "place: comparing the list of {} failed, it gets the full list: {error}",
+                    report.gateway.vm
+                );
+                self.targets.changes_since(held, self.term)
+            },
+            Some,
+        )
+    }
+}
+
 impl CoordinatorState {
     /// Returns a state with empty tables.
     #[must_use]
@@ -259,13 +282,10 @@
                 );
                 None
             });
-        let is_listed = tables.listed_at.is_some();
-        let changes = || {
-            tables
-                .targets
-                .changes_since(report.list_version, tables.term)
+        let targets = match tables.listed_at {
+            Some(_) => tables.target_changes(report),
+            None => None,
         };
-        let targets = is_listed.then(changes).flatten();
         let age = tables.listed_at.map(|at| now.saturating_sub(at));
         let own = self.voter.addresses().own().system;
         let others = self.voter.addresses().others();
--- a/src/coordinator/target_history.rs
+++ b/src/coordinator/target_history.rs
@@ -1,9 +1,10 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
 use crate::{
     adapter::TargetEntry,
+    error::Result,
     ids::{TargetId, Term},
-    sync::{ListVersion, ServedModel, TargetList},
+    sync::{ListVersion, ServedModel, TargetDigest, TargetHash, TargetList},
 };
 
 /// Maximum number of removals that are kept. A gateway that has missed older ones gets the whole
@@ -21,6 +22,10 @@
     entries: BTreeMap<TargetId, (u64, TargetEntry)>,
     /// Removed targets with the version of the removal.
     removals: Vec<(u64, TargetId)>,
+    /// Hash of each entry with the id of its target, by the hash of the id.
+    digests: HashMap<TargetHash, (u64, TargetId)>,
+    /// Number of the version that the digests belong to.
+    digests_of: Option<u64>,
 }
 
 impl TargetHistory {
@@ -95,7 +100,7 @@
         if held == version {
             return None;
         }
-        let is_known = held.term == term && held.number >= self.first_number && held.number > 0;
+        let is_known = self.is_known(held, term);
         let after = if is_known { held.number } else { 0 };
         let changed = self.entries.values().filter(|(number, _)| *number > after);
         let removed = self.removals.iter().filter(|(number, target)| {
@@ -106,6 +111,55 @@
             base: is_known.then_some(held),
             targets: changed.map(|(_, target)| target.clone()).collect(),
             removed: removed.map(|(_, target)| target.clone()).collect(),
+            unknown: Vec::new(),
         })
     }
+
+    /// Returns the changes for a gateway whose list `held` is known by its digest only, such as one
+    /// of an earlier term. Sending the full list to each of hundreds of gateways would keep a new
+    /// leader from serving them for seconds.
+    ///
+    /// # Errors
+    /// [`Error::Decode`](crate::error::Error::Decode) when an entry cannot be encoded.
+    pub fn changes_from(
+        &mut self,
+        digest: &[TargetDigest],
+        held: ListVersion,
+        term: Term,
+    ) -> Result<TargetList> {
+        if self.digests_of != Some(self.number) {
+            let entries = self.entries.values().map(|(_, target)| target);
+            let digests = entries.map(|target| {
+                let digest = TargetDigest::new(target)?;
+                Ok((digest.target, (digest.entry, target.id.clone())))
+            });
+            self.digests = digests.collect::<Result<_>>()?;
+            self.digests_of = Some(self.number);
+        }
+        let known: HashMap<TargetHash, u64> = digest
+            .iter()
+            .map(|digest| (digest.target, digest.entry))
+            .collect();
+        let differing = self
+            .digests
+            .iter()
+            .filter(|(target, (entry, _))| known.get(target) != Some(entry));
+        let targets = differing.filter_map(|(_, (_, id))| self.entries.get(id));
+        let unknown = known
+            .keys()
+            .filter(|target| !self.digests.contains_key(target));
+        Ok(TargetList {
+            version: self.version(term),
+            base: Some(held),
+            targets: targets.map(|(_, target)| target.clone()).collect(),
+            removed: Vec::new(),
+            unknown: unknown.copied().collect(),
+        })
+    }
+
+    /// Returns whether changes since the list `held` are known.
+    #[must_use]
+    pub fn is_known(&self, held: ListVersion, term: Term) -> bool {
+        held.term == term && held.number >= self.first_number && held.number > 0
+    }
 }
--- a/src/gateway/sync_client.rs
+++ b/src/gateway/sync_client.rs
@@ -25,8 +25,8 @@
     ids::{EntryKey, Incarnation},
     plan::{DocumentDelta, PlanIndex, PlanVersion},
     sync::{
-        self, GATEWAY_SYNC_PATH, GatewayReply, GatewayReport, PlanUpdate, SECRET_HEADER,
-        ServedModel,
+        self, GATEWAY_SYNC_PATH, GatewayReply, GatewayReport, ListVersion, PlanUpdate,
+        SECRET_HEADER, ServedModel, TargetDigest,
     },
 };
 
@@ -66,6 +66,8 @@
     /// When the leader's target list was read from the platform.
     listed_at: Option<Instant>,
     is_connected: bool,
+    /// Coordinator that answered the last sync; `None` after a failed one.
+    synced_with: Option<SocketAddr>,
     sync_interval: Duration,
     /// Plan that the leader's incremental updates apply to: version and document.
     document: (PlanVersion, Vec<u8>),
@@ -97,6 +99,7 @@
             coordinators: config.coordinators.clone(),
             listed_at: None,
             is_connected: false,
+            synced_with: None,
             sync_interval: INITIAL_SYNC_INTERVAL,
             document: (0, Vec::new()),
             is_plan_pending: false,
@@ -230,11 +233,13 @@
         let coordinator = coordinator.ok_or(Error::NotLeader { leader: None })?;
         let (shares, reported_at) = self.allowance.make_reports();
         let wanted: BTreeSet<ServedModel> = self.wanted_models().keys().cloned().collect();
+        let (list_version, list_digest) = self.list_state(coordinator)?;
         let report = GatewayReport {
             gateway: self.key.clone(),
             data_centre: self.config.data_centre.clone(),
             plan_version: self.state().document.0,
-            list_version: self.targets.list_version(),
+            list_version,
+            list_digest,
             shares,
             load_address: self.config.load_listen,
             demand: self.demand.take(),
@@ -248,16 +253,29 @@
                     .retain(|model, waiters| *waiters > 0 || !wanted.contains(model));
                 self.allowance.apply_grants(&reply.grants, reported_at);
                 self.apply_reply(reply, sent_at);
+                self.state().synced_with = Some(coordinator);
                 Ok(())
             }
             Err(error) => {
                 self.demand.put_back(&report.demand);
+                self.state().synced_with = None;
                 self.switch_coordinator(coordinator, &error);
                 Err(error)
             }
         }
     }
 
+    /// Returns the version of the target list, with its digest if `coordinator` may not know this
+    /// version.
+    fn list_state(&self, coordinator: SocketAddr) -> Result<(ListVersion, Vec<TargetDigest>)> {
+        let version = self.targets.list_version();
+        let has_synced = self.state().synced_with == Some(coordinator);
+        match version.term {
+            1.. if has_synced => Ok((version, Vec::new())),
+            _ => self.targets.list_digest(),
+        }
+    }
+
     /// Selects the coordinator for the next sync: the leader that `failed` named, or the next known
     /// one.
     fn switch_coordinator(&self, failed: SocketAddr, error: &Error) {
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -14,13 +14,14 @@
 };
 use crate::{
     adapter::TargetEntry,
+    error::Result,
     ids::{DataCentreId, TargetId},
     plan::PlanIndex,
     route::{
         Availability, ExchangeOutcome, LoadReport, PrefixBlock, ReplicaTable, RouteChoice,
         RouteRequest, RouteTuning,
     },
-    sync::{ListVersion, LoadSum, ServedModel, TargetHash, TargetList, target_hash},
+    sync::{ListVersion, LoadSum, ServedModel, TargetDigest, TargetHash, TargetList, target_hash},
 };
 
 /// Initial estimate of the time to process one prompt token; engines process tens of tokens per
@@ -90,6 +91,8 @@
     entries: HashMap<TargetId, TargetEntry>,
     running_requests: BTreeMap<TargetId, u32>,
     list_version: ListVersion,
+    /// Number of changes of the list that the leader did not make.
+    local_changes: u64,
 }
 
 impl TargetTable {
@@ -114,6 +117,7 @@
                 entries: HashMap::new(),
                 running_requests: BTreeMap::new(),
                 list_version: ListVersion::default(),
+                local_changes: 0,
             }),
             list_changed: Notify::new(),
             own_load_changed: Notify::new(),
@@ -139,6 +143,16 @@
         self.state().entries.is_empty()
     }
 
+    /// Returns the version of the list and the digests of its entries.
+    ///
+    /// # Errors
+    /// [`Error::Decode`](crate::error::Error::Decode) when an entry cannot be encoded.
+    pub fn list_digest(&self) -> Result<(ListVersion, Vec<TargetDigest>)> {
+        let state = self.state();
+        let digests = state.entries.values().map(TargetDigest::new);
+        Ok((state.list_version, digests.collect::<Result<_>>()?))
+    }
+
     /// Returns the number of known targets.
     pub fn count(&self) -> usize {
         self.state().entries.len()
@@ -163,6 +177,7 @@
                 for target in &list.removed {
                     state.remove(target);
                 }
+                state.remove_hashes(&list.unknown);
                 for entry in list.targets {
                     state.upsert(plan, entry);
                 }
@@ -179,8 +194,7 @@
     /// Replaces the targets by a list that this gateway read from the platform itself.
     pub fn apply_platform_list(&self, plan: &PlanIndex, targets: Vec<TargetEntry>) {
         let mut state = self.state();
-        // With the default version, the leader's next list replaces this one, whatever its version.
-        state.list_version = ListVersion::default();
+        state.record_local_change();
         state.replace_entries(plan, targets);
         drop(state);
         self.list_changed.notify_waiters();
@@ -464,7 +478,7 @@
         }
         let spec = replica_spec(plan, entry);
         state.replicas.upsert(&spec);
-        state.list_version = ListVersion::default();
+        state.record_local_change();
     }
 }
 
@@ -504,6 +518,27 @@
         }
     }
 
+    /// Gives the list a version that no leader knows and that differs from earlier ones, so that the
+    /// leader's next changes are made for the list as it is now.
+    fn record_local_change(&mut self) {
+        self.local_changes += 1;
+        self.list_version = ListVersion {
+            term: 0,
+            number: self.local_changes,
+        };
+    }
+
+    fn remove_hashes(&mut self, hashes: &[TargetHash]) {
+        if hashes.is_empty() {
+            return;
+        }
+        let known = self.entries.keys();
+        let removed = known.filter(|target| hashes.contains(&target_hash(target)));
+        for target in removed.cloned().collect::<Vec<_>>() {
+            self.remove(&target);
+        }
+    }
+
     fn remove(&mut self, target: &TargetId) {
         self.replicas.remove(target);
         self.connect_failures.remove(target);
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -11,7 +11,7 @@
 pub use claims::{CLAIMS_PATH, CRASHES_PATH, ClaimMessage, CommandReply, CrashMessage};
 pub use gateway::{
     GATEWAY_SYNC_PATH, GatewayReply, GatewayReport, GrantReply, GrantRequest, ListVersion,
-    ModelRequests, PlanUpdate, PublishedPlan, ServedModel, TargetList,
+    ModelRequests, PlanUpdate, PublishedPlan, ServedModel, TargetDigest, TargetList,
 };
 pub use load::{LoadMessage, LoadScope, LoadSum, LoadTopology, TargetHash, target_hash};
 pub use reply::{
--- a/src/sync/gateway.rs
+++ b/src/sync/gateway.rs
@@ -6,9 +6,10 @@
 use crate::{
     adapter::TargetEntry,
     allowance::{ShareGrant, ShareReport},
+    error::Result,
     ids::{DataCentreId, EntryKey, ModelId, ServiceId, TargetId, Term},
     plan::PlanVersion,
-    sync::LoadTopology,
+    sync::{self, LoadTopology, TargetHash, target_hash},
 };
 
 /// Path of a gateway's sync on the system port.
@@ -27,6 +28,9 @@
     /// Version of the target list that the gateway has.
     #[serde(rename = "list")]
     pub list_version: ListVersion,
+    /// Digest of the gateway's target list, if the leader may not know its version; else empty.
+    #[serde(default)]
+    pub list_digest: Vec<TargetDigest>,
     /// The gateway's shares of the teams' allowances.
     pub shares: Vec<ShareReport>,
     /// UDP address that receives [load messages](crate::sync::LoadMessage) from other gateways.
@@ -50,6 +54,33 @@
     pub number: u64,
 }
 
+/// Hash of a target's id and of its entry in the list. A leader that does not know the version of a
+/// gateway's list, such as a new one, finds the entries that differ by their digests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetDigest {
+    /// Hash of the target's id.
+    pub target: TargetHash,
+    /// Hash of the entry.
+    pub entry: u64,
+}
+
+impl TargetDigest {
+    /// Returns the digest of an entry.
+    ///
+    /// # Errors
+    /// [`Error::Decode`](crate::error::Error::Decode) when the entry cannot be encoded.
+    pub fn new(entry: &TargetEntry) -> Result<Self> {
+        let bytes = sync::encode_compact(entry)?;
+        let hash = blake3::hash(&bytes);
+        let mut prefix = [0; 8];
+        prefix.copy_from_slice(&hash.as_bytes()[..8]);
+        Ok(Self {
+            target: target_hash(&entry.id),
+            entry: u64::from_le_bytes(prefix),
+        })
+    }
+}
+
 /// A model or adapter of one service.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ServedModel {
@@ -150,6 +181,9 @@
     /// Targets that were removed since `base`.
     #[serde(rename = "gone")]
     pub removed: Vec<TargetId>,
+    /// Targets of the gateway's digest that the leader does not know.
+    #[serde(default)]
+    pub unknown: Vec<TargetHash>,
 }
 
 /// Request for tokens that a gateway sends to the leader over UDP, between syncs, when the tokens
--- a/tests/engine_fleet/mod.rs
+++ b/tests/engine_fleet/mod.rs
@@ -149,6 +149,7 @@
         data_centre: "a".into(),
         plan_version: 1,
         list_version: ListVersion::default(),
+        list_digest: Vec::new(),
         shares: Vec::new(),
         load_address: "10.1.0.1:9".parse().unwrap(),
         demand,
--- a/tests/load_aggregator.rs
+++ b/tests/load_aggregator.rs
@@ -61,6 +61,7 @@
                 data_centre: format!("centre-{}", number % data_centres).into(),
                 plan_version: 0,
                 list_version: ListVersion::default(),
+                list_digest: Vec::new(),
                 shares: Vec::new(),
                 load_address: address(number),
                 demand: Vec::new(),
--- a/tests/target_history.rs
+++ b/tests/target_history.rs
@@ -8,7 +8,7 @@
     adapter::TargetEntry,
     coordinator::TargetHistory,
     ids::TargetId,
-    sync::{ListVersion, TargetList},
+    sync::{ListVersion, TargetDigest, TargetList, target_hash},
 };
 
 const TERM: u64 = 3;
@@ -98,3 +98,52 @@
     let list = history.changes_since(held, TERM).unwrap();
     assert_eq!((list.base, list.targets.len()), (None, 2));
 }
+
+/// Pattern: a new leader stands before hundreds of gateways, each of which has the list of the former
+/// one. It sends what differs, not a list of all targets to each gateway.
+#[test]
+fn new_leader_sends_what_differs_from_the_former_list() {
+    let gateway_list: Vec<TargetEntry> = (0..=250).map(|number| entry(number, 12)).collect();
+    let held = ListVersion {
+        term: TERM - 1,
+        number: 4_711,
+    };
+    let digest: Vec<TargetDigest> = gateway_list
+        .iter()
+        .map(|entry| TargetDigest::new(entry).unwrap())
+        .collect();
+    let mut leader_list = gateway_list.clone();
+    leader_list.remove(17);
+    leader_list[3].is_draining = true;
+    leader_list.push(entry(255, 12));
+    let mut history = TargetHistory::new();
+    history.update(leader_list.clone());
+    assert!(!history.is_known(held, TERM));
+    let changes = history.changes_from(&digest, held, TERM).unwrap();
+    assert_eq!(changes.base, Some(held));
+    assert_eq!(changes.targets.len(), 2, "entries that are sent");
+    assert_eq!(changes.unknown, [target_hash(&gateway_list[17].id)]);
+    let mut targets: BTreeMap<TargetId, TargetEntry> = gateway_list
+        .into_iter()
+        .filter(|target| !changes.unknown.contains(&target_hash(&target.id)))
+        .chain(changes.targets)
+        .map(|target| (target.id.clone(), target))
+        .collect();
+    for target in &leader_list {
+        assert_eq!(targets.remove(&target.id).as_ref(), Some(target));
+    }
+    assert!(
+        targets.is_empty(),
+        "{targets:?} are not in the leader's list"
+    );
+    // Changes after the digest was taken follow as usual.
+    history.upsert(vec![entry(40, 13)]);
+    let next = history.changes_since(changes.version, TERM).unwrap();
+    assert_eq!(next.targets, [entry(40, 13)]);
+    let repeated = history.changes_from(&digest, held, TERM).unwrap();
+    assert_eq!(
+        repeated.targets.len(),
+        3,
+        "digests of a changed entry are renewed"
+    );
+}
