--- a/src/client.rs
+++ b/src/client.rs
@@ -6,7 +6,7 @@
 };
 
 use prometheus::IntCounter;
-use reqwest::{Client, ClientBuilder};
+use reqwest::{Client, ClientBuilder, Response};
 use tower_layer::Layer;
 use tower_service::Service;
 
@@ -23,6 +23,11 @@
 /// closing.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Maximum size of an engine's report.
+const MAX_REPORT_BYTES: usize = 4 << 20;
+/// Maximum size of a message between the system's own processes, as for requests.
+pub const MAX_MESSAGE_BYTES: usize = 16 << 20;
+
 /// Builds a client that ignores proxies and redirects, since targets are addressed directly.
 ///
 /// # Errors
@@ -105,6 +110,30 @@
     }
 }
 
+/// Reads the body of a response of at most `max_bytes`. A peer in trouble may send bytes without
+/// end, which must not fill the memory of the process until the call times out.
+///
+/// # Errors
+/// [`Error::Transport`] when the body is longer or cannot be read in full.
+pub async fn read_body(peer: &str, mut response: Response, max_bytes: usize) -> Result<Vec<u8>> {
+    let transport = |reason: String| Error::Transport {
+        peer: peer.to_owned(),
+        reason,
+    };
+    let mut body = Vec::new();
+    while let Some(chunk) = response
+        .chunk()
+        .await
+        .map_err(|error| transport(error.to_string()))?
+    {
+        if body.len() + chunk.len() > max_bytes {
+            return Err(transport(format!("the body exceeds {max_bytes} bytes")));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body)
+}
+
 /// Fetches an engine's report with a timeout of `limit`.
 ///
 /// # Errors
@@ -116,5 +145,9 @@
     };
     let url = format!("http://{address}/engine/v1/report");
     let call = client.get(url).timeout(limit).send().await;
-    call.map_err(transport)?.json().await.map_err(transport)
+    let body = read_body(address, call.map_err(transport)?, MAX_REPORT_BYTES).await?;
+    serde_json::from_slice(&body).map_err(|error| Error::Decode {
+        what: "engine report",
+        reason: error.to_string(),
+    })
 }
--- a/src/control/bootstrap.rs
+++ b/src/control/bootstrap.rs
@@ -5,6 +5,7 @@
 
 use super::raft_api::{JOIN_PATH, JoinRequest, MEMBER_PATH, MemberReply};
 use crate::{
+    client,
     config::{ControlConfig, VoterAddress},
     error::{Error, Result},
     raft::Membership,
@@ -229,7 +230,9 @@
         .await
         .and_then(reqwest::Response::error_for_status)
         .map_err(transport)?;
-    sync::decode("member reply", &answer.bytes().await.map_err(transport)?)
+    let peer = address.to_string();
+    let body = client::read_body(&peer, answer, client::MAX_MESSAGE_BYTES).await?;
+    sync::decode("member reply", &body)
 }
 
 /// Reads the member addresses that an earlier run saved. They only help to reach members that are
--- a/src/control/platform.rs
+++ b/src/control/platform.rs
@@ -10,6 +10,7 @@
 use spdlog::prelude::*;
 
 use crate::{
+    client,
     config::PlatformSource,
     error::{Error, Result},
     ids::VmId,
@@ -75,10 +76,8 @@
 }
 
 async fn read_list(source: &PlatformSource, client: &Client) -> Result<PlatformList> {
-    let text = match source {
-        PlatformSource::File(path) => {
-            fs::read_to_string(path).map_err(|error| Error::file(path, error))?
-        }
+    let bytes = match source {
+        PlatformSource::File(path) => fs::read(path).map_err(|error| Error::file(path, error))?,
         PlatformSource::Url(url) => {
             let transport = |error: reqwest::Error| Error::Transport {
                 peer: url.clone(),
@@ -88,10 +87,10 @@
             let answer = call
                 .and_then(reqwest::Response::error_for_status)
                 .map_err(transport)?;
-            answer.text().await.map_err(transport)?
+            client::read_body(url, answer, client::MAX_MESSAGE_BYTES).await?
         }
     };
-    serde_json::from_str(&text).map_err(|error| Error::Decode {
+    serde_json::from_slice(&bytes).map_err(|error| Error::Decode {
         what: "platform list",
         reason: error.to_string(),
     })
--- a/src/entry/control_client.rs
+++ b/src/entry/control_client.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 
 use crate::{
+    client,
     error::{Error, Result},
     ids::{Attempt, EntryKey},
     state::Outcome,
@@ -121,7 +122,8 @@
             .await
             .and_then(reqwest::Response::error_for_status)
             .map_err(transport)?;
-        let bytes = response.bytes().await.map_err(transport)?;
+        let peer = control.to_string();
+        let bytes = client::read_body(&peer, response, client::MAX_MESSAGE_BYTES).await?;
         sync::decode::<CommandReply>("command reply", &bytes).map(|reply| reply.outcome)
     }
 }
--- a/src/entry/sync_follower.rs
+++ b/src/entry/sync_follower.rs
@@ -17,6 +17,7 @@
 };
 use crate::{
     allowance::ShareReport,
+    client,
     config::EntryConfig,
     error::{Error, Result},
     ids::{Incarnation, TeamId},
@@ -219,6 +220,8 @@
             .await
             .and_then(reqwest::Response::error_for_status)
             .map_err(transport)?;
-        sync::decode("sync reply", &response.bytes().await.map_err(transport)?)
+        let peer = control.to_string();
+        let body = client::read_body(&peer, response, client::MAX_MESSAGE_BYTES).await?;
+        sync::decode("sync reply", &body)
     }
 }
--- a/src/gateway/caller_server.rs
+++ b/src/gateway/caller_server.rs
@@ -18,6 +18,12 @@
 /// its way.
 const IDLE_MARGIN: Duration = Duration::from_secs(2);
 
+/// Minimum size of the buffer of a connection, whatever size of a head the plan allows.
+const MIN_BUFFER_BYTES: usize = 16 << 10;
+
+/// Part of the buffer beyond the size of a head, so that a head of exactly that size is accepted.
+const HEAD_MARGIN_BYTES: usize = 4 << 10;
+
 /// Serves callers' connections until `is_stopping` becomes true, then closes each one after its
 /// request in progress.
 pub async fn run(
@@ -65,6 +71,7 @@
         async move { Ok::<_, Infallible>(proxy.serve(request).await) }
     });
     let connection = http1::Builder::new()
+        .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES) + HEAD_MARGIN_BYTES)
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout + IDLE_MARGIN)
         .serve_connection(TokioIo::new(stream), service);
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -37,6 +37,10 @@
 /// that a dead peer is detected.
 const ACK_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Maximum size of the buffer of a connection, and thus of the head of an answer. A longer head is no
+/// answer.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
+
 type TargetSender = SendRequest<Full<Bytes>>;
 
 /// A connection to a target, either idle or used by one exchange.
@@ -142,6 +146,7 @@
         );
     }
     let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| refused(error.to_string()))?;
--- a/src/gateway/sync_client.rs
+++ b/src/gateway/sync_client.rs
@@ -20,6 +20,7 @@
 };
 use crate::{
     adapter::PlatformAdapter,
+    client,
     entry::SharedAllowance,
     error::{Error, Result},
     ids::{EntryKey, Incarnation},
@@ -37,6 +38,8 @@
 /// Minimum and maximum interval between syncs while the leader is busy sending the full plan to
 /// other gateways.
 const PLAN_RETRY_INTERVAL: [Duration; 2] = [Duration::from_millis(80), Duration::from_millis(250)];
+/// Maximum size of a reply that names the leader.
+const MAX_ADDRESS_BYTES: usize = 256;
 /// Interval between syncs while requests wait for a model.
 const MODEL_RETRY_INTERVAL: Duration = Duration::from_millis(150);
 /// Interval at which the age of the leader's list is checked.
@@ -319,15 +322,16 @@
             .await
             .map_err(transport_error)?;
         if response.status() == reqwest::StatusCode::MISDIRECTED_REQUEST {
-            let leader = response.text().await.map_err(transport_error)?;
+            let peer = coordinator.to_string();
+            let leader = client::read_body(&peer, response, MAX_ADDRESS_BYTES).await?;
+            let leader = String::from_utf8_lossy(&leader).into_owned();
             let leader = Some(leader).filter(|leader| !leader.is_empty());
             return Err(Error::NotLeader { leader });
         }
         let response = response.error_for_status().map_err(transport_error)?;
-        sync::decode(
-            "gateway reply",
-            &response.bytes().await.map_err(transport_error)?,
-        )
+        let peer = coordinator.to_string();
+        let body = client::read_body(&peer, response, client::MAX_MESSAGE_BYTES).await?;
+        sync::decode("gateway reply", &body)
     }
 
     fn apply_reply(&self, reply: GatewayReply, sent_at: Instant) {
