Do not go back to a leader that did not answer because others still name it

Cause: when a leader freezes, the other coordinators name it for another second. Ruled out: a shorter timeout, which a slow leader does not bear. Change: CoordinatorList, without network, keeps the coordinator that did not answer for 2.5 s; the next ones are asked instead. Measured: tests/coordinator_list.rs: 2 of 6 syncs at most go to the lost leader; the rule before sent every second one there (read, not run).

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -5,6 +5,7 @@
 mod caller_server;
 mod config;
 mod connections;
+mod coordinator_list;
 mod daemon;
 mod exchange;
 mod grants;
@@ -21,6 +22,7 @@
 mod view;
 
 pub use config::GatewayConfig;
+pub use coordinator_list::CoordinatorList;
 pub use daemon::GatewayDaemon;
 pub use list_fallback::ListFallback;
 pub use loads::LoadAggregator;
--- /dev/null
+++ b/src/gateway/coordinator_list.rs
@@ -0,0 +1,77 @@
+use std::{net::SocketAddr, time::Duration};
+
+/// Time for which a coordinator that did not answer is not asked again because another one names it
+/// as the leader. Coordinators notice the loss of their leader about a second after gateways.
+const UNREACHABLE_TIME: Duration = Duration::from_millis(2_500);
+
+/// Coordinators known to a gateway, in the order in which they are asked.
+#[derive(Debug)]
+pub struct CoordinatorList {
+    addresses: Vec<SocketAddr>,
+    /// Coordinator that did not answer last, and when.
+    unreachable: Option<(SocketAddr, Duration)>,
+}
+
+impl CoordinatorList {
+    /// Returns a list that starts with the coordinators known at start-up.
+    #[must_use]
+    pub fn new(addresses: Vec<SocketAddr>) -> Self {
+        Self {
+            addresses,
+            unreachable: None,
+        }
+    }
+
+    /// Returns the coordinator to ask next.
+    #[must_use]
+    pub fn first(&self) -> Option<SocketAddr> {
+        self.addresses.first().copied()
+    }
+
+    /// Adds coordinators that are not known yet.
+    pub fn add(&mut self, addresses: impl IntoIterator<Item = SocketAddr>) {
+        for address in addresses {
+            if !self.addresses.contains(&address) {
+                self.addresses.push(address);
+            }
+        }
+    }
+
+    /// Records that a coordinator answered as the leader.
+    pub fn record_answer(&mut self) {
+        self.unreachable = None;
+    }
+
+    /// Records that a coordinator did not answer, and moves on to the next one.
+    pub fn record_failure(&mut self, failed: SocketAddr, now: Duration) {
+        self.unreachable = Some((failed, now));
+        self.rotate(failed);
+    }
+
+    /// Records that a coordinator does not lead and may have named the leader. Returns whether the
+    /// leader is asked next; one that did not answer a moment ago is not.
+    pub fn record_redirect(
+        &mut self,
+        asked: SocketAddr,
+        leader: Option<SocketAddr>,
+        now: Duration,
+    ) -> bool {
+        self.rotate(asked);
+        let is_unreachable = |leader: &SocketAddr| {
+            let unreachable = self.unreachable.filter(|(known, _)| known == leader);
+            unreachable.is_some_and(|(_, at)| now.saturating_sub(at) < UNREACHABLE_TIME)
+        };
+        let Some(leader) = leader.filter(|leader| !is_unreachable(leader)) else {
+            return false;
+        };
+        self.addresses.retain(|address| *address != leader);
+        self.addresses.insert(0, leader);
+        true
+    }
+
+    fn rotate(&mut self, asked: SocketAddr) {
+        if self.first() == Some(asked) {
+            self.addresses.rotate_left(1);
+        }
+    }
+}
--- a/src/gateway/sync_client.rs
+++ b/src/gateway/sync_client.rs
@@ -11,6 +11,7 @@
 
 use super::{
     config::GatewayConfig,
+    coordinator_list::CoordinatorList,
     list_fallback::ListFallback,
     loads::LoadExchange,
     proxy::random_duration,
@@ -48,6 +49,7 @@
 /// Client that synchronises plan, targets and token grants of a gateway with the leading
 /// coordinator.
 pub struct SyncClient {
+    started_at: Instant,
     key: EntryKey,
     config: GatewayConfig,
     adapter: Arc<dyn PlatformAdapter>,
@@ -64,8 +66,7 @@
 }
 
 struct SyncState {
-    /// Known coordinators; the next sync goes to the first.
-    coordinators: Vec<SocketAddr>,
+    coordinators: CoordinatorList,
     /// When the leader's target list was read from the platform.
     listed_at: Option<Instant>,
     is_connected: bool,
@@ -99,7 +100,7 @@
         secret: String,
     ) -> Self {
         let state = SyncState {
-            coordinators: config.coordinators.clone(),
+            coordinators: CoordinatorList::new(config.coordinators.clone()),
             listed_at: None,
             is_connected: false,
             synced_with: None,
@@ -110,6 +111,7 @@
             list_fallback: ListFallback::new(config.list_calls_per_second),
         };
         Self {
+            started_at: Instant::now(),
             key: EntryKey {
                 vm: config.vm.clone(),
                 incarnation,
@@ -148,7 +150,7 @@
     /// Returns the address of the leading coordinator; `None` while it does not answer.
     pub fn leader(&self) -> Option<SocketAddr> {
         let state = self.state();
-        let leader = state.coordinators.first().copied();
+        let leader = state.coordinators.first();
         leader.filter(|_| state.is_connected)
     }
 
@@ -184,14 +186,17 @@
     async fn run_sync(&self) {
         loop {
             let started_at = Instant::now();
-            let synced = self.sync_once().await;
+            let Some(coordinator) = self.state().coordinators.first() else {
+                tokio::time::sleep(self.sync_interval()).await;
+                continue;
+            };
+            let synced = self.sync_once(coordinator).await;
             self.record_leader_state(synced.as_ref().err());
             if let Err(error) = &synced {
-                let delay = self.record_failure(error, started_at.elapsed());
+                let delay = self.record_failure(coordinator, error, started_at.elapsed());
                 tokio::time::sleep(delay).await;
                 continue;
             }
-            self.state().pacing.record_success();
             let is_plan_pending = std::mem::take(&mut self.state().is_plan_pending);
             let interval = match is_plan_pending {
                 true => random_duration(PLAN_RETRY_INTERVAL[0], PLAN_RETRY_INTERVAL[1]),
@@ -207,15 +212,25 @@
         }
     }
 
-    /// Records a failed sync and returns the delay before the next one.
-    fn record_failure(&self, error: &Error, elapsed: Duration) -> Duration {
+    /// Selects the coordinator for the next sync after a failed one, and returns the delay before it.
+    fn record_failure(&self, failed: SocketAddr, error: &Error, elapsed: Duration) -> Duration {
+        let now = self.started_at.elapsed();
         let mut state = self.state();
         let interval = state.sync_interval;
-        match error {
-            Error::NotLeader { leader: Some(_) } => state.pacing.redirect_delay(&mut rand::rng()),
-            _ => state
-                .pacing
-                .record_failure(elapsed, interval, &mut rand::rng()),
+        let is_redirected = match error {
+            Error::NotLeader { leader } => {
+                let leader = leader.as_ref().and_then(|leader| leader.parse().ok());
+                state.coordinators.record_redirect(failed, leader, now)
+            }
+            _ => {
+                state.coordinators.record_failure(failed, now);
+                false
+            }
+        };
+        let mut rng = rand::rng();
+        match is_redirected {
+            true => state.pacing.redirect_delay(&mut rng),
+            false => state.pacing.record_failure(elapsed, interval, &mut rng),
         }
     }
 
@@ -231,9 +246,7 @@
         }
     }
 
-    async fn sync_once(&self) -> Result<()> {
-        let coordinator = self.state().coordinators.first().copied();
-        let coordinator = coordinator.ok_or(Error::NotLeader { leader: None })?;
+    async fn sync_once(&self, coordinator: SocketAddr) -> Result<()> {
         let (shares, reported_at) = self.allowance.make_reports();
         let wanted: BTreeSet<ServedModel> = self.wanted_models().keys().cloned().collect();
         let (list_version, list_digest) = self.list_state(coordinator)?;
@@ -256,13 +269,15 @@
                     .retain(|model, waiters| *waiters > 0 || !wanted.contains(model));
                 self.allowance.apply_grants(&reply.grants, reported_at);
                 self.apply_reply(reply, sent_at);
-                self.state().synced_with = Some(coordinator);
+                let mut state = self.state();
+                state.synced_with = Some(coordinator);
+                state.coordinators.record_answer();
+                state.pacing.record_success();
                 Ok(())
             }
             Err(error) => {
                 self.demand.put_back(&report.demand);
                 self.state().synced_with = None;
-                self.switch_coordinator(coordinator, &error);
                 Err(error)
             }
         }
@@ -279,25 +294,6 @@
         }
     }
 
-    /// Selects the coordinator for the next sync: the leader that `failed` named, or the next known
-    /// one.
-    fn switch_coordinator(&self, failed: SocketAddr, error: &Error) {
-        let mut state = self.state();
-        if state.coordinators.first() == Some(&failed) {
-            state.coordinators.rotate_left(1);
-        }
-        let leader = match error {
-            Error::NotLeader {
-                leader: Some(leader),
-            } => leader.parse().ok(),
-            _ => None,
-        };
-        if let Some(leader) = leader {
-            state.coordinators.retain(|peer| *peer != leader);
-            state.coordinators.insert(0, leader);
-        }
-    }
-
     fn sync_timeout(&self) -> Duration {
         let state = self.state();
         state.pacing.timeout(state.sync_interval)
@@ -360,11 +356,7 @@
         if let Some(age) = reply.list_age_ms {
             state.listed_at = Instant::now().checked_sub(Duration::from_millis(age));
         }
-        for coordinator in reply.coordinators {
-            if !state.coordinators.contains(&coordinator) {
-                state.coordinators.push(coordinator);
-            }
-        }
+        state.coordinators.add(reply.coordinators);
     }
 
     fn apply_plan_update(&self, update: &PlanUpdate) -> Result<()> {
@@ -412,7 +404,6 @@
     /// Reads the target list from the platform while no leader supplies it, so that leaving targets
     /// get no new requests.
     async fn poll_platform_list(&self) {
-        let started_at = Instant::now();
         loop {
             tokio::time::sleep(LIST_CHECK_INTERVAL).await;
             let Some(plan) = self.view.get() else {
@@ -421,7 +412,7 @@
             let is_due = {
                 let mut state = self.state();
                 let list_age = state.listed_at.map(|at| at.elapsed());
-                let (targets, now) = (self.targets.count(), started_at.elapsed());
+                let (targets, now) = (self.targets.count(), self.started_at.elapsed());
                 let fallback = &mut state.list_fallback;
                 fallback.is_due(list_age, targets, now, &mut rand::rng())
             };
--- /dev/null
+++ b/tests/coordinator_list.rs
@@ -0,0 +1,58 @@
+//! Tests which coordinator a gateway asks while the leader changes.
+//!
+//! Pattern: the leader freezes or is cut off. The other coordinators still name it for a second, and
+//! each sync with it is lost after a timeout. No network is needed.
+
+use std::{net::SocketAddr, time::Duration};
+
+use waxwinglatch::gateway::CoordinatorList;
+
+fn address(number: u8) -> SocketAddr {
+    format!("10.0.0.{number}:7600").parse().unwrap()
+}
+
+fn list() -> CoordinatorList {
+    CoordinatorList::new(vec![address(1), address(2), address(3)])
+}
+
+#[test]
+fn named_leader_is_asked_next() {
+    let mut list = list();
+    assert!(list.record_redirect(address(1), Some(address(9)), Duration::ZERO));
+    assert_eq!(list.first(), Some(address(9)));
+}
+
+#[test]
+fn leader_that_does_not_answer_is_not_asked_again_because_it_is_named() {
+    let mut list = list();
+    let mut now = Duration::from_secs(10);
+    list.record_failure(address(1), now);
+    let mut asked = Vec::new();
+    for _ in 0..6 {
+        now += Duration::from_millis(100);
+        let next = list.first().unwrap();
+        asked.push(next);
+        if next == address(1) {
+            list.record_failure(next, now);
+        } else {
+            assert!(!list.record_redirect(next, Some(address(1)), now));
+        }
+    }
+    let lost = asked.iter().filter(|asked| **asked == address(1)).count();
+    assert!(lost <= 2, "{lost} of 6 syncs go to the lost leader");
+    assert!(asked.contains(&address(2)) && asked.contains(&address(3)));
+    // A new leader is followed at once.
+    assert!(list.record_redirect(list.first().unwrap(), Some(address(3)), now));
+    assert_eq!(list.first(), Some(address(3)));
+}
+
+#[test]
+fn leader_that_answers_again_is_followed() {
+    let mut list = list();
+    list.record_failure(address(1), Duration::from_secs(10));
+    let later = Duration::from_secs(14);
+    assert!(list.record_redirect(address(2), Some(address(1)), later));
+    list.record_failure(address(1), later);
+    list.record_answer();
+    assert!(list.record_redirect(address(2), Some(address(1)), later));
+}
