Answer connections that were established before a planned stop closed the port

Cause: at the end of the rotation delay the listener was dropped with the connections that the kernel had established, which resets them, and new connections were closed before their first request had been read. Ruled out: requests that were read already; they were answered before. Change: the backlog is accepted before the listener is dropped, and a connection without a request yet has 300 ms for its first one.

--- a/src/gateway/caller_server.rs
+++ b/src/gateway/caller_server.rs
@@ -1,5 +1,6 @@
 use std::{convert::Infallible, sync::Arc, time::Duration};
 
+use futures::FutureExt;
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use spdlog::prelude::*;
@@ -21,6 +22,9 @@
 /// Minimum size of the buffer of a connection, whatever size of a head the plan allows.
 const MIN_BUFFER_BYTES: usize = 16 << 10;
 
+/// Time for which a new connection may still send its first request after the gateway stopped
+/// accepting. It was opened for this request, which is on its way.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(300);
 /// Part of the buffer beyond the size of a head, so that a head of exactly that size is accepted.
 const HEAD_MARGIN_BYTES: usize = 4 << 10;
 
@@ -47,9 +51,13 @@
                 }
             },
             Some(_) = connections.join_next() => {}
-            () = stop_requested(&mut is_stopping) => break,
+            () = is_set(&mut is_stopping) => break,
         }
     }
+    // Connections that the kernel has established already would be reset with the listener.
+    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+        connections.spawn(serve(stream, Arc::clone(&proxy), connection_stop.clone()));
+    }
     drop(listener);
     while connections.join_next().await.is_some() {}
 }
@@ -66,8 +74,10 @@
     }
     let limits = proxy.view.get().map(|plan| plan.plan().limits.clone());
     let limits = limits.unwrap_or_default();
+    let (request_seen, mut first_request) = watch::channel(false);
     let service = service_fn(move |request| {
         let proxy = Arc::clone(&proxy);
+        request_seen.send_replace(true);
         async move { Ok::<_, Infallible>(proxy.serve(request).await) }
     });
     let connection = http1::Builder::new()
@@ -78,9 +88,15 @@
     tokio::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        () = stop_requested(&mut is_stopping) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+        () = is_set(&mut is_stopping) => {
+            let first = tokio::time::timeout(FIRST_REQUEST_TIME, is_set(&mut first_request));
+            tokio::select! {
+                ended = connection.as_mut() => ended,
+                _ = first => {
+                    connection.as_mut().graceful_shutdown();
+                    connection.await
+                }
+            }
         }
     };
     if let Err(error) = ended {
@@ -88,8 +104,8 @@
     }
 }
 
-/// Waits until the daemon stops. A dropped sender means that the daemon has ended, which also
-/// closes the connections.
-async fn stop_requested(is_stopping: &mut watch::Receiver<bool>) {
-    let _ = is_stopping.wait_for(|is_stopping| *is_stopping).await;
+/// Waits until a flag is set. A dropped sender means that the daemon or the connection has ended,
+/// which ends the wait as well.
+async fn is_set(flag: &mut watch::Receiver<bool>) {
+    let _ = flag.wait_for(|is_set| *is_set).await;
 }
