Load adapters ahead of the first requests where slots are free

Ruled out: limits of the store: 352 adapters may be on their way, 32 are ordered each 150 ms. Change: the plan names the adapters of a model; those that no engine holds are loaded on an engine with their model, one slot of each engine stays free for adapters that requests wait for.

--- a/src/coordinator/adapter_orders.rs
+++ b/src/coordinator/adapter_orders.rs
@@ -1,6 +1,6 @@
 //! Planning of which adapters engines load and unload.
 
-use std::time::Duration;
+use std::{collections::HashSet, time::Duration};
 
 use super::{
     engine_table::{EngineTable, PlannedOrder, base_model, is_adapter},
@@ -8,8 +8,19 @@
     gateway_table::GatewayTable,
     model_copies::ModelCopies,
 };
-use crate::{adapter::OrderAction, ids::ModelId, plan::EnginePlan, sync::ServedModel};
+use crate::{
+    adapter::OrderAction,
+    ids::{ModelId, TargetId},
+    plan::EnginePlan,
+    sync::ServedModel,
+};
 
+/// Number of adapters that one plan may load ahead of requests in any fleet.
+const MIN_SPARE_ADAPTERS: usize = 2;
+/// Number of engines for which a plan may load one adapter ahead of requests.
+const ENGINES_PER_SPARE_ADAPTER: usize = 8;
+/// Slots of an engine that are left free for adapters that requests wait for.
+const FREE_ADAPTER_SLOTS: usize = 1;
 /// Time since its last use after which an adapter can be evicted for another one.
 const MIN_IDLE_TIME: Duration = Duration::from_secs(3);
 /// Fraction of the mean load of an engine above which an adapter gets another copy.
@@ -70,6 +81,51 @@
         }
     }
 
+    /// Plans loads of adapters that no engine holds on engines with free slots, so that the first
+    /// request for each does not wait for an order.
+    pub(super) fn plan_spare_adapters(
+        &self,
+        service: &str,
+        engine: &EnginePlan,
+        orders: &mut Vec<PlannedOrder>,
+        now: Duration,
+    ) {
+        let copies = ModelCopies::count(self.service_engines(service));
+        let slots = engine.adapter_slots as usize;
+        let max_loads = MIN_SPARE_ADAPTERS.max(self.engines.len() / ENGINES_PER_SPARE_ADAPTER);
+        let mut ordered: HashSet<TargetId> =
+            orders.iter().map(|order| order.target.clone()).collect();
+        let mut loads = 0;
+        for model in &engine.models {
+            let missing = model.adapters.iter();
+            for adapter in missing.filter(|adapter| copies.of_adapter(adapter) == 0) {
+                if loads == max_loads {
+                    return;
+                }
+                let candidates = copies.holders(&model.id).filter(|(view, _)| {
+                    view.accepts_model_orders(now)
+                        && view.used_adapter_slots() + FREE_ADAPTER_SLOTS < slots
+                        && !view.resident_adapters.contains(adapter)
+                        && !ordered.contains(&view.entry.id)
+                });
+                let view = candidates.min_by_key(|(view, _)| view.used_adapter_slots());
+                let Some((view, _)) = view else { continue };
+                let Some(expected_orders) = view.accepted_orders else {
+                    continue;
+                };
+                loads += 1;
+                ordered.insert(view.entry.id.clone());
+                orders.push(PlannedOrder {
+                    target: view.entry.id.clone(),
+                    action: OrderAction::Load,
+                    model: adapter.clone(),
+                    expected_orders,
+                    reason: "spare adapter",
+                });
+            }
+        }
+    }
+
     /// Plans one order towards a copy of an adapter: a load on the engine with the fewest adapters,
     /// or an unload of an idle adapter when all slots of this engine are in use.
     fn plan_adapter_copy(
--- a/src/coordinator/engine_table.rs
+++ b/src/coordinator/engine_table.rs
@@ -236,6 +236,7 @@
             if is_due {
                 self.plan_demanded_adapters(&service.id, engine, gateways, &mut orders, now);
                 self.plan_copy_changes(&service.id, engine, gateways, &mut orders, now);
+                self.plan_spare_adapters(&service.id, engine, &mut orders, now);
             }
         }
         for order in &orders {
--- a/src/plan/engine_plan.rs
+++ b/src/plan/engine_plan.rs
@@ -36,8 +36,8 @@
     pub weights_mb: f64,
     /// Memory that one adapter of the model occupies, in MB.
     pub adapter_mb: f64,
-    /// Number of adapters of the model.
-    pub adapters: u32,
+    /// Names of the model's adapters, as requests name them.
+    pub adapters: Vec<ModelId>,
     /// Time to load the model from the weight store.
     pub load_time: Duration,
 }
--- a/tests/engine_fleet/mod.rs
+++ b/tests/engine_fleet/mod.rs
@@ -30,7 +30,9 @@
         id: model(number),
         weights_mb: 60_000.0,
         adapter_mb: 40.0,
-        adapters: ADAPTERS_PER_MODEL,
+        adapters: (0..ADAPTERS_PER_MODEL)
+            .map(|a| adapter(number, a))
+            .collect(),
         load_time: Duration::from_millis(1_200),
     });
     let engine = EnginePlan {
--- a/tests/engine_view.rs
+++ b/tests/engine_view.rs
@@ -30,7 +30,7 @@
         id: id.into(),
         weights_mb,
         adapter_mb: 50.0,
-        adapters: 4,
+        adapters: Vec::new(),
         load_time: Duration::from_secs(4),
     };
     EnginePlan {
--- a/tests/leader_scale.rs
+++ b/tests/leader_scale.rs
@@ -3,10 +3,15 @@
 //! Pattern: many models on many engines, all of them in demand. The leader plans several times a
 //! second on a fraction of a core; while it plans, no gateway gets tokens or a list.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::HashSet,
+    time::{Duration, Instant},
+};
 
+use compact_str::format_compact;
 use engine_fleet::{EngineFleet, NOW, fleet};
 use waxwinglatch::{
+    adapter::{EngineStatus, OrderResponse},
     coordinator::{GatewayTable, TargetChanges, TargetHistory},
     sync::{ModelRequests, ServedModel},
 };
@@ -113,3 +118,54 @@
         targets.len()
     );
 }
+
+/// Pattern: the first requests of a day ask for hundreds of adapters that no engine holds. Those for
+/// which there is room are loaded before.
+#[test]
+fn adapters_are_loaded_before_they_are_asked_for() {
+    let mut fleet = fleet(441);
+    let engines = fleet.engines.targets();
+    let missing: Vec<_> = engines
+        .iter()
+        .map(|target| target.id.clone())
+        .take(40)
+        .collect();
+    for engine in &missing {
+        let mut models = fleet.engines.get(engine).unwrap().routable_models.clone();
+        for held in &mut models {
+            held.adapters.clear();
+        }
+        let status = EngineStatus {
+            models,
+            ..EngineStatus::default()
+        };
+        fleet.engines.record_status(engine, Some(status), NOW);
+    }
+    fleet.gateways = GatewayTable::default();
+    let mut loaded = 0;
+    let mut now = NOW;
+    for _ in 0..40 {
+        now += Duration::from_millis(150);
+        for order in fleet.engines.plan_orders(&fleet.plan, &fleet.gateways, now) {
+            loaded += usize::from(order.model.contains('/'));
+            let response = Some(OrderResponse::Accepted);
+            fleet.engines.finish_order(&order, response, now);
+            let view = fleet.engines.get(&order.target).unwrap();
+            assert!(view.used_adapter_slots() < 8, "no slot is left free");
+        }
+    }
+    assert!(loaded >= 100, "{loaded} adapters are loaded ahead");
+    let targets = fleet.engines.targets();
+    let held = targets.iter().flat_map(|target| &target.models);
+    let held: HashSet<_> = held.flat_map(|held| &held.adapters).collect();
+    let models = (0..441).map(engine_fleet::model);
+    let holders: HashSet<_> = targets
+        .iter()
+        .flat_map(|target| &target.models)
+        .map(|held| held.model.clone())
+        .collect();
+    let unheld = models
+        .filter(|model| holders.contains(model))
+        .filter(|model| !held.contains(&format_compact!("{model}/a0")));
+    assert_eq!(unheld.count(), 0, "models without their first adapter");
+}
