Apply late grants, and report used tokens once a request

Change: replies are applied whenever they come, by serial number; a request without one for 100 ms is repeated; used tokens are reported once a request and at most each 200 ms.

--- a/src/allowance/share.rs
+++ b/src/allowance/share.rs
@@ -140,6 +140,15 @@
             .collect()
     }
 
+    /// Forgets that the shortages of `teams` were reported, because the report was not answered.
+    pub fn forget_urgent_reports(&mut self, teams: &[TeamId]) {
+        for team in teams {
+            if let Some(share) = self.teams.get_mut(team) {
+                share.forget_urgent_report();
+            }
+        }
+    }
+
     /// Returns the reports of those `teams` without waiting requests. They request no tokens, so that
     /// no reply is needed, and tell the leader what was used: only used tokens are refilled.
     pub fn make_usage_reports(&mut self, teams: &[TeamId], now: Duration) -> Vec<ShareReport> {
--- a/src/allowance/team_share.rs
+++ b/src/allowance/team_share.rs
@@ -63,6 +63,11 @@
         self.final_report_at = None;
     }
 
+    /// Forgets that a shortage was reported.
+    pub fn forget_urgent_report(&mut self) {
+        self.pending_urgent = 0;
+    }
+
     /// Returns whether a request waits for tokens.
     pub fn is_waiting(&self) -> bool {
         self.all_waiting > 0
--- a/src/entry/allowance.rs
+++ b/src/entry/allowance.rs
@@ -164,6 +164,13 @@
         }
     }
 
+    /// Ends a sync with urgent reports that was not answered in time, so that its shortages are
+    /// reported again.
+    pub fn retry_urgent_reports(&self, teams: &[TeamId]) {
+        self.tables().share.forget_urgent_reports(teams);
+        self.finish_urgent_reports(teams);
+    }
+
     /// Returns those of some teams whose requests still lack tokens.
     #[must_use]
     pub fn short_teams(&self, teams: &[TeamId]) -> Vec<TeamId> {
@@ -322,9 +329,14 @@
     fn drop(&mut self) {
         let mut tables = self.allowance.tables();
         tables.share.settle(self.id, self.remaining);
-        tables.used_teams.insert(self.team.clone());
+        let has_used = self.remaining > 0;
+        if has_used {
+            tables.used_teams.insert(self.team.clone());
+        }
         drop(tables);
-        self.allowance.usage.notify_one();
+        if has_used {
+            self.allowance.usage.notify_one();
+        }
         self.allowance.changed.notify_waiters();
     }
 }
--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -1,4 +1,9 @@
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 
 use spdlog::prelude::*;
 use tokio::net::UdpSocket;
@@ -11,18 +16,19 @@
     sync::{self, GrantReply, GrantRequest},
 };
 
-/// Time-out of a reply from the leader; a round trip takes a few milliseconds.
-const REPLY_TIMEOUT: Duration = Duration::from_millis(60);
+/// Time after which tokens are requested again; a round trip takes a few milliseconds.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(100);
 /// Maximum number of grant requests that a gateway sends per sync interval. Without it, teams over
 /// their limit would make each gateway send requests as fast as the network carries them.
 const REQUESTS_PER_SYNC_INTERVAL: u32 = 25;
 /// Delay after which tokens are requested again for a team that the leader had none for.
 const SHORTAGE_RETRY_DELAY: Duration = Duration::from_millis(120);
-/// Minimum and maximum delay after a request that the leader did not answer.
-const MIN_FAILURE_DELAY: Duration = Duration::from_millis(60);
-const MAX_FAILURE_DELAY: Duration = Duration::from_millis(500);
+/// Age up to which late replies are applied; tokens of older ones come with the next sync.
+const MAX_REPLY_AGE: Duration = Duration::from_secs(1);
+/// Delay after a failed receive.
+const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Delay after which used tokens are reported, so that the requests of a moment share a datagram.
-const USAGE_REPORT_DELAY: Duration = Duration::from_millis(100);
+const USAGE_REPORT_DELAY: Duration = Duration::from_millis(200);
 /// Maximum size of a reply, which fits into one packet.
 const MAX_REPLY_BYTES: usize = 1_400;
 
@@ -32,8 +38,12 @@
     key: EntryKey,
     allowance: Arc<SharedAllowance>,
     sync_client: Arc<SyncClient>,
+    pending: Arc<Mutex<PendingRequests>>,
 }
 
+/// Requests without a reply: the reported teams and the time of the report by serial number.
+type PendingRequests = BTreeMap<u64, (Vec<TeamId>, Duration)>;
+
 impl GrantClient {
     /// Opens a UDP socket for grant requests and their replies.
     ///
@@ -54,12 +64,13 @@
             key,
             allowance,
             sync_client,
+            pending: Arc::default(),
         })
     }
 
     /// Runs until the task is dropped.
     pub async fn run(self) {
-        tokio::join!(self.run_requests(), self.run_usage());
+        tokio::join!(self.run_requests(), self.run_replies(), self.run_usage());
     }
 
     /// Reports used tokens to the leader shortly after their use. With the periodic sync alone, a
@@ -88,7 +99,6 @@
 
     async fn run_requests(&self) {
         let mut serial = 0;
-        let mut failures = 0_u32;
         loop {
             self.allowance.wait_for_shortage().await;
             let Some((shares, reported_at)) = self.allowance.make_urgent_reports() else {
@@ -102,31 +112,68 @@
                 shares,
                 is_usage_only: false,
             };
-            let retry_delay = match self.request_grants(&request).await {
-                Ok(reply) => {
-                    failures = 0;
-                    self.allowance.apply_grants(&reply.grants, reported_at);
-                    SHORTAGE_RETRY_DELAY
-                }
+            self.pending().insert(serial, (teams, reported_at));
+            if let Err(error) = self.send(&request).await {
+                debug!("gateway: cannot request tokens: {error}");
+                self.sync_client.sync_now();
+            }
+            self.end_after_timeout(serial);
+            tokio::time::sleep(self.sync_client.sync_interval() / REQUESTS_PER_SYNC_INTERVAL).await;
+        }
+    }
+
+    /// Applies replies, also late ones: a leader that takes long to answer has granted the tokens.
+    async fn run_replies(&self) {
+        let mut buffer = [0; MAX_REPLY_BYTES];
+        loop {
+            let (length, sender) = match self.socket.recv_from(&mut buffer).await {
+                Ok(received) => received,
                 Err(error) => {
-                    debug!("gateway: token grant request failed: {error}");
-                    if failures == 0 {
-                        self.sync_client.sync_now();
-                    }
-                    failures += 1;
-                    MIN_FAILURE_DELAY
-                        .saturating_mul(2_u32.saturating_pow(failures - 1))
-                        .min(MAX_FAILURE_DELAY)
+                    debug!("gateway: cannot receive token grants; retrying shortly: {error}");
+                    tokio::time::sleep(RECEIVE_RETRY_DELAY).await;
+                    continue;
                 }
             };
-            self.finish_reports(teams, retry_delay);
-            tokio::time::sleep(self.sync_client.sync_interval() / REQUESTS_PER_SYNC_INTERVAL).await;
+            match sync::decode::<GrantReply>("token grant reply", &buffer[..length]) {
+                Ok(reply) => {
+                    let answered = self.pending().remove(&reply.serial);
+                    if let Some((teams, reported_at)) = answered {
+                        self.allowance.apply_grants(&reply.grants, reported_at);
+                        self.finish_reports(teams);
+                    }
+                }
+                Err(error) => debug!("gateway: bad datagram from {sender}: {error}"),
+            }
         }
     }
 
+    /// Lets the teams of a request be reported again when it is not answered in time. Its reply is
+    /// still applied when it comes later.
+    fn end_after_timeout(&self, serial: u64) {
+        let allowance = Arc::clone(&self.allowance);
+        let pending = Arc::clone(&self.pending);
+        tokio::spawn(async move {
+            tokio::time::sleep(REPLY_TIMEOUT).await;
+            let teams = {
+                let pending = pending.lock().unwrap_or_else(PoisonError::into_inner);
+                pending.get(&serial).map(|(teams, _)| teams.clone())
+            };
+            if let Some(teams) = teams {
+                allowance.retry_urgent_reports(&teams);
+                tokio::time::sleep(MAX_REPLY_AGE).await;
+                let mut pending = pending.lock().unwrap_or_else(PoisonError::into_inner);
+                pending.remove(&serial);
+            }
+        });
+    }
+
+    fn pending(&self) -> MutexGuard<'_, PendingRequests> {
+        self.pending.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Ends a report. Teams that still lack tokens are reported again after a delay: hundreds of
     /// gateways that ask for a team over its limit would keep the leader from serving the others.
-    fn finish_reports(&self, teams: Vec<TeamId>, retry_delay: Duration) {
+    fn finish_reports(&self, teams: Vec<TeamId>) {
         let short = self.allowance.short_teams(&teams);
         let (short, served): (Vec<_>, Vec<_>) =
             teams.into_iter().partition(|team| short.contains(team));
@@ -136,7 +183,7 @@
         }
         let allowance = Arc::clone(&self.allowance);
         tokio::spawn(async move {
-            tokio::time::sleep(retry_delay).await;
+            tokio::time::sleep(SHORTAGE_RETRY_DELAY).await;
             allowance.finish_urgent_reports(&short);
         });
     }
@@ -149,30 +196,6 @@
         sent.map_err(|error| transport_error(leader, &error.to_string()))?;
         Ok(leader)
     }
-
-    async fn request_grants(&self, request: &GrantRequest) -> Result<GrantReply> {
-        let leader = self.send(request).await?;
-        let reply = tokio::time::timeout(REPLY_TIMEOUT, self.receive(request.serial)).await;
-        reply.map_err(|_| transport_error(leader, "no reply within the time-out"))?
-    }
-
-    /// Waits for the reply to the request `serial`. Late replies to earlier requests and datagrams
-    /// that are no reply are discarded.
-    async fn receive(&self, serial: u64) -> Result<GrantReply> {
-        let mut buffer = [0; MAX_REPLY_BYTES];
-        loop {
-            let received = self.socket.recv_from(&mut buffer).await;
-            let (length, sender) = received.map_err(|error| Error::Transport {
-                peer: "leader".to_owned(),
-                reason: error.to_string(),
-            })?;
-            match sync::decode::<GrantReply>("token grant reply", &buffer[..length]) {
-                Ok(reply) if reply.serial == serial => return Ok(reply),
-                Ok(_) => {}
-                Err(error) => debug!("gateway: bad datagram from {sender}: {error}"),
-            }
-        }
-    }
 }
 
 fn transport_error(peer: SocketAddr, reason: &str) -> Error {
