Return grants that come too late, and check for waiting requests each 10 ms only

Tokens granted to a request that had given up stayed with its gateway until the next sync. Ruled out: the planning. Open: after a change of leader at 291 gateways service does not come back.

--- a/src/allowance/share.rs
+++ b/src/allowance/share.rs
@@ -140,6 +140,14 @@
             .collect()
     }
 
+    /// Returns whether a team holds idle tokens that its next report returns to the leader.
+    #[must_use]
+    pub fn has_idle_tokens(&self, team: &TeamId, now: Duration) -> bool {
+        self.teams
+            .get(team)
+            .is_some_and(|share| share.has_idle_tokens(now))
+    }
+
     /// Forgets that the shortages of `teams` were reported, because the report was not answered.
     pub fn forget_urgent_reports(&mut self, teams: &[TeamId]) {
         for team in teams {
--- a/src/allowance/team_share.rs
+++ b/src/allowance/team_share.rs
@@ -63,6 +63,15 @@
         self.final_report_at = None;
     }
 
+    /// Returns whether idle tokens should be returned to the leader.
+    pub fn has_idle_tokens(&self, now: Duration) -> bool {
+        self.has_excess(self.demand.target_tokens(now))
+    }
+
+    fn has_excess(&self, target_tokens: u64) -> bool {
+        self.all_waiting == 0 && self.free() > target_tokens.saturating_mul(2)
+    }
+
     /// Forgets that a shortage was reported.
     pub fn forget_urgent_report(&mut self) {
         self.pending_urgent = 0;
@@ -84,7 +93,7 @@
         } else {
             self.demand.target_tokens(now)
         };
-        if is_leaving || (self.all_waiting == 0 && self.free() > target_tokens.saturating_mul(2)) {
+        if is_leaving || self.has_excess(target_tokens) {
             self.return_tokens(self.free().saturating_sub(target_tokens));
         }
         let available = self.available(now);
--- a/src/coordinator/grant_server.rs
+++ b/src/coordinator/grant_server.rs
@@ -17,7 +17,7 @@
 
 /// Maximum size of a request; it fits one packet.
 const MAX_REQUEST_BYTES: usize = 1_400;
-/// Interval at which waiting requests are checked for tokens while no request arrives.
+/// Interval at which waiting requests are checked for tokens.
 const PUSH_INTERVAL: Duration = Duration::from_millis(10);
 /// Time for which a request can be answered again. Gateways repeat requests that still wait.
 const MAX_WAIT: Duration = Duration::from_millis(400);
@@ -59,6 +59,7 @@
     pub async fn run(self) {
         let mut buffer = [0; MAX_REQUEST_BYTES];
         let mut waiting = HashMap::new();
+        let mut pushed_at = Instant::now();
         loop {
             let received = tokio::time::timeout(PUSH_INTERVAL, self.socket.recv_from(&mut buffer));
             match received.await {
@@ -72,7 +73,10 @@
                 // No request for a moment.
                 Err(_) => {}
             }
-            self.push_grants(&mut waiting).await;
+            if pushed_at.elapsed() >= PUSH_INTERVAL {
+                pushed_at = Instant::now();
+                self.push_grants(&mut waiting).await;
+            }
         }
     }
 
--- a/src/entry/allowance.rs
+++ b/src/entry/allowance.rs
@@ -92,7 +92,13 @@
             }
             self.shortage.notify_one();
             let until = tokio::time::Instant::from_std(deadline);
-            tokio::time::timeout_at(until, changed).await.ok()?;
+            if tokio::time::timeout_at(until, changed).await.is_err() {
+                drop(position);
+                // The leader keeps tokens for a request that waits, so it is told when it is gone.
+                self.tables().used_teams.insert(team.clone());
+                self.usage.notify_one();
+                return None;
+            }
         }
     }
 
@@ -231,6 +237,17 @@
             let answered = answered.or_default();
             *answered = (*answered).max(reported_at);
         }
+        let now = self.started.elapsed();
+        // The request that these tokens were granted for has given up. Others need them.
+        let idle: Vec<TeamId> = grants
+            .iter()
+            .filter(|grant| tables.share.has_idle_tokens(&grant.team, now))
+            .map(|grant| grant.team.clone())
+            .collect();
+        if !idle.is_empty() {
+            tables.used_teams.extend(idle);
+            self.usage.notify_one();
+        }
         drop(tables);
         self.changed.notify_waiters();
     }
@@ -287,10 +304,7 @@
             }
         }
         tables.update_waiting(&self.team);
-        // The leader keeps tokens for a request that waits, so it is told when it is gone.
-        tables.used_teams.insert(self.team.clone());
         drop(tables);
-        self.allowance.usage.notify_one();
         self.allowance.changed.notify_waiters();
     }
 }
