Make the new code clean for Clippy

Ruled out: allowing the lints. Change: a must_use attribute, a match on one pattern and one on a boolean, a local's name in a test. Behaviour is unchanged.

--- a/src/coordinator/engine_table.rs
+++ b/src/coordinator/engine_table.rs
@@ -140,6 +140,7 @@
     }
 
     /// Returns the view of an engine.
+    #[must_use]
     pub fn get(&self, target: &TargetId) -> Option<&EngineView> {
         self.engines.get(target)
     }
--- a/src/gateway/sync_client.rs
+++ b/src/gateway/sync_client.rs
@@ -217,21 +217,16 @@
         let now = self.started_at.elapsed();
         let mut state = self.state();
         let interval = state.sync_interval;
-        let is_redirected = match error {
-            Error::NotLeader { leader } => {
-                let leader = leader.as_ref().and_then(|leader| leader.parse().ok());
-                state.coordinators.record_redirect(failed, leader, now)
-            }
-            _ => {
-                state.coordinators.record_failure(failed, now);
-                false
-            }
-        };
         let mut rng = rand::rng();
-        match is_redirected {
-            true => state.pacing.redirect_delay(&mut rng),
-            false => state.pacing.record_failure(elapsed, interval, &mut rng),
+        if let Error::NotLeader { leader } = error {
+            let leader = leader.as_ref().and_then(|leader| leader.parse().ok());
+            if state.coordinators.record_redirect(failed, leader, now) {
+                return state.pacing.redirect_delay(&mut rng);
+            }
+        } else {
+            state.coordinators.record_failure(failed, now);
         }
+        state.pacing.record_failure(elapsed, interval, &mut rng)
     }
 
     fn record_leader_state(&self, error: Option<&Error>) {
--- a/tests/coordinator_list.rs
+++ b/tests/coordinator_list.rs
@@ -38,8 +38,11 @@
             assert!(!list.record_redirect(next, Some(address(1)), now));
         }
     }
-    let lost = asked.iter().filter(|asked| **asked == address(1)).count();
-    assert!(lost <= 2, "{lost} of 6 syncs go to the lost leader");
+    let lost_syncs = asked.iter().filter(|peer| **peer == address(1)).count();
+    assert!(
+        lost_syncs <= 2,
+        "{lost_syncs} of 6 syncs go to the lost leader"
+    );
     assert!(asked.contains(&address(2)) && asked.contains(&address(3)));
     // A new leader is followed at once.
     assert!(list.record_redirect(list.first().unwrap(), Some(address(3)), now));
