Log the framing of each answer and answers that end with their connection

Cause: the gateway's lines could not tell the three hypotheses of the broken-off answers apart (docs/incidents/broken-off-answers.md). Change: AnswerFraming names how an answer says where its body ends; the line 'answered' carries it, and one line says that an answer ended with its connection. Ruled out: a chunked answer whose decoder takes a cut for the end.

--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -10,7 +10,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{
     Request, Response, StatusCode,
-    body::Incoming,
+    body::{Body, Incoming},
     header::{CONNECTION, HeaderValue},
 };
 use rand::Rng;
@@ -30,6 +30,7 @@
 };
 use crate::{
     adapter::{PlatformAdapter, RefusalKind, RefusalNotice, RequestMetadata},
+    answer::AnswerFraming,
     entry::{SharedAllowance, body},
     ids::{RequestId, TargetId, TeamId},
     plan::TeamMatch,
@@ -370,6 +371,8 @@
             let reason = "the target refused without a statement that it did not run the request";
             return Err(RefusalNotice::new(RefusalKind::TargetFailed, reason));
         }
+        let (mut parts, incoming) = response.into_parts();
+        let framing = AnswerFraming::new(&parts.headers, incoming.size_hint().exact());
         let choice = &guard.chosen.choice;
         info!("gateway: answered", kv: {
             request = request.log_id(),
@@ -380,10 +383,10 @@
             target = choice.target.as_str(),
             load = choice.load,
             status = status.as_u16(),
+            framing = framing.name(),
             waited_ms = guard.sent_at.saturating_duration_since(request.arrived_at).as_millis(),
             first_byte_ms = first_byte.as_millis(),
         });
-        let (mut parts, incoming) = response.into_parts();
         for name in [
             hyper::header::CONNECTION.as_str(),
             hyper::header::TRANSFER_ENCODING.as_str(),
@@ -394,6 +397,7 @@
         let request_id = request.metadata.request_id.clone().unwrap_or_default();
         let relay = RelayBody::new(
             incoming,
+            framing,
             connection,
             &self.connections,
             guard,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -15,12 +15,14 @@
     connections::{TargetConnection, TargetConnections},
     exchange::LoadGuard,
 };
-use crate::ids::RequestId;
+use crate::{answer::AnswerFraming, ids::RequestId};
 
 /// Body that relays a target's answer to the caller. An error aborts the caller's connection, so
 /// that a truncated answer never looks complete.
 pub struct RelayBody {
     incoming: Incoming,
+    framing: AnswerFraming,
+    relayed_bytes: usize,
     connection: Option<TargetConnection>,
     connections: Arc<TargetConnections>,
     guard: LoadGuard,
@@ -33,6 +35,7 @@
     /// Creates a body that relays `incoming` and fails if it is incomplete at `deadline`.
     pub fn new(
         incoming: Incoming,
+        framing: AnswerFraming,
         connection: TargetConnection,
         connections: &Arc<TargetConnections>,
         guard: LoadGuard,
@@ -41,6 +44,8 @@
     ) -> Self {
         Self {
             incoming,
+            framing,
+            relayed_bytes: 0,
             connection: Some(connection),
             connections: Arc::clone(connections),
             guard,
@@ -52,6 +57,13 @@
 
     fn complete(&mut self) {
         self.is_finished = true;
+        if self.framing == AnswerFraming::Connection {
+            info!("gateway: an answer ended with its connection", kv: {
+                request = self.request.as_str(),
+                target = self.guard.chosen.choice.target.as_str(),
+                bytes = self.relayed_bytes,
+            });
+        }
         if let Some(connection) = self.connection.take() {
             let target = &self.guard.chosen.choice.target;
             self.connections.put_back(target, connection);
@@ -81,6 +93,7 @@
         }
         match Pin::new(&mut this.incoming).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => {
+                this.relayed_bytes += frame.data_ref().map_or(0, Bytes::len);
                 this.guard
                     .targets
                     .record_activity(&this.guard.chosen.choice.target);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod adapter;
 pub mod allowance;
+pub mod answer;
 #[rustfmt::skip] // Generated; a test compares it with the output of the generator.
 pub mod border;
 pub mod clap_app;
