Tell answers that were broken off from complete ones by their content

Cause: an answer with neither a length nor chunks ends with its connection, and an engine that crashes ends it in the same way. The gateway took the end of the body for the end of the answer. The class: the end of a connection taken for the end of an answer. Change: EndCheck follows the content. A stream of events is complete only between two events, whatever its framing; a JSON document that ends with its connection only with its last bracket. Such answers are passed on without a length, so that the end stays open. Both fronts use it for streams, plain answers, engines and plain services; claims no longer record a break as the outcome. Callers before HTTP/1.1, whose answers end with their connection, see a reset. The part before a break is sent before the connection is aborted. A break exactly between two events of an answer framed by its connection cannot be told from its end.

--- a/src/entry/caller_server.rs
+++ b/src/entry/caller_server.rs
@@ -1,6 +1,6 @@
 use std::{convert::Infallible, sync::Arc, time::Duration};
 
-use hyper::{server::conn::http1, service::service_fn};
+use hyper::{Request, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use spdlog::prelude::*;
 use tokio::{
@@ -11,6 +11,7 @@
 
 use super::proxy::CallerProxy;
 use crate::{
+    answer::{CallerStream, StreamAbort},
     config::ListenAddress,
     error::{Error, Result},
 };
@@ -76,14 +77,20 @@
 ) {
     // Stream events are small; Nagle's algorithm would delay them.
     let _ = stream.set_nodelay(true);
-    let service = service_fn(move |request| {
+    let abort = StreamAbort::default();
+    let seen_abort = abort.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
         let proxy = Arc::clone(&proxy);
+        seen_abort.record_request(request.version());
         async move { Ok::<_, Infallible>(proxy.serve(request).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_TIMEOUT)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(
+            TokioIo::new(CallerStream::new(stream, abort.clone())),
+            service,
+        );
     tokio::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
@@ -92,6 +99,7 @@
             connection.await
         }
     };
+    abort.record_end(&ended);
     if let Err(error) = ended {
         debug!("entry: a caller connection ended with an error: {error}");
     }
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -6,7 +6,10 @@
     caller_error::CallerError, context::RequestContext, crash_registry::SuspectPermit,
     outgoing_request::OutgoingRequest, stream_guard::StreamGuard, target_slot::TargetSlot,
 };
-use crate::code::ResultCode;
+use crate::{
+    answer::{AnswerFraming, EndCheck},
+    code::ResultCode,
+};
 
 /// Response header of a target that refused a request before it started.
 pub const NOT_STARTED_HEADER: &str = "x-not-started";
@@ -25,6 +28,15 @@
     pub permit: Option<SuspectPermit>,
 }
 
+impl TargetReply {
+    /// Returns the check of the end of the body.
+    pub fn end_check(&self) -> EndCheck {
+        let headers = self.response.headers();
+        let framing = AnswerFraming::new(headers, self.response.content_length());
+        EndCheck::new(framing, headers)
+    }
+}
+
 /// Sends a request to one target and checks the head of the response.
 ///
 /// # Errors
--- a/src/entry/model.rs
+++ b/src/entry/model.rs
@@ -22,6 +22,7 @@
     model_request::{ModelRequest, TokenCost},
     model_stream::ModelStream,
     outgoing_request::{OutgoingBody, OutgoingRequest, read_body},
+    plain_stream::checked_chunks,
     proxy::CallerProxy,
     scheduled_request::ScheduledRequest,
     stream_guard::StreamGuard,
@@ -217,13 +218,14 @@
     guard: &mut StreamGuard,
     context: &RequestContext,
 ) -> Result<Bytes, CallerError> {
+    let end_check = reply.end_check();
     let TargetReply {
         response,
         mut slot,
         permit: _permit,
     } = reply;
     let id = &context.id;
-    let mut chunks = response.bytes_stream();
+    let mut chunks = checked_chunks(response, end_check).boxed();
     let mut bytes = BytesMut::new();
     loop {
         let chunk = tokio::select! {
@@ -242,7 +244,7 @@
         match chunk {
             None => return Ok(bytes.freeze()),
             Some(Err(error)) => {
-                let error = truncated(error.without_url().to_string());
+                let error = truncated(error.to_string());
                 slot.report_failure();
                 return Err(error);
             }
--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -3,9 +3,12 @@
 use std::sync::Arc;
 
 use bytes::BytesMut;
-use futures::{StreamExt, TryStreamExt};
+use futures::StreamExt;
 use hyper::{
-    Method, Response, StatusCode, body::Incoming, header::HeaderMap, http::request::Parts,
+    Method, Response, StatusCode,
+    body::Incoming,
+    header::{CONTENT_LENGTH, HeaderMap},
+    http::request::Parts,
 };
 
 use super::{
@@ -17,7 +20,7 @@
     exchange::TargetReply,
     model::response_headers,
     outgoing_request::{OutgoingBody, OutgoingRequest, read_body},
-    plain_stream::plain_stream,
+    plain_stream::{checked_chunks, plain_stream},
     proxy::CallerProxy,
     response_record::{record, replay},
     scheduled_request::ScheduledRequest,
@@ -150,7 +153,10 @@
             )
             .await?;
         let status = reply.response.status();
-        let headers = response_headers(reply.response.headers(), context);
+        let mut headers = response_headers(reply.response.headers(), context);
+        if reply.end_check().hides_length() {
+            headers.remove(CONTENT_LENGTH);
+        }
         let body = if allows_body(&method, status) {
             body::streamed(plain_stream(reply, guard))
         } else {
@@ -186,13 +192,17 @@
             }
         };
         let status = reply.response.status();
-        let headers = response_headers(reply.response.headers(), context);
+        let mut headers = response_headers(reply.response.headers(), context);
+        let end_check = reply.end_check();
+        if end_check.hides_length() {
+            headers.remove(CONTENT_LENGTH);
+        }
         let TargetReply {
             response: upstream,
             mut slot,
             permit,
         } = reply;
-        let mut chunks = upstream.bytes_stream().boxed();
+        let mut chunks = checked_chunks(upstream, end_check).boxed();
         let mut buffered = BytesMut::new();
         while buffered.len() <= RecordedResponse::MAX_BODY_BYTES {
             match chunks.next().await {
@@ -206,9 +216,8 @@
                     slot.report_failure();
                     claim.abandon().await;
                     let message = format!(
-                        "the response of target {} ended early: {}",
-                        slot.target.id,
-                        error.without_url()
+                        "the response of target {} ended early: {error}",
+                        slot.target.id
                     );
                     return Err(CallerError::may_have_run(
                         ResultCode::AnswerCut,
@@ -220,8 +229,7 @@
         }
         // The request ran; a larger body is forwarded but not recorded.
         claim.complete(record(status, &headers, None)).await;
-        let rest = chunks.map_err(|error| std::io::Error::other(error.without_url()));
-        let all = futures::stream::once(async { Ok(buffered.freeze()) }).chain(rest);
+        let all = futures::stream::once(async { Ok(buffered.freeze()) }).chain(chunks);
         let body = body::with_guard(body::streamed(all), (slot, permit));
         Ok(response(status, headers, body))
     }
--- a/src/gateway/caller_server.rs
+++ b/src/gateway/caller_server.rs
@@ -1,7 +1,7 @@
 use std::{convert::Infallible, sync::Arc, time::Duration};
 
 use futures::FutureExt;
-use hyper::{server::conn::http1, service::service_fn};
+use hyper::{Request, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use spdlog::prelude::*;
 use tokio::{
@@ -11,6 +11,7 @@
 };
 
 use super::proxy::GatewayProxy;
+use crate::answer::{CallerStream, StreamAbort};
 
 /// Delay after a failed accept, which usually means that no file descriptor is free.
 pub const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -75,8 +76,11 @@
     let limits = proxy.view.get().map(|plan| plan.plan().limits.clone());
     let limits = limits.unwrap_or_default();
     let (request_seen, mut first_request) = watch::channel(false);
-    let service = service_fn(move |request| {
+    let abort = StreamAbort::default();
+    let seen_abort = abort.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
         let proxy = Arc::clone(&proxy);
+        seen_abort.record_request(request.version());
         request_seen.send_replace(true);
         async move { Ok::<_, Infallible>(proxy.serve(request).await) }
     });
@@ -84,7 +88,10 @@
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES) + HEAD_MARGIN_BYTES)
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout + IDLE_MARGIN)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(
+            TokioIo::new(CallerStream::new(stream, abort.clone())),
+            service,
+        );
     tokio::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
@@ -99,6 +106,7 @@
             }
         }
     };
+    abort.record_end(&ended);
     if let Err(error) = ended {
         debug!("gateway: a connection from a caller failed: {error}");
     }
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -11,7 +11,7 @@
 use hyper::{
     Request, Response, StatusCode,
     body::{Body, Incoming},
-    header::{CONNECTION, HeaderValue},
+    header::{CONNECTION, CONTENT_LENGTH, HeaderValue},
 };
 use rand::Rng;
 use smallvec::SmallVec;
@@ -30,7 +30,7 @@
 };
 use crate::{
     adapter::{PlatformAdapter, RefusalKind, RefusalNotice, RequestMetadata},
-    answer::AnswerFraming,
+    answer::{AnswerFraming, EndCheck},
     entry::{SharedAllowance, body},
     ids::{RequestId, TargetId, TeamId},
     plan::TeamMatch,
@@ -373,6 +373,7 @@
         }
         let (mut parts, incoming) = response.into_parts();
         let framing = AnswerFraming::new(&parts.headers, incoming.size_hint().exact());
+        let end_check = EndCheck::new(framing, &parts.headers);
         let choice = &guard.chosen.choice;
         info!("gateway: answered", kv: {
             request = request.log_id(),
@@ -394,10 +395,14 @@
         ] {
             parts.headers.remove(name);
         }
+        if end_check.hides_length() {
+            parts.headers.remove(CONTENT_LENGTH);
+        }
         let request_id = request.metadata.request_id.clone().unwrap_or_default();
         let relay = RelayBody::new(
             incoming,
             framing,
+            end_check,
             connection,
             &self.connections,
             guard,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -15,13 +15,17 @@
     connections::{TargetConnection, TargetConnections},
     exchange::LoadGuard,
 };
-use crate::{answer::AnswerFraming, ids::RequestId};
+use crate::{
+    answer::{AnswerFraming, EndCheck},
+    ids::RequestId,
+};
 
 /// Body that relays a target's answer to the caller. An error aborts the caller's connection, so
 /// that a truncated answer never looks complete.
 pub struct RelayBody {
     incoming: Incoming,
     framing: AnswerFraming,
+    end_check: EndCheck,
     relayed_bytes: usize,
     connection: Option<TargetConnection>,
     connections: Arc<TargetConnections>,
@@ -29,6 +33,8 @@
     timeout: Pin<Box<Sleep>>,
     request: RequestId,
     is_finished: bool,
+    /// Why the answer was cut, until the caller's connection is aborted.
+    failure: Option<io::Error>,
 }
 
 impl RelayBody {
@@ -36,6 +42,7 @@
     pub fn new(
         incoming: Incoming,
         framing: AnswerFraming,
+        end_check: EndCheck,
         connection: TargetConnection,
         connections: &Arc<TargetConnections>,
         guard: LoadGuard,
@@ -45,6 +52,7 @@
         Self {
             incoming,
             framing,
+            end_check,
             relayed_bytes: 0,
             connection: Some(connection),
             connections: Arc::clone(connections),
@@ -52,6 +60,7 @@
             timeout: Box::pin(sleep_until(deadline.into())),
             request,
             is_finished: false,
+            failure: None,
         }
     }
 
@@ -70,12 +79,20 @@
         }
     }
 
-    fn fail(&mut self, reason: &str) -> io::Error {
+    /// Cuts the answer. What was relayed before is sent first: the server discards bytes that it has
+    /// not sent when a body fails, so the failure is reported by the next poll.
+    fn fail(
+        &mut self,
+        reason: &str,
+        context: &Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
         self.is_finished = true;
         self.connection = None;
         let target = &self.guard.chosen.choice.target;
         warn!("gateway: an answer was cut", kv: { request = self.request.as_str(), target = target.as_str(), reason = reason });
-        io::Error::other(reason.to_owned())
+        self.failure = Some(io::Error::other(reason.to_owned()));
+        context.waker().wake_by_ref();
+        Poll::Pending
     }
 }
 
@@ -89,45 +106,51 @@
     ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
         let this = &mut *self;
         if this.is_finished {
-            return Poll::Ready(None);
+            return Poll::Ready(this.failure.take().map(Err));
         }
         match Pin::new(&mut this.incoming).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => {
-                this.relayed_bytes += frame.data_ref().map_or(0, Bytes::len);
+                if let Some(bytes) = frame.data_ref() {
+                    this.relayed_bytes += bytes.len();
+                    this.end_check.push(bytes);
+                }
                 this.guard
                     .targets
                     .record_activity(&this.guard.chosen.choice.target);
                 Poll::Ready(Some(Ok(frame)))
             }
-            Poll::Ready(Some(Err(error))) => {
-                let error = this.fail(&error.to_string());
-                Poll::Ready(Some(Err(error)))
-            }
-            Poll::Ready(None) => {
-                this.complete();
-                Poll::Ready(None)
-            }
+            Poll::Ready(Some(Err(error))) => this.fail(&error.to_string(), context),
+            Poll::Ready(None) => match this.end_check.break_reason() {
+                Some(reason) => this.fail(reason, context),
+                None => {
+                    this.complete();
+                    Poll::Ready(None)
+                }
+            },
             Poll::Pending if this.timeout.as_mut().poll(context).is_ready() => {
-                let error = this.fail("the time is over");
-                Poll::Ready(Some(Err(error)))
+                this.fail("the time is over", context)
             }
             Poll::Pending => Poll::Pending,
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        self.is_finished || self.incoming.is_end_stream()
+        let is_ended = self.is_finished && self.failure.is_none();
+        is_ended || (!self.end_check.hides_length() && self.incoming.is_end_stream())
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.incoming.size_hint()
+        match self.end_check.hides_length() {
+            true => SizeHint::default(),
+            false => self.incoming.size_hint(),
+        }
     }
 }
 
 impl Drop for RelayBody {
     fn drop(&mut self) {
         // Hyper does not poll a body of known length again after its last byte.
-        if !self.is_finished && self.incoming.is_end_stream() {
+        if !self.is_finished && self.is_end_stream() {
             self.complete();
         }
     }
--- a/tests/entry_broken_answers.rs
+++ b/tests/entry_broken_answers.rs
@@ -3,7 +3,7 @@
 
 mod harness;
 
-use harness::{CALLER_KEY, entry_fleet::EntryFleet, raw_target::RawTarget};
+use harness::{CALLER_KEY, entry_fleet::EntryFleet, raw_target::RawTarget, real_fleet::RealFleet};
 use rstest::rstest;
 use serde_json::json;
 use tokio::{
@@ -65,8 +65,10 @@
 /// that every resend got the short answer as well.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_broken_answer_is_not_recorded_as_the_outcome_of_a_claim() {
-    let fleet = start_fleet(BROKEN_DOCUMENT).await;
-    let call = fleet.client.post(fleet.url("/orders/a"));
+    let address = RawTarget::start(BROKEN_DOCUMENT).await.address();
+    let change = |config: &mut serde_json::Value| config["targets"][0]["address"] = json!(address);
+    let fleet = RealFleet::with_config(1, &[], change).await;
+    let call = fleet.client.post(fleet.url(0, "/orders/a"));
     let call = call.bearer_auth(CALLER_KEY).body("two");
     let call = call.header("idempotency-key", Uuid::now_v7().to_string());
     let response = call.send().await.expect("the entry replies");
--- a/tests/harness/real_fleet.rs
+++ b/tests/harness/real_fleet.rs
@@ -28,6 +28,15 @@
     /// Starts the fleet and waits until every entry serves; engines hold no model before the
     /// control daemon loads one.
     pub async fn start(entries: usize, engine_arguments: &[&[&str]]) -> Self {
+        Self::with_config(entries, engine_arguments, |_| {}).await
+    }
+
+    /// Starts a fleet with a changed configuration.
+    pub async fn with_config(
+        entries: usize,
+        engine_arguments: &[&[&str]],
+        change_config: impl FnOnce(&mut Value),
+    ) -> Self {
         let folder = TestFolder::new();
         let client = waxwinglatch::client::http_client().expect("a client can be built");
         let engines: Vec<StandIn> = engine_arguments
@@ -63,11 +72,11 @@
             service,
             admin_port,
         };
-        fleet.wait_served().await;
+        fleet.wait_served(change_config).await;
         fleet
     }
 
-    async fn wait_served(&self) {
+    async fn wait_served(&self, change_config: impl FnOnce(&mut Value)) {
         let mut config = super::entry_fleet::configuration(&self.engines, &self.service);
         config["routes"][0]["timeout_ms"] = json!(10_000);
         // Both engines hold the model, so that a request can go to another one.
@@ -76,6 +85,7 @@
         if self.engines.is_empty() {
             config["models"] = json!([]);
         }
+        change_config(&mut config);
         let apply = json!({ "request_id": "apply-1", "expected": 0, "config": config });
         wait_for("accepted configuration", START_LIMIT, async || {
             let url = format!("http://127.0.0.1:{}/admin/v1/config", self.admin_port);
