Log the parts of the prompt of each answer that was cut

Cause: the gateway's lines name no parts, so they cannot say which part the runs of a crash had in common (docs/incidents/crashing-prompt-parts.md). Change: the line 'an answer was cut' carries the parts without the last, the age of the run and the bytes that were passed on.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -3,6 +3,7 @@
     time::{Duration, Instant},
 };
 
+use compact_str::CompactString;
 use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming};
 
@@ -43,6 +44,8 @@
     pub targets: Arc<TargetTable>,
     pub chosen: ChosenTarget,
     pub sent_at: Instant,
+    /// Parts of the prompt that requests may share, for log lines.
+    pub parts: CompactString,
     is_recorded: bool,
 }
 
@@ -58,6 +61,7 @@
             targets: Arc::clone(targets),
             chosen,
             sent_at: Instant::now(),
+            parts: request.shared_part_names(),
             is_recorded: false,
         }
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -89,7 +89,14 @@
         self.is_finished = true;
         self.connection = None;
         let target = &self.guard.chosen.choice.target;
-        warn!("gateway: an answer was cut", kv: { request = self.request.as_str(), target = target.as_str(), reason = reason });
+        warn!("gateway: an answer was cut", kv: {
+            request = self.request.as_str(),
+            target = target.as_str(),
+            reason = reason,
+            age_ms = self.guard.sent_at.elapsed().as_millis(),
+            bytes = self.relayed_bytes,
+            parts = self.guard.parts.as_str(),
+        });
         self.failure = Some(io::Error::other(reason.to_owned()));
         context.waker().wake_by_ref();
         Poll::Pending
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -4,11 +4,12 @@
 };
 
 use bytes::Bytes;
+use compact_str::CompactString;
 use hyper::http::request::Parts;
 use smallvec::SmallVec;
 
 use crate::{
-    adapter::RequestMetadata,
+    adapter::{PromptPart, RequestMetadata},
     ids::TeamId,
     plan::{PlanIndex, RoutePlan, TeamPlan},
     route::PrefixBlock,
@@ -67,6 +68,20 @@
         }
     }
 
+    /// Returns the parts of the prompt that other requests may share: all but the last, which belongs
+    /// to the request or its session.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        let parts = self.metadata.parts.as_slice();
+        parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
+    /// Returns the names of the shared parts for log lines.
+    pub fn shared_part_names(&self) -> CompactString {
+        let names = self.shared_parts().iter();
+        let names: Vec<_> = names.map(|part| format!("{:x}", part.hash)).collect();
+        names.join(",").into()
+    }
+
     /// Returns the request id for log lines, `-` when the caller sent none.
     pub fn log_id(&self) -> &str {
         self.metadata.request_id.as_deref().unwrap_or("-")
