Stop parts of prompts that crash targets, with a table in the log and a watch at each gateway

Cause: nothing learned from a crash. The crash table of the log was used by entries only and knows whole requests, no two of which were alike here. The class: evidence of a failure that is gathered by request and not by what requests have in common. Change: a gateway whose exchange breaks near its start probes the target and, if it is down, reports the parts of these requests, and the requests as wholes, with the crash; the leader commits them to PartTable beside the entries' suspects. Three crashes that no likelier cause explains block a part. Complete answers clear parts: gateways keep those of the last 10 s, drop such parts from their evidence and veto suspects for 1.5 s before a block begins. Ties go to the rarer part. Requests with a blocked part are refused at once, before tokens are taken. Ruled out: a placement that does not recover; service returns once crashes end.

--- a/src/client.rs
+++ b/src/client.rs
@@ -7,6 +7,7 @@
 
 use prometheus::IntCounter;
 use reqwest::{Client, ClientBuilder, Response};
+use tokio::net::{TcpStream, ToSocketAddrs};
 use tower_layer::Layer;
 use tower_service::Service;
 
@@ -28,6 +29,26 @@
 /// Maximum size of a message between the system's own processes, as for requests.
 pub const MAX_MESSAGE_BYTES: usize = 16 << 20;
 
+/// Delay before each probe of a target whose connection broke. A terminating process closes its
+/// listening socket shortly after its connections.
+const PROBE_INTERVAL: Duration = Duration::from_millis(30);
+/// Number of consecutive failed probes after which a target counts as down.
+const PROBE_COUNT: u32 = 2;
+/// Connect timeout of a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Probes a target whose connection broke, and returns whether it is down.
+pub async fn is_down(address: impl ToSocketAddrs + Clone) -> bool {
+    for _ in 0..PROBE_COUNT {
+        tokio::time::sleep(PROBE_INTERVAL).await;
+        let probe = TcpStream::connect(address.clone());
+        if matches!(tokio::time::timeout(PROBE_TIMEOUT, probe).await, Ok(Ok(_))) {
+            return false;
+        }
+    }
+    true
+}
+
 /// Builds a client that ignores proxies and redirects, since targets are addressed directly.
 ///
 /// # Errors
--- a/src/coordinator/state.rs
+++ b/src/coordinator/state.rs
@@ -3,6 +3,7 @@
     time::{Duration, Instant},
 };
 
+use spdlog::prelude::*;
 use tokio::sync::Notify;
 
 use super::{
@@ -18,15 +19,18 @@
     error::{Error, Result},
     ids::{EntryKey, TeamId, Term},
     plan::PlanIndex,
-    state::ControlState,
-    sync::{GatewayReply, GatewayReport, GrantReply, GrantRequest, TargetList},
-    voter::{LeaderLease, VoterHandle},
+    state::{Command, ControlState},
+    sync::{GatewayReply, GatewayReport, GrantReply, GrantRequest, PartSection, TargetList},
+    voter::{LeaderLease, VoterHandle, unix_time_ms},
 };
 
 /// Maximum time for which the reply to a sync is delayed while requests wait for a model. It covers
 /// an order to an engine and the load of an adapter.
 const MAX_REPLY_DELAY: Duration = Duration::from_millis(200);
 
+/// Maximum time for which a reply waits until the evidence of a crash is committed.
+const PARTS_COMMIT_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Shared state of a coordinator. What the leader knows of gateways and engines belongs to one
 /// term: each leader rebuilds it from the reports of gateways and engines.
 pub struct CoordinatorState {
@@ -182,11 +186,28 @@
     /// [`Error::NotLeader`] when this daemon does not lead.
     pub async fn sync(&self, report: GatewayReport) -> Result<GatewayReply> {
         let lease = self.lease()?;
+        let commit = tokio::time::timeout(PARTS_COMMIT_TIMEOUT, self.commit_parts(&report));
+        let are_parts_recorded = match commit.await {
+            Ok(Ok(())) => true,
+            Ok(Err(error)) => {
+                warn!(
+                    "coordinator: cannot commit the evidence of a crash; the gateway repeats it: {error}"
+                );
+                false
+            }
+            Err(_elapsed) => {
+                warn!(
+                    "coordinator: the evidence of a crash is not committed yet; the gateway repeats it"
+                );
+                false
+            }
+        };
         let grants = self.record(&report, lease);
         if !report.missing_models.is_empty() {
             self.await_models(&report, lease).await;
         }
-        let reply = self.reply(&report, grants, lease);
+        let mut reply = self.reply(&report, grants, lease);
+        reply.are_parts_recorded = are_parts_recorded;
         if lease.is_valid() {
             Ok(reply)
         } else {
@@ -194,6 +215,35 @@
         }
     }
 
+    /// Commits a gateway's evidence about parts of requests.
+    async fn commit_parts(&self, report: &GatewayReport) -> Result<()> {
+        for evidence in &report.crashes {
+            info!("route: a target crashed", kv: {
+                target = evidence.crash.target.as_str(),
+                gateway = report.gateway.vm.as_str(),
+                parts = evidence.parts.len(),
+            });
+            let command = Command::ReportParts(evidence.clone());
+            self.voter.propose(command).await?;
+        }
+        if !report.completed_parts.is_empty() {
+            let command = Command::ClearParts(report.completed_parts.clone());
+            self.voter.propose(command).await?;
+        }
+        Ok(())
+    }
+
+    /// Returns the suspect parts if a gateway has another version.
+    fn part_section(&self, version: u64) -> Option<PartSection> {
+        self.voter.read_local(|state| {
+            let parts = state.crashes().parts();
+            (parts.version() != version).then(|| PartSection {
+                version: parts.version(),
+                suspects: parts.suspects(state.now_ms().max(unix_time_ms())),
+            })
+        })
+    }
+
     /// Waits until a target holds one of the models that the gateway is missing, or until the reply
     /// has to be sent without.
     async fn await_models(&self, report: &GatewayReport, lease: LeaderLease) {
@@ -294,6 +344,8 @@
             plan,
             grants,
             targets,
+            are_parts_recorded: true,
+            parts: self.part_section(report.parts_version),
             list_age_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
             gateways: tables.gateways.count(),
             load_topology: tables.gateways.load_topology(&report.gateway),
--- a/src/entry/crash_registry.rs
+++ b/src/entry/crash_registry.rs
@@ -7,7 +7,6 @@
 };
 
 use spdlog::prelude::*;
-use tokio::{net::TcpStream, time::timeout};
 
 use super::{
     caller_error::CallerError, context::RequestContext, control_client::ControlClient,
@@ -15,6 +14,7 @@
 };
 use crate::{
     border::TargetConfig,
+    client,
     code::ResultCode,
     ids::{Attempt, Fingerprint},
     state::{BlockState, Outcome, TurnOutcome},
@@ -25,13 +25,6 @@
 const SUSPECT_RETENTION: Duration = Duration::from_secs(60 * 60);
 /// Maximum number of retained fingerprints; the oldest is evicted first.
 const MAX_SUSPECTS: usize = 10_000;
-/// Delay before each probe of a target whose connection broke. A terminating process closes its
-/// listening socket shortly after its connections.
-const PROBE_INTERVAL: Duration = Duration::from_millis(30);
-/// Number of consecutive failed probes after which a target counts as down.
-const PROBE_COUNT: u32 = 2;
-/// Connect timeout of a probe.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Timeout of a crash report or a permit message; the leader holds a report for up to 2 s.
 const MESSAGE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Delay before a permit held by another request is requested again.
@@ -152,12 +145,8 @@
         target: &TargetConfig,
     ) -> Option<BlockState> {
         let fingerprint = fingerprint?;
-        for _ in 0..PROBE_COUNT {
-            tokio::time::sleep(PROBE_INTERVAL).await;
-            let probe = timeout(PROBE_TIMEOUT, TcpStream::connect(&target.address)).await;
-            if matches!(probe, Ok(Ok(_))) {
-                return None;
-            }
+        if !client::is_down(target.address.as_str()).await {
+            return None;
         }
         warn!(
             "entry: target {} is down after its connection broke during a request",
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -17,6 +17,7 @@
     caller_server,
     config::GatewayConfig,
     connections::TargetConnections,
+    crash_watch::CrashWatch,
     grants::GrantClient,
     loads::LoadExchange,
     proxy::GatewayProxy,
@@ -83,7 +84,9 @@
         })?;
         let loads = LoadExchange::new(socket, incarnation, Arc::clone(&targets));
         let loads = Arc::new(loads);
+        let crash_watch = Arc::new(CrashWatch::new(&config.vm));
         let parts = SyncParts {
+            crash_watch: Arc::clone(&crash_watch),
             loads: Arc::clone(&loads),
             adapter: Arc::clone(&self.adapter),
             view: Arc::clone(&view),
@@ -116,6 +119,7 @@
             allowance: Arc::clone(&allowance),
             demand,
             sync_client: Arc::clone(&sync_client),
+            crash_watch,
             retry_budget: RetryBudget::new().into(),
             started_at: Instant::now(),
             max_plan_age: config.max_plan_age,
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -9,6 +9,8 @@
 
 use super::{
     connections::{TargetConnection, TargetConnections},
+    crash_watch::CrashWatch,
+    part_watch::RequestParts,
     request::GatewayRequest,
     targets::{ChosenTarget, TargetTable},
 };
@@ -45,7 +47,9 @@
     pub chosen: ChosenTarget,
     pub sent_at: Instant,
     /// Parts of the prompt that requests may share, for log lines.
-    pub parts: CompactString,
+    pub part_names: CompactString,
+    crash_watch: Arc<CrashWatch>,
+    crash_parts: RequestParts,
     is_recorded: bool,
 }
 
@@ -54,6 +58,8 @@
         targets: &Arc<TargetTable>,
         chosen: &ChosenTarget,
         request: &GatewayRequest,
+        crash_watch: &Arc<CrashWatch>,
+        crash_parts: &RequestParts,
     ) -> Self {
         let mut chosen = chosen.clone();
         targets.record_send(&mut chosen, &request.prefix_blocks);
@@ -61,11 +67,29 @@
             targets: Arc::clone(targets),
             chosen,
             sent_at: Instant::now(),
-            parts: request.shared_part_names(),
+            part_names: request.shared_part_names(),
+            crash_watch: Arc::clone(crash_watch),
+            crash_parts: crash_parts.clone(),
             is_recorded: false,
         }
     }
 
+    /// Records that the connection to the target broke before the answer had got past its start. The
+    /// target may have crashed because of the request.
+    pub fn record_break(&self) {
+        let target = &self.chosen.choice.target;
+        if let Some(crash) = self.targets.crash(target) {
+            let address = self.chosen.address;
+            self.crash_watch
+                .record_break(crash, address, &self.crash_parts);
+        }
+    }
+
+    /// Records a complete answer.
+    pub fn record_complete(&self) {
+        self.crash_watch.record_complete(&self.crash_parts);
+    }
+
     /// Records the outcome of the start of the exchange; only the first call has an effect.
     pub fn record_outcome(&mut self, outcome: ExchangeOutcome) {
         if !self.is_recorded {
@@ -119,6 +143,7 @@
                 return ExchangeStart::NotRun("the connection was closed");
             }
             guard.record_outcome(ExchangeOutcome::Failed);
+            guard.record_break();
             return ExchangeStart::MayHaveRun("the connection broke");
         }
         Err(_) => {
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -20,7 +20,9 @@
 
 use super::{
     connections::TargetConnections,
+    crash_watch::CrashWatch,
     exchange::{self, ExchangeStart, LoadGuard, StartedExchange},
+    part_watch::RequestParts,
     relay::RelayBody,
     request::GatewayRequest,
     routing::{model_pool, prefix_blocks},
@@ -60,6 +62,7 @@
     pub allowance: Arc<SharedAllowance>,
     pub demand: Arc<ModelDemand>,
     pub sync_client: Arc<SyncClient>,
+    pub crash_watch: Arc<CrashWatch>,
     pub retry_budget: std::sync::Mutex<RetryBudget>,
     pub started_at: Instant,
     /// Maximum age of the proof of the plan with which a route or key counts as unknown.
@@ -215,6 +218,8 @@
             Some(model) => model_pool(model),
             None => PoolId::Service(service.id.clone()),
         };
+        let crash_parts = request.crash_parts(&service.id);
+        self.check_parts(&crash_parts)?;
         if let Some(model) = &model {
             self.demand.record(model, request.token_cost());
             self.await_model(request, model, &pool).await?;
@@ -227,7 +232,8 @@
                 if let Some(tokens) = &mut tokens {
                     tokens.consume(request.token_cost());
                 }
-                self.dispatch(request, model.as_ref(), &pool, chosen).await
+                self.dispatch(request, model.as_ref(), &pool, &crash_parts, chosen)
+                    .await
             }
             Err(notice) => Err(notice),
         };
@@ -242,6 +248,18 @@
         response
     }
 
+    /// Refuses a request with a part that crashes targets. Requests like it have run, and a repeat of
+    /// it would be refused as well, so the refusal promises nothing and states no retry delay.
+    fn check_parts(&self, parts: &RequestParts) -> Result<(), RefusalNotice> {
+        match self.crash_watch.is_blocked(parts) {
+            true => {
+                let reason = "a part of the request crashes targets";
+                Err(RefusalNotice::new(RefusalKind::TargetFailed, reason))
+            }
+            false => Ok(()),
+        }
+    }
+
     pub(super) fn choose(
         &self,
         request: &GatewayRequest,
@@ -265,6 +283,7 @@
         request: &GatewayRequest,
         model: Option<&ServedModel>,
         pool: &PoolId,
+        crash_parts: &RequestParts,
         chosen: ChosenTarget,
     ) -> Result<Response<CallerBody>, RefusalNotice> {
         let team = request.team_id().cloned().unwrap_or_default();
@@ -283,8 +302,11 @@
                     "no target can take the request",
                 ));
             };
+            // The block may have begun while the request waited or ran elsewhere.
+            self.check_parts(crash_parts)?;
             let target = chosen.choice.target.clone();
-            let guard = LoadGuard::new(&self.targets, &chosen, request);
+            let crash_watch = &self.crash_watch;
+            let guard = LoadGuard::new(&self.targets, &chosen, request, crash_watch, crash_parts);
             let adapter = self.adapter.as_ref();
             let started = exchange::start(adapter, &self.connections, request, guard).await;
             let reason = match started {
@@ -403,6 +425,7 @@
             incoming,
             framing,
             end_check,
+            status.is_success(),
             connection,
             &self.connections,
             guard,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -3,7 +3,7 @@
     pin::Pin,
     sync::Arc,
     task::{Context, Poll},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -20,6 +20,9 @@
     ids::RequestId,
 };
 
+/// Time from the head of an answer in which a crash of its target may be due to the request.
+const START_TIME: Duration = Duration::from_millis(500);
+
 /// Body that relays a target's answer to the caller. An error aborts the caller's connection, so
 /// that a truncated answer never looks complete.
 pub struct RelayBody {
@@ -27,6 +30,8 @@
     framing: AnswerFraming,
     end_check: EndCheck,
     relayed_bytes: usize,
+    started_at: Instant,
+    is_success: bool,
     connection: Option<TargetConnection>,
     connections: Arc<TargetConnections>,
     guard: LoadGuard,
@@ -43,6 +48,7 @@
         incoming: Incoming,
         framing: AnswerFraming,
         end_check: EndCheck,
+        is_success: bool,
         connection: TargetConnection,
         connections: &Arc<TargetConnections>,
         guard: LoadGuard,
@@ -54,6 +60,8 @@
             framing,
             end_check,
             relayed_bytes: 0,
+            started_at: Instant::now(),
+            is_success,
             connection: Some(connection),
             connections: Arc::clone(connections),
             guard,
@@ -66,6 +74,13 @@
 
     fn complete(&mut self) {
         self.is_finished = true;
+        match self.framing {
+            // The target may have broken the answer off between two events.
+            AnswerFraming::Connection if self.is_starting() => self.guard.record_break(),
+            AnswerFraming::Connection => {}
+            _ if self.is_success => self.guard.record_complete(),
+            _ => {}
+        }
         if self.framing == AnswerFraming::Connection {
             info!("gateway: an answer ended with its connection", kv: {
                 request = self.request.as_str(),
@@ -79,6 +94,24 @@
         }
     }
 
+    /// Returns whether the answer has hardly begun. A request that crashes its target does so when the
+    /// target begins to answer it.
+    fn is_starting(&self) -> bool {
+        self.relayed_bytes == 0 || self.started_at.elapsed() < START_TIME
+    }
+
+    /// Cuts the answer because the target broke it off.
+    fn fail_by_target(
+        &mut self,
+        reason: &str,
+        context: &Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        if self.is_starting() {
+            self.guard.record_break();
+        }
+        self.fail(reason, context)
+    }
+
     /// Cuts the answer. What was relayed before is sent first: the server discards bytes that it has
     /// not sent when a body fails, so the failure is reported by the next poll.
     fn fail(
@@ -95,7 +128,7 @@
             reason = reason,
             age_ms = self.guard.sent_at.elapsed().as_millis(),
             bytes = self.relayed_bytes,
-            parts = self.guard.parts.as_str(),
+            parts = self.guard.part_names.as_str(),
         });
         self.failure = Some(io::Error::other(reason.to_owned()));
         context.waker().wake_by_ref();
@@ -126,9 +159,9 @@
                     .record_activity(&this.guard.chosen.choice.target);
                 Poll::Ready(Some(Ok(frame)))
             }
-            Poll::Ready(Some(Err(error))) => this.fail(&error.to_string(), context),
+            Poll::Ready(Some(Err(error))) => this.fail_by_target(&error.to_string(), context),
             Poll::Ready(None) => match this.end_check.break_reason() {
-                Some(reason) => this.fail(reason, context),
+                Some(reason) => this.fail_by_target(reason, context),
                 None => {
                     this.complete();
                     Poll::Ready(None)
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -8,11 +8,13 @@
 use hyper::http::request::Parts;
 use smallvec::SmallVec;
 
+use super::part_watch::RequestParts;
 use crate::{
     adapter::{PromptPart, RequestMetadata},
-    ids::TeamId,
+    ids::{Fingerprint, ServiceId, TeamId},
     plan::{PlanIndex, RoutePlan, TeamPlan},
     route::PrefixBlock,
+    sync::PartKind,
 };
 
 /// Rank of the least urgent requests. Engines assume it when a request states none.
@@ -82,8 +84,62 @@
         names.join(",").into()
     }
 
+    /// Returns what a crash of a target that runs the request may be due to: its shared parts and the
+    /// request as a whole. Another service may run the same without a crash.
+    pub fn crash_parts(&self, service: &ServiceId) -> RequestParts {
+        let mut request = PartHasher::new(service, PartKind::Request);
+        request.update(self.parts.method.as_str().as_bytes());
+        request.update(self.parts.uri.to_string().as_bytes());
+        request.update(self.team_id().map_or("", |team| team).as_bytes());
+        request.update(
+            self.metadata
+                .model
+                .as_deref()
+                .unwrap_or_default()
+                .as_bytes(),
+        );
+        for part in &self.metadata.parts {
+            request.update(&part.hash.to_le_bytes());
+        }
+        request.update(&self.body);
+        let parts = self.shared_parts().iter().map(|part| {
+            let mut hasher = PartHasher::new(service, PartKind::Prompt);
+            hasher.update(&part.hash.to_le_bytes());
+            hasher.finish()
+        });
+        parts.chain(std::iter::once(request.finish())).collect()
+    }
+
     /// Returns the request id for log lines, `-` when the caller sent none.
     pub fn log_id(&self) -> &str {
         self.metadata.request_id.as_deref().unwrap_or("-")
     }
 }
+
+/// Hasher of what a crash may be due to.
+struct PartHasher {
+    kind: PartKind,
+    hasher: blake3::Hasher,
+}
+
+impl PartHasher {
+    fn new(service: &ServiceId, kind: PartKind) -> Self {
+        let mut hasher = Self {
+            kind,
+            hasher: blake3::Hasher::new(),
+        };
+        hasher.update(service.as_bytes());
+        hasher
+    }
+
+    fn update(&mut self, field: &[u8]) {
+        self.hasher.update(&(field.len() as u64).to_le_bytes());
+        self.hasher.update(field);
+    }
+
+    fn finish(self) -> (Fingerprint, PartKind) {
+        let mut fingerprint = [0; 16];
+        fingerprint.copy_from_slice(&self.hasher.finalize().as_bytes()[..16]);
+        (Fingerprint::new(fingerprint), self.kind)
+    }
+}
--- a/src/gateway/sync_client.rs
+++ b/src/gateway/sync_client.rs
@@ -12,8 +12,10 @@
 use super::{
     config::GatewayConfig,
     coordinator_list::CoordinatorList,
+    crash_watch::CrashWatch,
     list_fallback::ListFallback,
     loads::LoadExchange,
+    part_watch::PartReport,
     proxy::random_duration,
     sync_pacing::SyncPacing,
     targets::TargetTable,
@@ -58,6 +60,7 @@
     allowance: Arc<SharedAllowance>,
     demand: Arc<ModelDemand>,
     loads: Arc<LoadExchange>,
+    crash_watch: Arc<CrashWatch>,
     http_client: Client,
     secret: String,
     wanted_models: Mutex<HashMap<ServedModel, usize>>,
@@ -89,6 +92,7 @@
     pub allowance: Arc<SharedAllowance>,
     pub demand: Arc<ModelDemand>,
     pub loads: Arc<LoadExchange>,
+    pub crash_watch: Arc<CrashWatch>,
 }
 
 impl SyncClient {
@@ -123,6 +127,7 @@
             allowance: parts.allowance,
             demand: parts.demand,
             loads: parts.loads,
+            crash_watch: parts.crash_watch,
             http_client,
             secret,
             wanted_models: Mutex::default(),
@@ -207,6 +212,7 @@
             tokio::select! {
                 () = tokio::time::sleep(delay) => {}
                 () = self.sync_requested.notified() => {}
+                () = self.crash_watch.report_due() => {}
             }
             tokio::time::sleep(MIN_SYNC_INTERVAL.saturating_sub(started_at.elapsed())).await;
         }
@@ -245,7 +251,11 @@
         let (shares, reported_at) = self.allowance.make_reports();
         let wanted: BTreeSet<ServedModel> = self.wanted_models().keys().cloned().collect();
         let (list_version, list_digest) = self.list_state(coordinator)?;
+        let (parts_version, parts) = self.crash_watch.take_report();
         let report = GatewayReport {
+            crashes: parts.crashes,
+            completed_parts: parts.completed,
+            parts_version,
             gateway: self.key.clone(),
             data_centre: self.config.data_centre.clone(),
             plan_version: self.state().document.0,
@@ -260,6 +270,9 @@
         let sent_at = Instant::now();
         match self.send_report(coordinator, &report).await {
             Ok(reply) => {
+                if !reply.are_parts_recorded {
+                    self.put_back_parts(report);
+                }
                 self.wanted_models()
                     .retain(|model, waiters| *waiters > 0 || !wanted.contains(model));
                 self.allowance.apply_grants(&reply.grants, reported_at);
@@ -272,12 +285,20 @@
             }
             Err(error) => {
                 self.demand.put_back(&report.demand);
+                self.put_back_parts(report);
                 self.state().synced_with = None;
                 Err(error)
             }
         }
     }
 
+    fn put_back_parts(&self, report: GatewayReport) {
+        self.crash_watch.put_back(PartReport {
+            crashes: report.crashes,
+            completed: report.completed_parts,
+        });
+    }
+
     /// Returns the version of the target list, with its digest if `coordinator` may not know this
     /// version.
     fn list_state(&self, coordinator: SocketAddr) -> Result<(ListVersion, Vec<TargetDigest>)> {
@@ -344,6 +365,9 @@
         if let (Some(plan), Some(list)) = (plan, reply.targets) {
             self.targets.apply_list(&plan, list);
         }
+        if let Some(section) = &reply.parts {
+            self.crash_watch.apply_section(section);
+        }
         self.loads.set_topology(reply.load_topology);
         let mut state = self.state();
         state.sync_interval = Duration::from_millis(reply.sync_interval_ms);
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -21,7 +21,10 @@
         Availability, ExchangeOutcome, LoadReport, PrefixBlock, ReplicaTable, RouteChoice,
         RouteRequest, RouteTuning,
     },
-    sync::{ListVersion, LoadSum, ServedModel, TargetDigest, TargetHash, TargetList, target_hash},
+    sync::{
+        ListVersion, LoadSum, ServedModel, TargetCrash, TargetDigest, TargetHash, TargetList,
+        target_hash,
+    },
 };
 
 /// Initial estimate of the time to process one prompt token; engines process tens of tokens per
@@ -163,6 +166,14 @@
         self.state().entries.contains_key(target)
     }
 
+    /// Returns the identity of a crash of a target that ends now; `None` for one that is leaving, whose
+    /// end is planned.
+    pub fn crash(&self, target: &TargetId) -> Option<TargetCrash> {
+        let state = self.state();
+        let entry = state.entries.get(target)?;
+        (!entry.is_draining).then(|| TargetCrash::new(entry.id.clone(), entry.started_ms))
+    }
+
     /// Waits until the target list changes.
     pub async fn list_changed(&self) {
         self.list_changed.notified().await;
--- a/src/state.rs
+++ b/src/state.rs
@@ -15,6 +15,7 @@
 mod machine;
 mod memory_table;
 mod outcome;
+mod part_table;
 mod recorded_response;
 mod request_table;
 mod target_memory;
@@ -32,6 +33,7 @@
 pub use outcome::{
     ApplyOutcome, BlockState, CrashOutcome, Outcome, ReserveOutcome, SettleResult, TurnOutcome,
 };
+pub use part_table::PartTable;
 pub use recorded_response::RecordedResponse;
 pub use request_table::{ChangeDigest, RequestLookup, RequestTable, change_digest};
 pub use target_memory::{TargetMemory, UnsettledOrder};
--- a/src/state/command.rs
+++ b/src/state/command.rs
@@ -6,11 +6,13 @@
 use crate::{
     ids::{Attempt, CommandLevel, EntryKey, FencingNumber, Fingerprint, Incarnation, TargetId},
     order::OrderAction,
-    sync::{PublishedPlan, ResidentCopy},
+    sync::{CompletedPart, CrashEvidence, PublishedPlan, ResidentCopy},
 };
 
 /// Lowest command level at which every voter can apply serving plans.
 const PUBLISH_LEVEL: CommandLevel = 2;
+/// Lowest command level at which every voter can apply evidence about parts of requests.
+const PARTS_LEVEL: CommandLevel = 3;
 
 /// A state change that is replicated through the log; docs/design.md, section 5, lists them all.
 ///
@@ -48,6 +50,10 @@
         /// The target that crashed.
         target: TargetId,
     },
+    /// Records parts of requests that ran on a target when it crashed.
+    ReportParts(CrashEvidence),
+    /// Records parts of requests whose answers were complete.
+    ClearParts(Vec<CompletedPart>),
     /// Requests the exclusive turn to run a suspect; only one entry at a time may have it.
     TakeTurn {
         /// Fingerprint of the request.
@@ -113,6 +119,7 @@
     pub const fn level(&self) -> CommandLevel {
         match self {
             Self::Publish(_) => PUBLISH_LEVEL,
+            Self::ReportParts(_) | Self::ClearParts(_) => PARTS_LEVEL,
             _ => 1,
         }
     }
--- a/src/state/crash_table.rs
+++ b/src/state/crash_table.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
-use super::{BlockState, CrashOutcome, TurnOutcome};
+use super::{BlockState, CrashOutcome, PartTable, TurnOutcome};
 use crate::ids::{Attempt, EntryKey, Fingerprint, TargetId};
 
 /// Number of distinct crashed targets at which a request is blocked.
@@ -26,6 +26,9 @@
     suspects: BTreeMap<Fingerprint, SuspectRecord>,
     /// Incremented by each change that entries must receive.
     version: u64,
+    /// Parts that requests of different content have in common.
+    #[serde(default)]
+    parts: PartTable,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -154,8 +157,20 @@
         }
     }
 
-    /// Removes suspects without a recent crash.
+    /// Returns the table of parts, for changes.
+    pub fn parts_mut(&mut self) -> &mut PartTable {
+        &mut self.parts
+    }
+
+    /// Returns the table of parts.
+    #[must_use]
+    pub fn parts(&self) -> &PartTable {
+        &self.parts
+    }
+
+    /// Removes suspects and parts without a recent crash.
     pub fn expire(&mut self, now_ms: u64) {
+        self.parts.expire(now_ms);
         let previous_len = self.suspects.len();
         self.suspects
             .retain(|_, record| record.last_ms.saturating_add(SUSPECT_MS) > now_ms);
--- a/src/state/machine.rs
+++ b/src/state/machine.rs
@@ -60,6 +60,11 @@
                 fingerprint,
                 target,
             } => return Outcome::Crash(self.crashes.report(now_ms, fingerprint, target)),
+            Command::ReportParts(evidence) => {
+                let parts = self.crashes.parts_mut();
+                parts.report(now_ms, &evidence.crash, &evidence.parts);
+            }
+            Command::ClearParts(completed) => self.crashes.parts_mut().clear(now_ms, completed),
             Command::TakeTurn {
                 fingerprint,
                 holder,
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -4,6 +4,7 @@
 mod claims;
 mod gateway;
 mod load;
+mod parts;
 mod reply;
 mod report;
 mod request;
@@ -14,6 +15,9 @@
     ModelRequests, PlanUpdate, PublishedPlan, ServedModel, TargetDigest, TargetList,
 };
 pub use load::{LoadMessage, LoadScope, LoadSum, LoadTopology, TargetHash, target_hash};
+pub use parts::{
+    CompletedPart, CrashEvidence, CrashedPart, PartKind, PartSection, SuspectPart, TargetCrash,
+};
 pub use reply::{
     AvoidedSection, ConfigSection, CrashSection, ResidencySection, ResidentModel, SyncReply,
     TargetLoad,
--- a/src/sync/gateway.rs
+++ b/src/sync/gateway.rs
@@ -9,7 +9,9 @@
     error::Result,
     ids::{DataCentreId, EntryKey, ModelId, ServiceId, TargetId, Term},
     plan::PlanVersion,
-    sync::{self, LoadTopology, TargetHash, target_hash},
+    sync::{
+        self, CompletedPart, CrashEvidence, LoadTopology, PartSection, TargetHash, target_hash,
+    },
 };
 
 /// Path of a gateway's sync on the system port.
@@ -40,6 +42,15 @@
     /// Targets that refuse connections or have sent nothing for the requests that they run.
     #[serde(rename = "silent")]
     pub unresponsive: Vec<TargetId>,
+    /// Crashes of targets that ran requests of the gateway.
+    #[serde(default)]
+    pub crashes: Vec<CrashEvidence>,
+    /// Suspect parts of requests whose answers were complete.
+    #[serde(default)]
+    pub completed_parts: Vec<CompletedPart>,
+    /// Version of the suspect parts that the gateway has.
+    #[serde(default)]
+    pub parts_version: u64,
     /// Models that requests wait for because no target has them loaded.
     #[serde(rename = "wanted")]
     pub missing_models: Vec<ServedModel>,
@@ -118,6 +129,12 @@
     /// Number of gateways that sync with the leader.
     #[serde(default)]
     pub gateways: u32,
+    /// Whether the evidence about parts in the report is recorded; otherwise it must be repeated.
+    #[serde(default)]
+    pub are_parts_recorded: bool,
+    /// Parts that may crash targets; `None` when the gateway has them already.
+    #[serde(default)]
+    pub parts: Option<PartSection>,
     /// Gateways that this gateway exchanges loads with.
     #[serde(rename = "loads")]
     pub load_topology: LoadTopology,
--- a/src/voter/driver.rs
+++ b/src/voter/driver.rs
@@ -307,7 +307,7 @@
     }
 }
 
-fn unix_time_ms() -> u64 {
+pub fn unix_time_ms() -> u64 {
     let since_epoch = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default();
--- a/tests/engine_fleet/mod.rs
+++ b/tests/engine_fleet/mod.rs
@@ -144,6 +144,9 @@
 
 pub fn report(demand: Vec<ModelRequests>) -> GatewayReport {
     GatewayReport {
+        crashes: Vec::new(),
+        completed_parts: Vec::new(),
+        parts_version: 0,
         gateway: EntryKey {
             vm: "gateway".into(),
             incarnation: 1,
--- a/tests/load_aggregator.rs
+++ b/tests/load_aggregator.rs
@@ -57,6 +57,9 @@
         let mut table = GatewayTable::default();
         for number in 0..gateways {
             let report = GatewayReport {
+                crashes: Vec::new(),
+                completed_parts: Vec::new(),
+                parts_version: 0,
                 gateway: key(number),
                 data_centre: format!("centre-{}", number % data_centres).into(),
                 plan_version: 0,
