Do not repeat refused evidence at once, and probe after streams only

Cause: found when the diff was read. Each answer that ended with its connection made the gateway probe its target, also plain ones. The names of parts were formatted for each request although only a cut answer's line uses them. Change: evidence that was put back goes with the next periodic sync; the entry's reporter repeats after its delay; only streams that end with their connection are followed by a probe; names are formatted when the line is written.

--- a/src/entry/part_reporter.rs
+++ b/src/entry/part_reporter.rs
@@ -20,8 +20,11 @@
 pub async fn run(control: Arc<ControlClient>, crash_watch: Arc<CrashWatch>) {
     loop {
         crash_watch.report_due().await;
-        let (_, report) = crash_watch.take_report();
-        if let Err(error) = send(&control, &report).await {
+        loop {
+            let (_, report) = crash_watch.take_report();
+            let Err(error) = send(&control, &report).await else {
+                break;
+            };
             warn!("entry: no leader recorded parts of requests; reporting them again: {error}");
             crash_watch.put_back(report);
             tokio::time::sleep(RETRY_DELAY).await;
--- a/src/gateway/crash_watch.rs
+++ b/src/gateway/crash_watch.rs
@@ -97,12 +97,10 @@
         (parts.version(), parts.take_report(self.now()))
     }
 
-    /// Takes a report back that did not reach the leader.
+    /// Takes a report back that did not reach the leader. It does not become due at once: the next
+    /// report carries it.
     pub fn put_back(&self, report: PartReport) {
-        if report != PartReport::default() {
-            self.parts().put_back(report);
-            self.report_due.notify_one();
-        }
+        self.parts().put_back(report);
     }
 
     /// Returns the version of the leader's suspects.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -3,9 +3,9 @@
     time::{Duration, Instant},
 };
 
-use compact_str::CompactString;
 use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming};
+use smallvec::SmallVec;
 
 use super::{
     connections::{TargetConnection, TargetConnections},
@@ -15,7 +15,7 @@
     targets::{ChosenTarget, TargetTable},
 };
 use crate::{
-    adapter::{ForwardMetadata, PlatformAdapter, ResponseMetadata},
+    adapter::{ForwardMetadata, PlatformAdapter, PromptPart, ResponseMetadata},
     route::ExchangeOutcome,
 };
 
@@ -47,7 +47,7 @@
     pub chosen: ChosenTarget,
     pub sent_at: Instant,
     /// Parts of the prompt that requests may share, for log lines.
-    pub part_names: CompactString,
+    pub shared_parts: SmallVec<[PromptPart; 4]>,
     crash_watch: Arc<CrashWatch>,
     crash_parts: RequestParts,
     is_recorded: bool,
@@ -67,7 +67,7 @@
             targets: Arc::clone(targets),
             chosen,
             sent_at: Instant::now(),
-            part_names: request.shared_part_names(),
+            shared_parts: request.shared_parts().into(),
             crash_watch: Arc::clone(crash_watch),
             crash_parts: crash_parts.clone(),
             is_recorded: false,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -16,6 +16,7 @@
     exchange::LoadGuard,
 };
 use crate::{
+    adapter::PromptPart,
     answer::{AnswerFraming, EndCheck},
     ids::RequestId,
 };
@@ -76,7 +77,9 @@
         self.is_finished = true;
         match self.answer.framing {
             // The target may have broken the answer off between two events.
-            AnswerFraming::Connection if self.is_starting() => self.guard.record_break(),
+            AnswerFraming::Connection if self.is_stream() && self.is_starting() => {
+                self.guard.record_break();
+            }
             AnswerFraming::Connection => {}
             _ if self.answer.is_success => self.guard.record_complete(),
             _ => {}
@@ -94,6 +97,10 @@
         }
     }
 
+    fn is_stream(&self) -> bool {
+        matches!(self.answer.end_check, EndCheck::Events(_))
+    }
+
     /// Returns whether the answer has hardly begun. A request that crashes its target does so when the
     /// target begins to answer it.
     fn is_starting(&self) -> bool {
@@ -128,7 +135,7 @@
             reason = reason,
             age_ms = self.guard.sent_at.elapsed().as_millis(),
             bytes = self.relayed_bytes,
-            parts = self.guard.part_names.as_str(),
+            parts = part_names(&self.guard.shared_parts).as_str(),
         });
         self.failure = Some(io::Error::other(reason.to_owned()));
         context.waker().wake_by_ref();
@@ -136,6 +143,15 @@
     }
 }
 
+/// Returns the names of parts of a prompt for log lines.
+fn part_names(parts: &[PromptPart]) -> String {
+    let names: Vec<_> = parts
+        .iter()
+        .map(|part| format!("{:x}", part.hash))
+        .collect();
+    names.join(",")
+}
+
 impl Body for RelayBody {
     type Data = Bytes;
     type Error = io::Error;
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -4,7 +4,6 @@
 };
 
 use bytes::Bytes;
-use compact_str::CompactString;
 use hyper::http::request::Parts;
 use smallvec::SmallVec;
 
@@ -77,13 +76,6 @@
         parts.split_last().map_or(&[], |(_, shared)| shared)
     }
 
-    /// Returns the names of the shared parts for log lines.
-    pub fn shared_part_names(&self) -> CompactString {
-        let names = self.shared_parts().iter();
-        let names: Vec<_> = names.map(|part| format!("{:x}", part.hash)).collect();
-        names.join(",").into()
-    }
-
     /// Returns what a crash of a target that runs the request may be due to: its shared parts and the
     /// request as a whole. Another service may run the same without a crash.
     pub fn crash_parts(&self, service: &ServiceId) -> RequestParts {
