--- a/src/gateway/sync_client.rs
+++ b/src/gateway/sync_client.rs
@@ -80,6 +80,8 @@
     document: (PlanVersion, Vec<u8>),
     /// Whether the leader has a newer plan that it will send with a later sync.
     is_plan_pending: bool,
+    /// Number of times that the leader has postponed an update since the last one.
+    postponements: u32,
     pacing: SyncPacing,
     list_fallback: ListFallback,
 }
@@ -111,6 +113,7 @@
             sync_interval: INITIAL_SYNC_INTERVAL,
             document: (0, Vec::new()),
             is_plan_pending: false,
+            postponements: 0,
             pacing: SyncPacing::new(),
             list_fallback: ListFallback::new(config.list_calls_per_second),
         };
@@ -385,7 +388,9 @@
         };
         let (version, document) = match update {
             PlanUpdate::Deferred { .. } => {
-                self.state().is_plan_pending = true;
+                let mut state = self.state();
+                state.is_plan_pending = true;
+                state.postponements += 1;
                 return Ok(());
             }
             PlanUpdate::Full {
@@ -410,9 +415,21 @@
             }
         };
         let plan = self.adapter.decode_plan(&document)?;
-        self.state().document = (version, document);
+        let (before, postponements) = {
+            let mut state = self.state();
+            let before = std::mem::replace(&mut state.document, (version, document)).0;
+            (before, std::mem::take(&mut state.postponements))
+        };
+        let proof_age = self.view.proof_age();
         if self.view.set(PlanIndex::new(plan)) {
-            info!("gateway: a plan is in force", kv: { plan = version });
+            info!("gateway: a plan is in force", kv: {
+                plan = version,
+                before = before,
+                update = update.name(),
+                bytes = update.compressed_len(),
+                postponements = postponements,
+                proof_age_ms:? = proof_age.map(|age| age.as_millis()),
+            });
         }
         if let Some(plan) = self.view.get() {
             self.targets.apply_plan(&plan);
--- a/src/sync/gateway.rs
+++ b/src/sync/gateway.rs
@@ -177,6 +177,27 @@
     },
 }
 
+impl PlanUpdate {
+    /// Returns the kind of the update for log lines.
+    #[must_use]
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Delta { .. } => "delta",
+            Self::Full { .. } => "full",
+            Self::Deferred { .. } => "postponed",
+        }
+    }
+
+    /// Returns the size of what is sent, in bytes.
+    #[must_use]
+    pub fn compressed_len(&self) -> usize {
+        match self {
+            Self::Delta { compressed, .. } | Self::Full { compressed, .. } => compressed.len(),
+            Self::Deferred { .. } => 0,
+        }
+    }
+}
+
 /// A plan as an operator published it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PublishedPlan {
