Keep the latest plans at each coordinator, so that a new leader sends deltas

A new leader knew only the newest plan, and each gateway with an earlier one got it in full, one after the other at 3 MB/s. Each coordinator now keeps up to 64 plans of 16 MB in total as it applies them. Class: state that a leader gathers in its term and that the log could have given it. The test failed before with a full update of plan 5 for a gateway with plan 3.

--- a/src/coordinator/plan_history.rs
+++ b/src/coordinator/plan_history.rs
@@ -11,9 +11,10 @@
     sync::{self, PlanUpdate, PublishedPlan},
 };
 
-/// Number of plans that are kept as bases of deltas. Operators may publish several plans a second,
-/// and a gateway may miss some syncs.
-const MAX_PLANS: usize = 12;
+/// Maximum number and total size of the plans that are kept as bases of deltas. Operators may publish
+/// several plans a second, and a gateway may miss syncs for seconds while the leader changes.
+const MAX_PLANS: usize = 64;
+const MAX_PLAN_BYTES: usize = 16_000_000;
 /// Rate at which the leader sends large updates. They must not delay other syncs, without which
 /// gateways cannot serve.
 const LARGE_UPDATE_BYTES_PER_SECOND: f64 = 3_000_000.0;
@@ -50,13 +51,19 @@
             return;
         }
         self.documents.insert(plan.version, plan.document.clone());
-        while self.documents.len() > MAX_PLANS {
+        while self.documents.len() > MAX_PLANS
+            || self.documents.len() > 1 && self.size() > MAX_PLAN_BYTES
+        {
             self.documents.pop_first();
         }
         self.deltas.clear();
         self.full = None;
     }
 
+    fn size(&self) -> usize {
+        self.documents.values().map(|document| document.len()).sum()
+    }
+
     /// Returns the version of the newest plan.
     #[must_use]
     pub fn newest_version(&self) -> Option<PlanVersion> {
--- a/src/coordinator/state.rs
+++ b/src/coordinator/state.rs
@@ -38,6 +38,9 @@
     pub(super) adapter: Arc<dyn PlatformAdapter>,
     started_at: Instant,
     tables: Mutex<LeaderTables>,
+    /// Latest plans, which each coordinator keeps: a new leader that knew the newest one only would send it
+    /// in full to each gateway that has an earlier one. Locked after the tables.
+    plans: Mutex<PlanHistory>,
     /// Delayed replies to gateways whose requests wait for models.
     model_waits: ModelWaits,
     /// Starts a planning round of the order dispatcher.
@@ -52,7 +55,6 @@
     pub gateways: GatewayTable,
     pub engines: EngineTable,
     pub plan: Option<Arc<PlanIndex>>,
-    plans: PlanHistory,
     pub listed_at: Option<Duration>,
     targets: TargetHistory,
 }
@@ -66,7 +68,6 @@
             gateways: GatewayTable::default(),
             engines: EngineTable::default(),
             plan: None,
-            plans: PlanHistory::new(),
             listed_at: None,
             targets: TargetHistory::new(),
         }
@@ -94,6 +95,7 @@
             adapter,
             started_at: Instant::now(),
             tables: Mutex::new(LeaderTables::new(0, Duration::ZERO)),
+            plans: Mutex::new(PlanHistory::new()),
             model_waits: ModelWaits::default(),
             round_trigger: Notify::new(),
         }
@@ -114,6 +116,23 @@
         tables
     }
 
+    fn plans(&self) -> MutexGuard<'_, PlanHistory> {
+        self.plans.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Keeps each plan that this coordinator applies, until the task is dropped.
+    pub(super) async fn follow_plans(&self) {
+        let mut applied = self.voter.watch_applied();
+        // An error means that the voter has stopped, which ends the daemon.
+        while applied.changed().await.is_ok() {
+            let known = self.plans().newest_version();
+            let newest = self.voter.read_local(ControlState::plan);
+            if let Some(published) = newest.filter(|newest| Some(newest.version) > known) {
+                self.plans().add(&published);
+            }
+        }
+    }
+
     /// Returns the lease of this daemon if it leads.
     ///
     /// # Errors
@@ -153,7 +172,7 @@
         if version >= published.version {
             return;
         }
-        tables.plans.add(&published);
+        self.plans().add(&published);
         match self.adapter.decode_plan(&published.document) {
             Ok(plan) => {
                 let now = self.now();
@@ -308,9 +327,9 @@
         lease: LeaderLease,
     ) -> GatewayReply {
         let now = self.now();
-        let mut tables = self.tables(lease);
-        let plan = tables
-            .plans
+        let tables = self.tables(lease);
+        let plan = self
+            .plans()
             .update_since(report.plan_version, now)
             .unwrap_or_else(|error| {
                 spdlog::error!(
