Acknowledge a plan once gateways have it, and end what a gateway runs without a lease

Callers' requests ran by a plan up to ten versions older than one acknowledged more than 3 s before. Class: an acknowledgement that says nothing about those who have to act on it. Ruled out: full updates and their pacing (all updates were small deltas, none postponed). Change: plan leases and confirmations at the leader, a bound on what a gateway without a lease runs, and news of plans by datagram, so that a confirmation takes a fraction of a sync interval.

--- a/src/coordinator.rs
+++ b/src/coordinator.rs
@@ -18,7 +18,9 @@
 mod order_dispatcher;
 mod order_outcomes;
 mod placement;
+mod plan_confirmations;
 mod plan_history;
+mod plan_pusher;
 mod plan_store;
 mod state;
 mod target_history;
@@ -33,6 +35,7 @@
 pub use placement::{
     CopyAction, ModelNeed, PlacementEngine, PlacementInput, PlacementStep, plan_copies,
 };
+pub use plan_confirmations::PlanConfirmations;
 pub use plan_history::PlanHistory;
 pub use plan_store::PlanStore;
 pub use state::CoordinatorState;
--- a/src/coordinator/config.rs
+++ b/src/coordinator/config.rs
@@ -31,4 +31,6 @@
     /// Time after a change of leader during which orders of the former leader may still be carried
     /// out.
     pub holder_lease: Duration,
+    /// Time for which a sync gives a gateway a lease on its plan; the gateways have the same setting.
+    pub plan_lease: Duration,
 }
--- a/src/coordinator/daemon.rs
+++ b/src/coordinator/daemon.rs
@@ -7,7 +7,7 @@
 use super::{
     api, config::CoordinatorConfig, grant_server::GrantServer,
     membership_controller::MembershipController, order_dispatcher::OrderDispatcher,
-    plan_store::PlanStore, state::CoordinatorState,
+    plan_pusher::PlanPusher, plan_store::PlanStore, state::CoordinatorState,
 };
 use crate::{
     adapter::PlatformAdapter,
@@ -90,10 +90,12 @@
         let client = client::http_client()?;
         let state = Arc::new(CoordinatorState::new(
             voter.clone(),
-            Arc::clone(&self.adapter),
+            self.adapter,
+            config.plan_lease,
         ));
         let grants = GrantServer::bind(control.system_listen.socket(), Arc::clone(&state)).await?;
-        let plans = Arc::new(PlanStore::new(voter.clone(), self.adapter));
+        let pusher = PlanPusher::open(control.system_listen.socket(), Arc::clone(&state)).await?;
+        let plans = Arc::new(PlanStore::new(Arc::clone(&state)));
         let system = build(&control.system_listen)
             .manage(SystemSecret(self.secret.clone()))
             .manage(voter.clone())
@@ -112,6 +114,7 @@
         // The set is dropped with the daemon, which aborts the task and frees the port.
         let mut servers = JoinSet::new();
         servers.spawn(grants.run());
+        servers.spawn(pusher.run());
         servers.spawn(async move { plan_follower.follow_plans().await });
         tokio::spawn(founder.run());
         tokio::spawn(membership.run());
--- a/src/coordinator/gateway_table.rs
+++ b/src/coordinator/gateway_table.rs
@@ -44,6 +44,7 @@
     last_report_at: Duration,
     pub data_centre: DataCentreId,
     pub load_address: SocketAddr,
+    news_address: Option<SocketAddr>,
     awaited_models: Vec<ServedModel>,
 }
 
@@ -62,6 +63,7 @@
             last_report_at: now,
             data_centre: report.data_centre.clone(),
             load_address: report.load_address,
+            news_address: report.news_address,
             awaited_models: report.missing_models.clone(),
         };
         let former = self.gateways.insert(report.gateway.clone(), state);
@@ -82,6 +84,12 @@
             .retain(|_, trend| trend.current(now) > MIN_TOKENS_PER_SECOND);
     }
 
+    /// Returns the gateways that can be told of plans between their syncs, with the address for it.
+    pub fn news_addresses(&self) -> impl Iterator<Item = (&EntryKey, SocketAddr)> {
+        let gateways = self.gateways.iter();
+        gateways.filter_map(|(key, state)| Some((key, state.news_address?)))
+    }
+
     /// Returns the number of gateways.
     #[must_use]
     pub fn count(&self) -> u32 {
--- a/src/coordinator/order_dispatcher.rs
+++ b/src/coordinator/order_dispatcher.rs
@@ -2,16 +2,17 @@
 
 use spdlog::prelude::*;
 
-use super::{engine_table::PlannedOrder, state::CoordinatorState};
+use super::{
+    engine_table::PlannedOrder,
+    state::{CoordinatorState, FIRST_TERM},
+};
 use crate::{
     adapter::{EngineOrder, OrderAction, TargetEntry},
     error::Result,
-    ids::{Term, VmId},
+    ids::VmId,
     voter::LeaderLease,
 };
 
-/// Term of a fleet's first leader, before which no orders exist.
-const FIRST_TERM: Term = 1;
 /// Interval of planning rounds when nothing triggers an earlier one.
 const ROUND_INTERVAL: Duration = Duration::from_millis(200);
 /// Minimum interval between planning rounds.
--- /dev/null
+++ b/src/coordinator/plan_confirmations.rs
@@ -0,0 +1,91 @@
+use std::{collections::HashMap, time::Duration};
+
+use crate::{ids::EntryKey, plan::PlanVersion};
+
+/// Plans that gateways have in force, which decide when a plan may be acknowledged to its operator.
+///
+/// Each sync gives a gateway a lease on its plan: until the lease ends, no newer plan is acknowledged
+/// that the gateway has not confirmed. The lease counts from the arrival of the report here and from its
+/// sending there, so that it ends there first. A gateway without a lease runs by its plan for at most the
+/// time in which an acknowledged plan must be in force; see docs/design.md, section 18.
+#[derive(Debug)]
+pub struct PlanConfirmations {
+    lease: Duration,
+    /// Time until which gateways that have not reported yet may have a lease of a former leader.
+    unknown_until: Duration,
+    gateways: HashMap<EntryKey, LeasedPlan>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct LeasedPlan {
+    version: PlanVersion,
+    until: Duration,
+}
+
+impl PlanConfirmations {
+    /// Creates the record of a leader that grants leases of a length. Leases of former leaders may run
+    /// until `unknown_until`.
+    #[must_use]
+    pub fn new(lease: Duration, unknown_until: Duration) -> Self {
+        Self {
+            lease,
+            unknown_until,
+            gateways: HashMap::new(),
+        }
+    }
+
+    /// Records a sync of a gateway, which renews its lease. Returns whether it confirms a newer plan
+    /// than before.
+    pub fn record_report(
+        &mut self,
+        gateway: &EntryKey,
+        version: PlanVersion,
+        now: Duration,
+    ) -> bool {
+        let until = now + self.lease;
+        let known = self.gateways.entry(gateway.clone());
+        let leased = known.or_insert(LeasedPlan { version: 0, until });
+        leased.until = until;
+        let is_newer = leased.version < version;
+        leased.version = leased.version.max(version);
+        is_newer
+    }
+
+    /// Records that a gateway has put a plan in force. Its lease is not renewed, since the gateway learns
+    /// nothing from it. Returns whether the plan is newer than the one before.
+    pub fn confirm(&mut self, gateway: &EntryKey, version: PlanVersion) -> bool {
+        match self.gateways.get_mut(gateway) {
+            Some(leased) if leased.version < version => {
+                leased.version = version;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Returns the newest plan that a gateway is known to have in force.
+    #[must_use]
+    pub fn version(&self, gateway: &EntryKey) -> Option<PlanVersion> {
+        self.gateways.get(gateway).map(|leased| leased.version)
+    }
+
+    /// Returns whether each gateway has a plan or a newer one in force, or no lease on an older one.
+    #[must_use]
+    pub fn is_confirmed(&self, version: PlanVersion, now: Duration) -> bool {
+        now >= self.unknown_until && self.count_behind(version, now) == 0
+    }
+
+    /// Returns the number of gateways with a lease on an older plan.
+    #[must_use]
+    pub fn count_behind(&self, version: PlanVersion, now: Duration) -> usize {
+        let leased = self.gateways.values();
+        leased
+            .filter(|leased| leased.version < version && now < leased.until)
+            .count()
+    }
+
+    /// Forgets gateways whose leases have ended.
+    pub fn expire(&mut self, now: Duration) {
+        self.gateways.retain(|_, leased| now < leased.until);
+    }
+}
--- a/src/coordinator/plan_history.rs
+++ b/src/coordinator/plan_history.rs
@@ -20,6 +20,8 @@
 const LARGE_UPDATE_BYTES_PER_SECOND: f64 = 3_000_000.0;
 /// Size up to which an update is sent to all gateways without a rate limit.
 const MAX_SMALL_UPDATE_BYTES: usize = 2_000;
+/// Size up to which an update fits into a datagram with news.
+const MAX_NEWS_BYTES: usize = 1_200;
 
 /// The latest plans, from which updates for gateways are made: a delta if the gateway's plan is
 /// among them, else the full plan. Large updates are rate-limited; see docs/platform.md.
@@ -70,11 +72,34 @@
         self.documents.keys().next_back().copied()
     }
 
+    /// Returns what a gateway with the plan `held` is told between its syncs: a delta, if it fits into a
+    /// datagram, or that there is a newer plan. `None` when the gateway is up to date, or when the update
+    /// is rate-limited, since gateways that ask for it at once would only be told to wait.
+    ///
+    /// # Errors
+    /// [`crate::error::Error::Decode`] when a delta cannot be encoded.
+    pub fn news_since(&mut self, held: PlanVersion) -> Result<Option<PlanUpdate>> {
+        let update = self.make_update(held)?;
+        Ok(update.and_then(|update| match update {
+            PlanUpdate::Delta { .. } if update.compressed_len() <= MAX_NEWS_BYTES => Some(update),
+            update if update.compressed_len() <= MAX_SMALL_UPDATE_BYTES => {
+                let version = update.version();
+                Some(PlanUpdate::Deferred { version })
+            }
+            _ => None,
+        }))
+    }
+
     /// Returns the update for a gateway that has the plan `held`; `None` when it is up to date.
     ///
     /// # Errors
     /// [`crate::error::Error::Decode`] when a delta cannot be encoded.
     pub fn update_since(&mut self, held: PlanVersion, now: Duration) -> Result<Option<PlanUpdate>> {
+        let update = self.make_update(held)?;
+        Ok(update.map(|update| self.limit_rate(update, now)))
+    }
+
+    fn make_update(&mut self, held: PlanVersion) -> Result<Option<PlanUpdate>> {
         let Some((version, document)) = self.documents.last_key_value() else {
             return Ok(None);
         };
@@ -103,7 +128,7 @@
                 }
             }
         };
-        Ok(Some(self.limit_rate(update, now)))
+        Ok(Some(update))
     }
 
     /// Replaces a large update by [`PlanUpdate::Deferred`] if it would exceed the rate.
--- a/src/coordinator/plan_store.rs
+++ b/src/coordinator/plan_store.rs
@@ -3,6 +3,7 @@
 use serde_bytes::ByteBuf;
 use spdlog::prelude::*;
 
+use super::state::CoordinatorState;
 use crate::{
     adapter::PlatformAdapter,
     error::Result,
@@ -13,32 +14,38 @@
 
 /// Replicated store of the plans that operators publish.
 pub struct PlanStore {
+    state: Arc<CoordinatorState>,
     voter: VoterHandle,
     adapter: Arc<dyn PlatformAdapter>,
 }
 
 impl PlanStore {
-    /// Returns a store that writes to a voter's log.
+    /// Returns a store that writes to the log of a coordinator.
     #[must_use]
-    pub fn new(voter: VoterHandle, adapter: Arc<dyn PlatformAdapter>) -> Self {
-        Self { voter, adapter }
+    pub fn new(state: Arc<CoordinatorState>) -> Self {
+        Self {
+            voter: state.voter.clone(),
+            adapter: Arc::clone(&state.adapter),
+            state,
+        }
     }
 
     /// Publishes a plan, which comes into force if its version is higher than that of the plan in
-    /// force. Otherwise the call succeeds without an effect, so that a plan can be published again
-    /// after a lost answer.
+    /// force. Otherwise the call has no effect, so that a plan can be published again after a lost
+    /// answer. The call succeeds once each gateway has the plan or a newer one in force, or has no
+    /// lease on an older one.
     ///
     /// # Errors
     /// [`crate::error::Error::Decode`] when the document is not a valid plan,
     /// [`crate::error::Error::NotLeader`] when another daemon leads,
-    /// [`crate::error::Error::Unconfirmed`] when the plan is not committed yet and may come into
-    /// force later.
+    /// [`crate::error::Error::Unconfirmed`] when the plan is not committed or not confirmed yet and may
+    /// come into force later.
     pub async fn publish(&self, document: &[u8]) -> Result<()> {
         let version = self.adapter.decode_plan(document)?.version;
         let in_force = self.voter.read(ControlState::plan_version).await?;
         if version <= in_force {
             info!("plan: overtaken", kv: { plan = version, in_force = in_force });
-            return Ok(());
+            return self.state.await_confirmation(version).await;
         }
         let plan = PublishedPlan {
             version,
@@ -46,7 +53,7 @@
         };
         self.voter.propose(Command::Publish(plan)).await?;
         info!("plan: accepted", kv: { plan = version, before = in_force });
-        Ok(())
+        self.state.await_confirmation(version).await
     }
 
     /// Returns the newest plan, taking into account every plan accepted before the call.
--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -1,5 +1,6 @@
 use std::{net::SocketAddr, time::Duration};
 
+use super::plan_lease::PlanLease;
 use crate::ids::{DataCentreId, VmId};
 
 /// Settings of a gateway.
@@ -19,9 +20,8 @@
     pub coordinators: Vec<SocketAddr>,
     /// Calls per second that the platform accepts from the whole fleet for its list of targets.
     pub list_calls_per_second: f64,
-    /// Maximum age of the proof that a plan is the newest one, beyond which the gateway does not
-    /// tell callers that a route or key is unknown.
-    pub max_plan_age: Duration,
+    /// How long the gateway goes on by its plan without a proof that it is the newest one.
+    pub plan_lease: PlanLease,
     /// Time between SIGTERM and the kill of the process.
     pub grace_period: Duration,
 }
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -20,6 +20,7 @@
     crash_watch::CrashWatch,
     grants::GrantClient,
     loads::LoadExchange,
+    plan_news::PlanNewsReceiver,
     proxy::GatewayProxy,
     readiness::ReadinessServer,
     sync_client::{SyncClient, SyncParts},
@@ -85,7 +86,9 @@
         let loads = LoadExchange::new(socket, incarnation, Arc::clone(&targets));
         let loads = Arc::new(loads);
         let crash_watch = Arc::new(CrashWatch::new(&config.vm));
+        let (news_socket, news_address) = PlanNewsReceiver::bind(config.load_listen).await?;
         let parts = SyncParts {
+            news_address,
             crash_watch: Arc::clone(&crash_watch),
             loads: Arc::clone(&loads),
             adapter: Arc::clone(&self.adapter),
@@ -102,6 +105,7 @@
             vm: config.vm.clone(),
             incarnation,
         };
+        let news = PlanNewsReceiver::new(news_socket, key.clone(), Arc::clone(&sync_client));
         let grants = GrantClient::open(
             config.load_listen,
             key,
@@ -122,7 +126,7 @@
             crash_watch,
             retry_budget: RetryBudget::new().into(),
             started_at: Instant::now(),
-            max_plan_age: config.max_plan_age,
+            plan_lease: config.plan_lease,
             is_closing: AtomicBool::new(false),
             is_refusing,
         });
@@ -136,6 +140,7 @@
         tokio::spawn(readiness_server.run(ready_listener));
         tokio::spawn(async move { sync_client.run().await });
         tokio::spawn(grants.run());
+        tokio::spawn(news.run());
         tokio::spawn(async move { loads.run().await });
         tokio::spawn(maintain(targets, connections));
         let server = tokio::spawn(caller_server::run(listener, Arc::clone(&proxy), is_closing));
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -23,6 +23,7 @@
     crash_watch::CrashWatch,
     exchange::{self, ExchangeStart, LoadGuard, StartedExchange},
     part_watch::RequestParts,
+    plan_lease::{PlanLease, PlanStanding},
     relay::{RelayBody, RelayedAnswer},
     request::GatewayRequest,
     routing::{model_pool, prefix_blocks},
@@ -65,8 +66,7 @@
     pub crash_watch: Arc<CrashWatch>,
     pub retry_budget: std::sync::Mutex<RetryBudget>,
     pub started_at: Instant,
-    /// Maximum age of the proof of the plan with which a route or key counts as unknown.
-    pub max_plan_age: Duration,
+    pub plan_lease: PlanLease,
     /// Whether callers' connections are closed after the request in progress.
     pub is_closing: AtomicBool,
     /// Becomes true once new and waiting requests are refused.
@@ -132,6 +132,10 @@
         }
         let plan = self.view.get();
         let plan = plan.ok_or_else(|| unavailable("no plan is known yet"))?;
+        let standing = self.plan_standing();
+        if standing == PlanStanding::Outdated {
+            return Err(unavailable("the plan may be outdated"));
+        }
         let host = parts
             .headers
             .get(hyper::header::HOST)
@@ -140,14 +144,15 @@
         let host = host.split_once(':').map_or(host, |(host, _)| host);
         let route = plan.route(host, parts.uri.path());
         let route = route.ok_or_else(|| {
-            self.unknown_in_plan(RefusalNotice::new(RefusalKind::NoRoute, "no route matches"))
+            let refusal = RefusalNotice::new(RefusalKind::NoRoute, "no route matches");
+            Self::unknown_in_plan(refusal, standing)
         })?;
         let team = match plan.team(route, metadata.key.as_deref()) {
             TeamMatch::Team(team) => Some(team),
             TeamMatch::Anonymous => None,
             TeamMatch::Unknown => {
                 let unknown = RefusalNotice::new(RefusalKind::UnknownKey, "unknown key");
-                return Err(self.unknown_in_plan(unknown));
+                return Err(Self::unknown_in_plan(unknown, standing));
             }
         };
         let limit = route.timeout;
@@ -171,11 +176,17 @@
         })
     }
 
+    fn plan_standing(&self) -> PlanStanding {
+        let is_leader_known = self.sync_client.is_leader_known();
+        self.plan_lease
+            .standing(self.view.proof_age(), is_leader_known)
+    }
+
     /// Returns the refusal of a request that the plan does not allow. A newer plan may allow it, so
-    /// this is only said while the plan is proved to be the newest one.
-    fn unknown_in_plan(&self, refusal: RefusalNotice) -> RefusalNotice {
-        match self.view.proof_age() {
-            Some(age) if age <= self.max_plan_age => refusal,
+    /// this is only said under a lease of the plan.
+    fn unknown_in_plan(refusal: RefusalNotice, standing: PlanStanding) -> RefusalNotice {
+        match standing {
+            PlanStanding::Leased => refusal,
             _ => unavailable("the plan may be outdated"),
         }
     }
--- a/src/gateway/sync_client.rs
+++ b/src/gateway/sync_client.rs
@@ -61,6 +61,7 @@
     demand: Arc<ModelDemand>,
     loads: Arc<LoadExchange>,
     crash_watch: Arc<CrashWatch>,
+    news_address: SocketAddr,
     http_client: Client,
     secret: String,
     wanted_models: Mutex<HashMap<ServedModel, usize>>,
@@ -73,6 +74,8 @@
     /// When the leader's target list was read from the platform.
     listed_at: Option<Instant>,
     is_connected: bool,
+    /// Whether the coordinator that answered last led or named a leader.
+    is_leader_known: bool,
     /// Coordinator that answered the last sync; `None` after a failed one.
     synced_with: Option<SocketAddr>,
     sync_interval: Duration,
@@ -88,6 +91,8 @@
 
 /// Parts of the gateway that the client reads and updates.
 pub struct SyncParts {
+    /// UDP address that receives news of plans.
+    pub news_address: SocketAddr,
     pub adapter: Arc<dyn PlatformAdapter>,
     pub view: Arc<PlanView>,
     pub targets: Arc<TargetTable>,
@@ -109,6 +114,7 @@
             coordinators: CoordinatorList::new(config.coordinators.clone()),
             listed_at: None,
             is_connected: false,
+            is_leader_known: false,
             synced_with: None,
             sync_interval: INITIAL_SYNC_INTERVAL,
             document: (0, Vec::new()),
@@ -131,6 +137,7 @@
             demand: parts.demand,
             loads: parts.loads,
             crash_watch: parts.crash_watch,
+            news_address: parts.news_address,
             http_client,
             secret,
             wanted_models: Mutex::default(),
@@ -162,6 +169,25 @@
         leader.filter(|_| state.is_connected)
     }
 
+    /// Returns whether a plan may be acknowledged that this gateway does not know: as far as the
+    /// coordinators say, there is a leader.
+    pub fn is_leader_known(&self) -> bool {
+        self.state().is_leader_known
+    }
+
+    /// Applies a plan that the leader has sent between two syncs, and returns the version in force; `None`
+    /// when the gateway needs a sync to get the plan.
+    pub fn apply_news(&self, update: &PlanUpdate) -> Option<PlanVersion> {
+        let newest = update.version();
+        if self.state().document.0 < newest
+            && let Err(error) = self.apply_plan_update(update)
+        {
+            debug!("gateway: cannot apply plan {newest} without a sync: {error}");
+        }
+        let held = self.state().document.0;
+        (held >= newest).then_some(held)
+    }
+
     /// Requests a model with every sync until the returned guard is dropped.
     pub fn add_waiter(self: &Arc<Self>, model: &ServedModel) -> ModelWaiter {
         *self.wanted_models().entry(model.clone()).or_insert(0) += 1;
@@ -240,6 +266,12 @@
 
     fn record_leader_state(&self, error: Option<&Error>) {
         let mut state = self.state();
+        match error {
+            None => state.is_leader_known = true,
+            Some(Error::NotLeader { leader }) => state.is_leader_known = leader.is_some(),
+            // No coordinator has said anything.
+            Some(_) => {}
+        }
         if state.is_connected == error.is_none() {
             return;
         }
@@ -266,6 +298,7 @@
             list_digest,
             shares,
             load_address: self.config.load_listen,
+            news_address: Some(self.news_address),
             demand: self.demand.take(),
             unresponsive: self.targets.silent_targets(),
             missing_models: wanted.iter().cloned().collect(),
@@ -350,17 +383,18 @@
     }
 
     fn apply_reply(&self, reply: GatewayReply, sent_at: Instant) {
-        let mut is_newest = !matches!(reply.plan, Some(PlanUpdate::Deferred { .. }));
-        if let Some(update) = &reply.plan
-            && let Err(error) = self.apply_plan_update(update)
-        {
+        let applied = reply
+            .plan
+            .as_ref()
+            .map_or(Ok(true), |update| self.apply_plan_update(update));
+        let is_newest = applied.unwrap_or_else(|error| {
             error!(
                 "gateway: cannot apply the plan update; the next sync requests the full plan: {error}"
             );
-            is_newest = false;
             // Without a document the leader sends the full plan with the next sync.
             self.state().document = (0, Vec::new());
-        }
+            false
+        });
         if is_newest {
             self.view.record_proof(sent_at);
         }
@@ -381,7 +415,8 @@
         state.coordinators.add(reply.coordinators);
     }
 
-    fn apply_plan_update(&self, update: &PlanUpdate) -> Result<()> {
+    /// Applies an update, and returns whether its plan or a newer one is in force now.
+    fn apply_plan_update(&self, update: &PlanUpdate) -> Result<bool> {
         let decode_error = |reason: String| Error::Decode {
             what: "plan",
             reason,
@@ -391,7 +426,7 @@
                 let mut state = self.state();
                 state.is_plan_pending = true;
                 state.postponements += 1;
-                return Ok(());
+                return Ok(false);
             }
             PlanUpdate::Full {
                 version,
@@ -403,25 +438,47 @@
             }
             PlanUpdate::Delta {
                 version,
+                base,
                 compressed,
-                ..
             } => {
+                let (held, former) = self.state().document.clone();
+                if held != *base {
+                    // News and a sync have brought different plans at the same time.
+                    return Ok(held >= *version);
+                }
                 let delta = lz4_flex::decompress_size_prepended(compressed);
                 let delta = delta.map_err(|error| decode_error(error.to_string()))?;
                 let delta: DocumentDelta = sync::decode("plan change", &delta)?;
-                let document = delta.apply_to(&self.state().document.1);
+                let document = delta.apply_to(&former);
                 let document = document.map_err(|error| decode_error(error.to_string()));
                 (*version, document?)
             }
         };
-        let plan = self.adapter.decode_plan(&document)?;
-        let (before, postponements) = {
+        let index = PlanIndex::new(self.adapter.decode_plan(&document)?);
+        self.put_in_force(version, index, document, update);
+        Ok(true)
+    }
+
+    /// Puts a plan in force unless a newer one is. The version counts as held, which confirms the plan,
+    /// only once requests are handled by it.
+    fn put_in_force(
+        &self,
+        version: PlanVersion,
+        index: PlanIndex,
+        document: Vec<u8>,
+        update: &PlanUpdate,
+    ) {
+        let proof_age = self.view.proof_age();
+        let (is_set, before, postponements) = {
             let mut state = self.state();
+            if state.document.0 >= version {
+                return;
+            }
+            let is_set = self.view.set(index);
             let before = std::mem::replace(&mut state.document, (version, document)).0;
-            (before, std::mem::take(&mut state.postponements))
+            (is_set, before, std::mem::take(&mut state.postponements))
         };
-        let proof_age = self.view.proof_age();
-        if self.view.set(PlanIndex::new(plan)) {
+        if is_set {
             info!("gateway: a plan is in force", kv: {
                 plan = version,
                 before = before,
@@ -434,7 +491,6 @@
         if let Some(plan) = self.view.get() {
             self.targets.apply_plan(&plan);
         }
-        Ok(())
     }
 
     /// Reads the target list from the platform while no leader supplies it, so that leaving targets
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -5,6 +5,7 @@
 mod gateway;
 mod load;
 mod parts;
+mod plan_news;
 mod reply;
 mod report;
 mod request;
@@ -18,6 +19,7 @@
 pub use parts::{
     CompletedPart, CrashEvidence, CrashedPart, PartKind, PartSection, SuspectPart, TargetCrash,
 };
+pub use plan_news::{PlanConfirmation, PlanNews};
 pub use reply::{
     AvoidedSection, ConfigSection, CrashSection, ResidencySection, ResidentModel, SyncReply,
     TargetLoad,
--- a/src/sync/gateway.rs
+++ b/src/sync/gateway.rs
@@ -37,6 +37,9 @@
     pub shares: Vec<ShareReport>,
     /// UDP address that receives [load messages](crate::sync::LoadMessage) from other gateways.
     pub load_address: SocketAddr,
+    /// UDP address that receives [news of plans](crate::sync::PlanNews); `None` if there is none.
+    #[serde(default)]
+    pub news_address: Option<SocketAddr>,
     /// Requests per model since the last report.
     pub demand: Vec<ModelRequests>,
     /// Targets that refuse connections or have sent nothing for the requests that they run.
@@ -178,6 +181,16 @@
 }
 
 impl PlanUpdate {
+    /// Returns the version of the new plan.
+    #[must_use]
+    pub fn version(&self) -> PlanVersion {
+        match self {
+            Self::Delta { version, .. }
+            | Self::Full { version, .. }
+            | Self::Deferred { version } => *version,
+        }
+    }
+
     /// Returns the kind of the update for log lines.
     #[must_use]
     pub fn name(&self) -> &'static str {
--- a/tests/engine_fleet/mod.rs
+++ b/tests/engine_fleet/mod.rs
@@ -157,6 +157,7 @@
         list_digest: Vec::new(),
         shares: Vec::new(),
         load_address: "10.1.0.1:9".parse().unwrap(),
+        news_address: None,
         demand,
         unresponsive: Vec::new(),
         missing_models: Vec::new(),
--- a/tests/load_aggregator.rs
+++ b/tests/load_aggregator.rs
@@ -67,6 +67,7 @@
                 list_digest: Vec::new(),
                 shares: Vec::new(),
                 load_address: address(number),
+                news_address: None,
                 demand: Vec::new(),
                 unresponsive: Vec::new(),
                 missing_models: Vec::new(),
--- /dev/null
+++ b/tests/plan_fleet.rs
@@ -0,0 +1,316 @@
+//! Simulated fleets in which plans are published while syncs are late or lost and leaders change
+//! (docs/design.md, section 18).
+//!
+//! Guards against requests that run by a plan after a newer one was acknowledged (CONFIG).
+
+use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
+
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use rstest::rstest;
+use waxwinglatch::{
+    coordinator::PlanConfirmations,
+    gateway::{PlanLease, PlanStanding},
+    ids::EntryKey,
+};
+
+const BOUND: Duration = Duration::from_secs(3);
+const SYNC_INTERVAL: Duration = Duration::from_secs(1);
+const LENGTH: Duration = Duration::from_secs(60);
+const LEASE: PlanLease = PlanLease {
+    length: BOUND,
+    apply_time: BOUND,
+    leaderless_time: Duration::ZERO,
+};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Sync {
+        gateway: usize,
+    },
+    Arrive {
+        gateway: usize,
+        sent_at: Duration,
+        held: u64,
+        term: u64,
+    },
+    Reply {
+        gateway: usize,
+        sent_at: Duration,
+        newest: u64,
+    },
+    News {
+        gateway: usize,
+        version: u64,
+    },
+    Confirm {
+        gateway: usize,
+        version: u64,
+        term: u64,
+    },
+    Publish,
+    LoseLeader,
+    GainLeader,
+}
+
+/// How a fleet's network and leaders behave.
+#[derive(Clone, Copy, Debug)]
+struct Conditions {
+    gateways: usize,
+    /// Share of messages that are lost.
+    loss: f64,
+    /// Maximum delay of a message.
+    max_delay: Duration,
+    /// Mean time between losses of the leader, if it is lost at all.
+    leader_life: Option<Duration>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Gateway {
+    version: u64,
+    proved_at: Option<Duration>,
+}
+
+struct Fleet {
+    conditions: Conditions,
+    rng: StdRng,
+    now: Duration,
+    queue: BinaryHeap<Reverse<(Duration, u64, Event)>>,
+    events: u64,
+    gateways: Vec<Gateway>,
+    newest: u64,
+    term: u64,
+    confirmations: Option<PlanConfirmations>,
+    /// Plans that wait for their acknowledgement, and those that have it, with the time.
+    waiting: Vec<(u64, Duration)>,
+    acknowledged: Vec<(u64, Duration)>,
+    longest_wait: Duration,
+}
+
+fn key(gateway: usize) -> EntryKey {
+    EntryKey {
+        vm: format!("edge-{gateway}").into(),
+        incarnation: 1,
+    }
+}
+
+impl Fleet {
+    fn new(conditions: Conditions, seed: u64) -> Self {
+        let mut fleet = Self {
+            conditions,
+            rng: StdRng::seed_from_u64(seed),
+            now: Duration::ZERO,
+            queue: BinaryHeap::new(),
+            events: 0,
+            gateways: vec![Gateway::default(); conditions.gateways],
+            newest: 1,
+            term: 1,
+            confirmations: Some(PlanConfirmations::new(BOUND, Duration::ZERO)),
+            waiting: Vec::new(),
+            acknowledged: Vec::new(),
+            longest_wait: Duration::ZERO,
+        };
+        for gateway in 0..conditions.gateways {
+            let delay = fleet.rng.random_range(Duration::ZERO..SYNC_INTERVAL);
+            fleet.schedule(delay, Event::Sync { gateway });
+        }
+        fleet.schedule(Duration::from_secs(5), Event::Publish);
+        if let Some(life) = conditions.leader_life {
+            fleet.schedule(life, Event::LoseLeader);
+        }
+        fleet
+    }
+
+    fn schedule(&mut self, delay: Duration, event: Event) {
+        self.events += 1;
+        self.queue
+            .push(Reverse((self.now + delay, self.events, event)));
+    }
+
+    /// Sends a message, which may be lost.
+    fn send(&mut self, event: Event) {
+        if !self.rng.random_bool(self.conditions.loss) {
+            let delay = self
+                .rng
+                .random_range(Duration::ZERO..self.conditions.max_delay);
+            self.schedule(delay, event);
+        }
+    }
+
+    fn run(&mut self) {
+        while let Some(Reverse((at, _, event))) = self.queue.pop()
+            && at < LENGTH
+        {
+            self.now = at;
+            self.handle(event);
+            self.acknowledge();
+            if let Event::Sync { gateway } | Event::Reply { gateway, .. } = event {
+                self.check(gateway);
+            }
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Sync { gateway } => {
+                let (sent_at, held, term) = (self.now, self.gateways[gateway].version, self.term);
+                self.send(Event::Arrive {
+                    gateway,
+                    sent_at,
+                    held,
+                    term,
+                });
+                self.schedule(SYNC_INTERVAL, event);
+            }
+            Event::Arrive {
+                gateway,
+                sent_at,
+                held,
+                term,
+            } if term == self.term => {
+                if let Some(confirmations) = &mut self.confirmations {
+                    confirmations.record_report(&key(gateway), held, self.now);
+                    let newest = self.newest;
+                    self.send(Event::Reply {
+                        gateway,
+                        sent_at,
+                        newest,
+                    });
+                }
+            }
+            Event::Reply {
+                gateway,
+                sent_at,
+                newest,
+            } => {
+                let gateway = &mut self.gateways[gateway];
+                gateway.version = gateway.version.max(newest);
+                gateway.proved_at = gateway.proved_at.max(Some(sent_at));
+            }
+            Event::News { gateway, version } => {
+                let state = &mut self.gateways[gateway];
+                state.version = state.version.max(version);
+                let (version, term) = (state.version, self.term);
+                self.send(Event::Confirm {
+                    gateway,
+                    version,
+                    term,
+                });
+            }
+            Event::Confirm {
+                gateway,
+                version,
+                term,
+            } if term == self.term => {
+                if let Some(confirmations) = &mut self.confirmations {
+                    confirmations.confirm(&key(gateway), version);
+                }
+            }
+            Event::Publish => {
+                if self.confirmations.is_some() {
+                    self.newest += 1;
+                    let version = self.newest;
+                    self.waiting.push((version, self.now));
+                    for gateway in 0..self.gateways.len() {
+                        self.send(Event::News { gateway, version });
+                    }
+                }
+                let pause = self.rng.random_range(100..2_000);
+                self.schedule(Duration::from_millis(pause), Event::Publish);
+            }
+            Event::LoseLeader => {
+                self.confirmations = None;
+                self.waiting.clear();
+                let pause = self.rng.random_range(500..5_000);
+                self.schedule(Duration::from_millis(pause), Event::GainLeader);
+            }
+            Event::GainLeader => {
+                self.term += 1;
+                self.confirmations = Some(PlanConfirmations::new(BOUND, self.now + BOUND));
+                let life = self.conditions.leader_life.unwrap_or(LENGTH);
+                let life = life.mul_f64(self.rng.random_range(0.2..2.0));
+                self.schedule(life, Event::LoseLeader);
+            }
+            Event::Arrive { .. } | Event::Confirm { .. } => {}
+        }
+    }
+
+    fn acknowledge(&mut self) {
+        let Some(confirmations) = &self.confirmations else {
+            return;
+        };
+        let now = self.now;
+        let (confirmed, waiting) = self
+            .waiting
+            .drain(..)
+            .partition(|(version, _)| confirmations.is_confirmed(*version, now));
+        self.waiting = waiting;
+        let confirmed: Vec<(u64, Duration)> = confirmed;
+        for (version, published_at) in confirmed {
+            self.longest_wait = self.longest_wait.max(now - published_at);
+            self.acknowledged.push((version, now));
+        }
+    }
+
+    /// Checks that a gateway runs no request by a plan that must not be in force any more.
+    fn check(&self, number: usize) {
+        let gateway = &self.gateways[number];
+        let age = gateway.proved_at.map(|at| self.now - at);
+        let standing = LEASE.standing(age, true);
+        let newer = self.acknowledged.iter();
+        let mut newer = newer.filter(|(version, _)| *version > gateway.version);
+        let is_leased = standing == PlanStanding::Leased;
+        let broken = newer.find(|(_, at)| {
+            is_leased || standing == PlanStanding::Running && self.now >= *at + BOUND
+        });
+        assert_eq!(
+            broken, None,
+            "gateway {number} at {:?}, plan {}",
+            self.now, gateway.version
+        );
+    }
+}
+
+/// Pattern: several plans a second while messages are lost or as late as the bound, and leaders are lost.
+#[rstest]
+#[case::few_gateways(9, 0.05)]
+#[case::large_fleet(291, 0.05)]
+#[case::lossy_links(291, 0.4)]
+fn acknowledged_plans_are_in_force_in_time(#[case] gateways: usize, #[case] loss: f64) {
+    for seed in 0..6 {
+        let conditions = Conditions {
+            gateways,
+            loss,
+            max_delay: BOUND,
+            leader_life: Some(Duration::from_secs(8)),
+        };
+        let mut fleet = Fleet::new(conditions, seed);
+        fleet.run();
+        assert!(fleet.newest > 10, "seed {seed}: {} plans", fleet.newest);
+    }
+}
+
+/// Pattern: changes at a calm fleet of any size are acknowledged long before operators repeat them.
+#[rstest]
+#[case::few_gateways(9)]
+#[case::large_fleet(291)]
+#[case::next_size(1_000)]
+fn calm_fleet_confirms_plans_at_once(#[case] gateways: usize) {
+    let conditions = Conditions {
+        gateways,
+        loss: 0.0,
+        max_delay: Duration::from_millis(20),
+        leader_life: None,
+    };
+    let mut fleet = Fleet::new(conditions, 1);
+    fleet.run();
+    assert!(
+        fleet.acknowledged.len() > 30,
+        "{} plans",
+        fleet.acknowledged.len()
+    );
+    assert!(
+        fleet.longest_wait < Duration::from_millis(100),
+        "{:?}",
+        fleet.longest_wait
+    );
+}
