Log what the leader does for gateways each second

A line a second gives syncs, requests for tokens, log entries with evidence about parts, and the longest delay of a task, which tells a leader without processor time from one without tokens.

--- a/src/coordinator.rs
+++ b/src/coordinator.rs
@@ -11,6 +11,7 @@
 mod engine_view;
 mod gateway_table;
 mod grant_server;
+mod leader_work;
 mod load_groups;
 mod membership_controller;
 mod model_copies;
--- /dev/null
+++ b/src/coordinator/leader_work.rs
@@ -0,0 +1,57 @@
+use std::{
+    sync::atomic::{AtomicU64, Ordering},
+    time::{Duration, Instant},
+};
+
+use spdlog::prelude::*;
+
+/// Interval of the log line.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval at which the delay of the leader's tasks is measured.
+const PROBE_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Counters of what the leader does for gateways, for a log line each second. They tell a leader that
+/// is asked too much from one that has no tokens.
+#[derive(Debug, Default)]
+pub struct LeaderWork {
+    /// Answered syncs.
+    pub syncs: AtomicU64,
+    /// Answered requests for tokens.
+    pub grant_requests: AtomicU64,
+    /// Log entries with evidence about parts of requests.
+    pub part_entries: AtomicU64,
+}
+
+impl LeaderWork {
+    /// Adds to a counter.
+    pub fn add(counter: &AtomicU64, count: u64) {
+        counter.fetch_add(count, Ordering::Relaxed);
+    }
+
+    /// Logs the counters while they change, until the task is dropped.
+    pub async fn run(&self) {
+        loop {
+            let started_at = Instant::now();
+            let mut longest_delay = Duration::ZERO;
+            while started_at.elapsed() < LOG_INTERVAL {
+                let probed_at = Instant::now();
+                tokio::time::sleep(PROBE_INTERVAL).await;
+                let delay = probed_at.elapsed().saturating_sub(PROBE_INTERVAL);
+                longest_delay = longest_delay.max(delay);
+            }
+            let take = |counter: &AtomicU64| counter.swap(0, Ordering::Relaxed);
+            let (syncs, grant_requests) = (take(&self.syncs), take(&self.grant_requests));
+            let part_entries = take(&self.part_entries);
+            if syncs + grant_requests + part_entries == 0 {
+                continue;
+            }
+            info!("coordinator: work", kv: {
+                syncs = syncs,
+                grant_requests = grant_requests,
+                part_entries = part_entries,
+                period_ms = started_at.elapsed().as_millis(),
+                longest_delay_ms = longest_delay.as_millis(),
+            });
+        }
+    }
+}
--- a/src/coordinator/state.rs
+++ b/src/coordinator/state.rs
@@ -9,6 +9,7 @@
 use super::{
     engine_table::{EngineTable, TargetChanges},
     gateway_table::GatewayTable,
+    leader_work::LeaderWork,
     model_waits::ModelWaits,
     plan_confirmations::PlanConfirmations,
     plan_history::PlanHistory,
@@ -49,6 +50,7 @@
     pub(super) voter: VoterHandle,
     pub(super) adapter: Arc<dyn PlatformAdapter>,
     started_at: Instant,
+    pub(super) work: LeaderWork,
     plan_lease: Duration,
     /// Wakes publications that wait for gateways.
     confirmed: Notify,
@@ -121,6 +123,7 @@
             voter,
             adapter,
             started_at: Instant::now(),
+            work: LeaderWork::default(),
             plan_lease,
             confirmed: Notify::new(),
             tables: Mutex::new(LeaderTables::new(0, Duration::ZERO, plan_lease)),
@@ -314,6 +317,7 @@
     /// [`Error::NotLeader`] when this daemon does not lead.
     pub async fn sync(&self, report: GatewayReport) -> Result<GatewayReply> {
         let lease = self.lease()?;
+        LeaderWork::add(&self.work.syncs, 1);
         let commit = tokio::time::timeout(PARTS_COMMIT_TIMEOUT, self.commit_parts(&report));
         let are_parts_recorded = match commit.await {
             Ok(Ok(())) => true,
@@ -351,10 +355,12 @@
                 gateway = report.gateway.vm.as_str(),
                 parts = evidence.parts.len(),
             });
+            LeaderWork::add(&self.work.part_entries, 1);
             let command = Command::ReportParts(evidence.clone());
             self.voter.propose(command).await?;
         }
         if !report.completed_parts.is_empty() {
+            LeaderWork::add(&self.work.part_entries, 1);
             let command = Command::ClearParts(report.completed_parts.clone());
             self.voter.propose(command).await?;
         }
@@ -387,6 +393,7 @@
             let ledger = &mut tables.ledger;
             ledger.answer_reports(&request.gateway, &request.shares, now)
         };
+        LeaderWork::add(&self.work.grant_requests, 1);
         // Another leader may grant the same tokens once the lease has expired.
         if lease.is_valid() {
             Ok(GrantReply {
