Grant tokens only to requests that still wait when they arrive

Cause: the leader served the longest wait first and did not know that requests give up after 200 ms. Above the rate it granted to those that had given up, and had the tokens back 200 ms later; refused callers come back, which kept it above the rate. Class: work done for a caller who has left. Ruled out for the lasting loss: the leader's processor (tasks at most 62 ms late from 4 s after the takeover on, as many requests for tokens answered as before). Change: reports say for how long the first request still waits, and the leader passes over those that a grant would reach too late. Entries share the code.

--- a/src/allowance/bucket.rs
+++ b/src/allowance/bucket.rs
@@ -3,7 +3,7 @@
     time::Duration,
 };
 
-use super::{RateLimit, ShareGrant, ShareReport, WAITER_TIMEOUT, granted_share::GrantedShare};
+use super::{RateLimit, ShareGrant, ShareReport, granted_share::GrantedShare};
 use crate::ids::EntryKey;
 
 const NANOS_PER_SECOND: u128 = 1_000_000_000;
@@ -116,6 +116,7 @@
         };
         let (used, returned) = share.apply_report(report);
         share.extend_expiry(now);
+        share.set_patience(report.waits_ms, now);
         self.outstanding -= used + returned;
         self.level += returned;
         if share.epoch == report.epoch && share.outstanding() == 0 && report.requested == 0 {
@@ -266,8 +267,8 @@
 
     fn remove_timed_out_waiters(&mut self, now: Duration) {
         while let Some((_, first)) = self.waiters.first() {
-            let seen_at = self.shares.get(first).map(|share| share.seen_at);
-            if seen_at.is_some_and(|seen_at| now < seen_at + WAITER_TIMEOUT) {
+            let share = self.shares.get(first);
+            if share.is_some_and(|share| !share.has_given_up(now)) {
                 return;
             }
             let timed_out = first.clone();
--- a/src/allowance/granted_share.rs
+++ b/src/allowance/granted_share.rs
@@ -1,6 +1,10 @@
 use std::time::Duration;
 
-use super::{GRANT_OUTSTANDING, ShareReport};
+use super::{GRANT_OUTSTANDING, ShareReport, WAITER_TIMEOUT};
+
+/// Time that a grant takes to a request that waits for it, at a busy gateway. Tokens that come too late
+/// are locked until they are returned.
+const GRANT_TRAVEL_TIME: Duration = Duration::from_millis(60);
 
 /// The leader's record of the tokens granted to one entry for one team in one epoch.
 #[derive(Debug)]
@@ -15,6 +19,8 @@
     /// Tokens that the entry is missing for its request that has waited longest.
     pub urgent: u64,
     pub waiting_since: Option<Duration>,
+    /// Time from which a grant would come too late for that request, as far as the entry has said.
+    grant_until: Option<Duration>,
     pub recalled_at: Option<Duration>,
 }
 
@@ -29,10 +35,19 @@
             seen_at: now,
             urgent: 0,
             waiting_since: None,
+            grant_until: None,
             recalled_at: None,
         }
     }
 
+    /// Returns whether tokens granted now would come too late for the request that waits.
+    pub fn has_given_up(&self, now: Duration) -> bool {
+        match self.grant_until {
+            Some(until) => now >= until,
+            None => now >= self.seen_at + WAITER_TIMEOUT,
+        }
+    }
+
     /// Returns the granted tokens that are not known to be used or returned.
     pub fn outstanding(&self) -> u64 {
         self.granted - self.used - self.returned
@@ -52,6 +67,14 @@
         growth
     }
 
+    /// Records how long the request that has waited longest still waits.
+    pub fn set_patience(&mut self, waits_ms: Option<u32>, now: Duration) {
+        self.grant_until = waits_ms.map(|waits_ms| {
+            let waits = Duration::from_millis(waits_ms.into());
+            now + waits.saturating_sub(GRANT_TRAVEL_TIME.min(waits / 2))
+        });
+    }
+
     /// Returns the granted tokens of which the entry was not aware when it reported.
     pub fn unseen_tokens(&self, report: &ShareReport) -> u64 {
         let seen = if report.epoch == self.epoch {
--- a/src/allowance/message.rs
+++ b/src/allowance/message.rs
@@ -22,6 +22,9 @@
     /// Tokens that the request that has waited longest is missing; 0 when no request is waiting.
     #[serde(default)]
     pub urgent: u64,
+    /// Time for which that request still waits, in milliseconds; `None` when it is not known.
+    #[serde(default)]
+    pub waits_ms: Option<u32>,
 }
 
 /// The leader's grant to one entry for one team.
--- a/src/allowance/share.rs
+++ b/src/allowance/share.rs
@@ -117,6 +117,14 @@
         }
     }
 
+    /// Sets the time until which the team's request that has waited longest still waits, so that the leader
+    /// grants no tokens to a request that gives up before they arrive.
+    pub fn set_waits_until(&mut self, team: &TeamId, waits_until: Option<Duration>) {
+        if let Some(share) = self.teams.get_mut(team) {
+            share.set_waits_until(waits_until);
+        }
+    }
+
     /// Returns whether a waiting request is missing tokens that no pending report requests. The
     /// entry should then send [`Self::make_urgent_reports`] at once.
     #[must_use]
--- a/src/allowance/team_share.rs
+++ b/src/allowance/team_share.rs
@@ -25,6 +25,8 @@
     demand: DemandRate,
     first_waiting: u64,
     all_waiting: u64,
+    /// Time until which the request that has waited longest still waits.
+    waits_until: Option<Duration>,
     /// Value of `urgent` in the latest report, until it is answered.
     pending_urgent: u64,
 }
@@ -63,6 +65,10 @@
         self.final_report_at = None;
     }
 
+    pub fn set_waits_until(&mut self, waits_until: Option<Duration>) {
+        self.waits_until = waits_until;
+    }
+
     /// Returns whether idle tokens should be returned to the leader.
     pub fn has_idle_tokens(&self, now: Duration) -> bool {
         self.has_excess(self.demand.target_tokens(now))
@@ -120,6 +126,10 @@
             returned: self.returned,
             requested,
             urgent,
+            waits_ms: self.waits_until.filter(|_| urgent > 0).map(|until| {
+                let waits = until.saturating_sub(now).as_millis();
+                u32::try_from(waits).unwrap_or(u32::MAX)
+            }),
         }
     }
 
--- a/src/coordinator/grant_server.rs
+++ b/src/coordinator/grant_server.rs
@@ -35,6 +35,18 @@
     received_at: Instant,
 }
 
+impl WaitingRequest {
+    /// Returns the request as it would be sent now: it has waited since it was received.
+    fn request_now(&self) -> GrantRequest {
+        let mut request = self.request.clone();
+        let waited = u32::try_from(self.received_at.elapsed().as_millis()).unwrap_or(u32::MAX);
+        for share in &mut request.shares {
+            share.waits_ms = share.waits_ms.map(|waits| waits.saturating_sub(waited));
+        }
+        request
+    }
+}
+
 /// UDP server that grants tokens to gateways whose requests wait for them. A sync costs the leader
 /// ten times as much, and in a large fleet most requests find no tokens at their gateway.
 pub struct GrantServer {
@@ -118,7 +130,7 @@
             let mut is_pushed = false;
             for waiter in &due {
                 if let Some(entry) = waiting.get(waiter) {
-                    self.answer(&entry.request, entry.gateway).await;
+                    self.answer(&entry.request_now(), entry.gateway).await;
                     is_pushed = true;
                 }
             }
--- a/src/entry/allowance.rs
+++ b/src/entry/allowance.rs
@@ -22,10 +22,18 @@
 /// that breaks ties.
 type QueuePosition = (i128, u64);
 
+/// A request that waits for tokens.
+#[derive(Clone, Copy, Debug)]
+struct WaitingRequest {
+    tokens: u64,
+    /// Time at which it gives up.
+    until: Duration,
+}
+
 #[derive(Debug, Default)]
 struct AllowanceTables {
     share: AllowanceShare,
-    queues: HashMap<TeamId, BTreeMap<QueuePosition, u64>>,
+    queues: HashMap<TeamId, BTreeMap<QueuePosition, WaitingRequest>>,
     last_sequence: u64,
     last_report: Duration,
     /// Teams whose shortage is reported by an urgent sync in flight.
@@ -79,7 +87,9 @@
         priority: u8,
         deadline: Instant,
     ) -> Option<ReservedTokens> {
-        let position = self.enqueue(team, tokens, priority);
+        let until = deadline.saturating_duration_since(self.started);
+        let request = WaitingRequest { tokens, until };
+        let position = self.enqueue(team, request, priority);
         loop {
             let changed = self.changed.notified();
             if let Some(id) = self.try_reserve(team, &position, tokens) {
@@ -102,7 +112,12 @@
         }
     }
 
-    fn enqueue(self: &Arc<Self>, team: &TeamId, tokens: u64, priority: u8) -> QueueEntry {
+    fn enqueue(
+        self: &Arc<Self>,
+        team: &TeamId,
+        request: WaitingRequest,
+        priority: u8,
+    ) -> QueueEntry {
         let mut tables = self.tables();
         tables.last_sequence += 1;
         let arrival = i128::try_from(self.started.elapsed().as_millis()).unwrap_or(i128::MAX);
@@ -112,7 +127,7 @@
             .queues
             .entry(team.clone())
             .or_default()
-            .insert(position, tokens);
+            .insert(position, request);
         QueueEntry {
             allowance: Arc::clone(self),
             team: team.clone(),
@@ -278,12 +293,14 @@
 
     fn update_waiting(&mut self, team: &TeamId) {
         let queue = self.queues.get(team);
-        let first = queue
-            .and_then(|queue| queue.values().next())
-            .copied()
-            .unwrap_or_default();
-        let all = queue.map_or(0, |queue| queue.values().sum());
-        self.share.set_waiting(team, first, all);
+        let first = queue.and_then(|queue| queue.values().next()).copied();
+        let all = queue.map_or(0, |queue| {
+            queue.values().map(|request| request.tokens).sum()
+        });
+        self.share
+            .set_waiting(team, first.map_or(0, |first| first.tokens), all);
+        self.share
+            .set_waits_until(team, first.map(|first| first.until));
     }
 }
 
--- a/tests/allowance_usage.rs
+++ b/tests/allowance_usage.rs
@@ -194,6 +194,7 @@
                 returned: 0,
                 requested: 0,
                 urgent: 0,
+                waits_ms: None,
                 team: team.clone(),
             };
             fleet.ledger.answer_reports(entry, &[used], fleet.now);
--- a/tests/hub.rs
+++ b/tests/hub.rs
@@ -312,6 +312,7 @@
         team: "t".into(),
         epoch,
         urgent: 0,
+        waits_ms: None,
         granted: 100,
         used,
         returned: 0,
