--- a/src/allowance/bucket.rs
+++ b/src/allowance/bucket.rs
@@ -168,6 +168,16 @@
         (urgent <= self.level).then(|| first.clone())
     }
 
+    /// Returns the tokens that can be granted.
+    pub fn level(&self) -> u64 {
+        self.level
+    }
+
+    /// Returns the granted tokens that are not known to be used or returned.
+    pub fn outstanding(&self) -> u64 {
+        self.outstanding
+    }
+
     /// Returns the level plus the outstanding tokens, which never exceed the burst.
     pub fn committed(&self) -> u64 {
         self.level + self.outstanding
--- a/src/allowance/ledger.rs
+++ b/src/allowance/ledger.rs
@@ -223,6 +223,15 @@
         }
     }
 
+    /// Returns the free and the outstanding tokens of all teams.
+    #[must_use]
+    pub fn totals(&self) -> (u64, u64) {
+        let buckets = self.teams.values();
+        buckets.fold((0, 0), |(free, outstanding), bucket| {
+            (free + bucket.level(), outstanding + bucket.outstanding())
+        })
+    }
+
     /// Returns a team's level plus its outstanding tokens, which never exceed the burst.
     #[must_use]
     pub fn committed(&self, team: &TeamId) -> u64 {
--- a/src/coordinator/daemon.rs
+++ b/src/coordinator/daemon.rs
@@ -117,7 +117,7 @@
         servers.spawn(grants.run());
         servers.spawn(pusher.run());
         servers.spawn(part_recorder.run());
-        servers.spawn(async move { work.work.run().await });
+        servers.spawn(async move { work.work.run(|| work.tokens()).await });
         servers.spawn(async move { plan_follower.follow_plans().await });
         tokio::spawn(founder.run());
         tokio::spawn(membership.run());
--- a/src/coordinator/leader_work.rs
+++ b/src/coordinator/leader_work.rs
@@ -27,7 +27,9 @@
     }
 
     /// Logs the counters while they change, until the task is dropped.
-    pub async fn run(&self) {
+    ///
+    /// `tokens` returns the free and the outstanding tokens of all teams.
+    pub async fn run(&self, tokens: impl Fn() -> (u64, u64)) {
         loop {
             let started_at = Instant::now();
             let mut longest_delay = Duration::ZERO;
@@ -42,9 +44,12 @@
             if syncs + grant_requests == 0 {
                 continue;
             }
+            let (free_tokens, outstanding_tokens) = tokens();
             info!("coordinator: work", kv: {
                 syncs = syncs,
                 grant_requests = grant_requests,
+                free_tokens = free_tokens,
+                outstanding_tokens = outstanding_tokens,
                 period_ms = started_at.elapsed().as_millis(),
                 longest_delay_ms = longest_delay.as_millis(),
             });
--- a/src/coordinator/state.rs
+++ b/src/coordinator/state.rs
@@ -320,6 +320,13 @@
     pub async fn sync(&self, report: GatewayReport) -> Result<GatewayReply> {
         let lease = self.lease()?;
         LeaderWork::add(&self.work.syncs, 1);
+        for evidence in &report.crashes {
+            info!("route: a target crashed", kv: {
+                target = evidence.crash.target.as_str(),
+                gateway = report.gateway.vm.as_str(),
+                parts = evidence.parts.len(),
+            });
+        }
         let recorded = self.part_recorder.record(
             &report.crashes,
             &report.completed_parts,
@@ -377,6 +384,14 @@
         }
     }
 
+    /// Returns the free and the outstanding tokens of all teams; none when this daemon does not lead.
+    pub(super) fn tokens(&self) -> (u64, u64) {
+        match self.lease() {
+            Ok(lease) => self.tables(lease).ledger.totals(),
+            Err(_) => (0, 0),
+        }
+    }
+
     /// Returns the gateways and teams with a waiting request for which there are tokens by now; none
     /// when this daemon does not lead.
     #[must_use]
--- a/src/state/part_batch.rs
+++ b/src/state/part_batch.rs
@@ -1,4 +1,7 @@
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
 
 use super::{Command, PartTable};
 use crate::{
@@ -11,7 +14,7 @@
 /// from everything else.
 #[derive(Debug, Default)]
 pub struct PartBatch {
-    crashes: Vec<(TargetCrash, BTreeMap<Fingerprint, CrashedPart>)>,
+    crashes: HashMap<TargetCrash, BTreeMap<Fingerprint, CrashedPart>>,
     /// Time of the last complete answer with each part.
     completed: BTreeMap<Fingerprint, Duration>,
 }
@@ -20,17 +23,8 @@
     /// Adds a report that arrived at `now`. Evidence of the same crash is merged.
     pub fn add(&mut self, crashes: &[CrashEvidence], completed: &[CompletedPart], now: Duration) {
         for evidence in crashes {
-            let known = self.crashes.iter_mut();
-            let known = known.map(|(crash, parts)| (&*crash, parts));
-            let mut known = known.filter(|(crash, _)| **crash == evidence.crash);
-            match known.next() {
-                Some((_, parts)) => merge(parts, &evidence.parts),
-                None => {
-                    let mut parts = BTreeMap::new();
-                    merge(&mut parts, &evidence.parts);
-                    self.crashes.push((evidence.crash.clone(), parts));
-                }
-            }
+            let parts = self.crashes.entry(evidence.crash.clone()).or_default();
+            merge(parts, &evidence.parts);
         }
         for part in completed {
             let at = now.saturating_sub(Duration::from_millis(part.age_ms));
@@ -75,12 +69,8 @@
 
 fn merge(parts: &mut BTreeMap<Fingerprint, CrashedPart>, crashed: &[CrashedPart]) {
     for part in crashed {
-        let known = parts.get_mut(&part.part);
-        match known {
-            Some(known) => known.runs = known.runs.saturating_add(part.runs),
-            None => {
-                parts.insert(part.part, *part);
-            }
-        }
+        let unknown = CrashedPart { runs: 0, ..*part };
+        let known = parts.entry(part.part).or_insert(unknown);
+        known.runs = known.runs.saturating_add(part.runs);
     }
 }
--- a/tests/model_plans.rs
+++ b/tests/model_plans.rs
@@ -117,7 +117,7 @@
                 .is_confirmed(u64::from(state.newest), ticks(state.now))
     }
 
-    fn standing(&self, gateway: &Gateway, now: u8) -> PlanStanding {
+    fn standing(&self, gateway: Gateway, now: u8) -> PlanStanding {
         let lease = PlanLease {
             length: ticks(self.bound),
             apply_time: ticks(self.bound),
@@ -238,7 +238,7 @@
         let acknowledged_at = state.acknowledged_at?;
         let behind = state.gateways.iter();
         let mut behind = behind.filter(|gateway| gateway.version < state.newest);
-        behind.find_map(|gateway| match self.standing(gateway, state.now) {
+        behind.find_map(|gateway| match self.standing(*gateway, state.now) {
             PlanStanding::Leased => Some("acknowledged under a lease on an older plan"),
             PlanStanding::Running if state.now >= acknowledged_at + self.bound => {
                 Some("a request runs by an older plan")
--- a/tests/plan_fleet.rs
+++ b/tests/plan_fleet.rs
@@ -246,7 +246,7 @@
         self.waiting = waiting;
         let confirmed: Vec<(u64, Duration)> = confirmed;
         for (version, published_at) in confirmed {
-            self.longest_wait = self.longest_wait.max(now - published_at);
+            self.longest_wait = self.longest_wait.max(now.saturating_sub(published_at));
             self.acknowledged.push((version, now));
         }
     }
@@ -254,7 +254,7 @@
     /// Checks that a gateway runs no request by a plan that must not be in force any more.
     fn check(&self, number: usize) {
         let gateway = &self.gateways[number];
-        let age = gateway.proved_at.map(|at| self.now - at);
+        let age = gateway.proved_at.map(|at| self.now.saturating_sub(at));
         let standing = LEASE.standing(age, true);
         let newer = self.acknowledged.iter();
         let mut newer = newer.filter(|(version, _)| *version > gateway.version);
--- a/tests/token_backlog.rs
+++ b/tests/token_backlog.rs
@@ -129,7 +129,7 @@
                 self.serve(gateway);
             }
         }
-        let seconds = (LENGTH - SETTLED).as_secs_f64();
+        let seconds = LENGTH.saturating_sub(SETTLED).as_secs_f64();
         self.admitted as f64 / (limit.rate as f64 * seconds)
     }
 
@@ -183,7 +183,7 @@
     fn push_grants(&mut self) {
         let now = self.now;
         self.shortages
-            .retain(|_, (_, _, arrived_at)| now - *arrived_at < MAX_ANSWER_TIME);
+            .retain(|_, (_, _, arrived_at)| now.saturating_sub(*arrived_at) < MAX_ANSWER_TIME);
         for _ in 0..MAX_PUSHES {
             let due = self.ledger.due_waiters(now);
             let due = due.first().and_then(|(waiter, _)| {
@@ -194,7 +194,7 @@
                 return;
             };
             let (mut reports, asked_at, arrived_at) = self.shortages[&gateway].clone();
-            let waited = u32::try_from((now - arrived_at).as_millis()).unwrap();
+            let waited = u32::try_from(now.saturating_sub(arrived_at).as_millis()).unwrap();
             for report in &mut reports {
                 report.waits_ms = report.waits_ms.map(|waits| waits.saturating_sub(waited));
             }
