--- a/src/coordinator.rs
+++ b/src/coordinator.rs
@@ -1,6 +1,7 @@
 //! Coordinators: control daemons whose leader serves gateways with plans, allowance and the list of
 //! targets, and decides which models engines load; see docs/platform.md.
 
+mod acknowledgement;
 mod adapter_orders;
 mod api;
 mod config;
