Log what takes the leader's processor time

Change: the line names the processor time of syncs, grants and rounds of the order dispatcher, with the rounds, the calls to engines and the publications of the target list. Conclusion: needed before any change of logic.

--- a/src/coordinator/leader_work.rs
+++ b/src/coordinator/leader_work.rs
@@ -18,6 +18,18 @@
     pub syncs: AtomicU64,
     /// Answered requests for tokens.
     pub grant_requests: AtomicU64,
+    /// Processor time of answers to syncs, in microseconds.
+    pub sync_time_us: AtomicU64,
+    /// Processor time of answers to requests for tokens, in microseconds.
+    pub grant_time_us: AtomicU64,
+    /// Rounds of the order dispatcher.
+    pub rounds: AtomicU64,
+    /// Processor time of these rounds, in microseconds.
+    pub round_time_us: AtomicU64,
+    /// Calls to engines, for their status or with an order.
+    pub engine_calls: AtomicU64,
+    /// Changes of the target list that were published.
+    pub publications: AtomicU64,
 }
 
 impl LeaderWork {
@@ -26,6 +38,15 @@
         counter.fetch_add(count, Ordering::Relaxed);
     }
 
+    /// Runs a part of the work that does not wait, and adds the time that it takes to a counter.
+    pub fn timed<T>(counter: &AtomicU64, work: impl FnOnce() -> T) -> T {
+        let started_at = Instant::now();
+        let result = work();
+        let micros = u64::try_from(started_at.elapsed().as_micros()).unwrap_or(u64::MAX);
+        Self::add(counter, micros);
+        result
+    }
+
     /// Logs the counters while they change, until the task is dropped.
     ///
     /// `tokens` returns the free and the outstanding tokens of all teams.
@@ -41,6 +62,11 @@
             }
             let take = |counter: &AtomicU64| counter.swap(0, Ordering::Relaxed);
             let (syncs, grant_requests) = (take(&self.syncs), take(&self.grant_requests));
+            let [sync_ms, grant_ms, round_ms] =
+                [&self.sync_time_us, &self.grant_time_us, &self.round_time_us]
+                    .map(|counter| take(counter) / 1_000);
+            let [rounds, engine_calls, publications] =
+                [&self.rounds, &self.engine_calls, &self.publications].map(take);
             if syncs + grant_requests == 0 {
                 continue;
             }
@@ -50,6 +76,12 @@
                 grant_requests = grant_requests,
                 free_tokens = free_tokens,
                 outstanding_tokens = outstanding_tokens,
+                sync_ms = sync_ms,
+                grant_ms = grant_ms,
+                rounds = rounds,
+                round_ms = round_ms,
+                engine_calls = engine_calls,
+                publications = publications,
                 period_ms = started_at.elapsed().as_millis(),
                 longest_delay_ms = longest_delay.as_millis(),
             });
--- a/src/coordinator/order_dispatcher.rs
+++ b/src/coordinator/order_dispatcher.rs
@@ -4,6 +4,7 @@
 
 use super::{
     engine_table::PlannedOrder,
+    leader_work::LeaderWork,
     state::{CoordinatorState, FIRST_TERM},
 };
 use crate::{
@@ -67,7 +68,9 @@
         loop {
             let _ = tokio::time::timeout(ROUND_INTERVAL, self.state.round_trigger.notified()).await;
             if let Ok(lease) = self.state.lease() {
-                self.round(lease);
+                let work = &self.state.work;
+                LeaderWork::add(&work.rounds, 1);
+                LeaderWork::timed(&work.round_time_us, || self.round(lease));
             }
             tokio::time::sleep(MIN_ROUND_INTERVAL).await;
         }
@@ -116,6 +119,7 @@
 }
 
 async fn poll_status(state: Arc<CoordinatorState>, lease: LeaderLease, entry: TargetEntry) {
+    LeaderWork::add(&state.work.engine_calls, 1);
     let status = with_timeout(state.adapter.engine_status(entry.address)).await;
     if let Err(error) = &status {
         debug!("place: polling the status of {} failed: {error}", entry.id);
@@ -138,6 +142,7 @@
     if !lease.is_valid() {
         return;
     }
+    LeaderWork::add(&state.work.engine_calls, 1);
     let response = with_timeout(state.adapter.send_order(address, &message)).await;
     info!("place: order", kv: {
         target = order.target.as_str(),
--- a/src/coordinator/state.rs
+++ b/src/coordinator/state.rs
@@ -178,10 +178,14 @@
     pub(super) fn publish_targets(&self, tables: &mut LeaderTables) {
         match tables.engines.take_unpublished() {
             TargetChanges::All(targets) => {
+                LeaderWork::add(&self.work.publications, 1);
                 self.model_waits.wake(&targets);
                 tables.targets.update(targets);
             }
             TargetChanges::Some(targets) => {
+                if !targets.is_empty() {
+                    LeaderWork::add(&self.work.publications, 1);
+                }
                 self.model_waits.wake(&targets);
                 tables.targets.upsert(targets);
             }
@@ -244,11 +248,12 @@
             PARTS_COMMIT_TIMEOUT,
         );
         let are_parts_recorded = recorded.await;
-        let grants = self.record(&report, lease);
+        let sync_time = &self.work.sync_time_us;
+        let grants = LeaderWork::timed(sync_time, || self.record(&report, lease));
         if !report.missing_models.is_empty() {
             self.await_models(&report, lease).await;
         }
-        let mut reply = self.reply(&report, grants, lease);
+        let mut reply = LeaderWork::timed(sync_time, || self.reply(&report, grants, lease));
         reply.are_parts_recorded = are_parts_recorded;
         if lease.is_valid() {
             Ok(reply)
@@ -261,7 +266,10 @@
     /// has to be sent without.
     async fn await_models(&self, report: &GatewayReport, lease: LeaderLease) {
         let mut wait = self.model_waits.add(&report.missing_models);
-        if self.tables(lease).targets.holds_any(&report.missing_models) {
+        let is_held = LeaderWork::timed(&self.work.sync_time_us, || {
+            self.tables(lease).targets.holds_any(&report.missing_models)
+        });
+        if is_held {
             return;
         }
         self.round_trigger.notify_one();
@@ -276,13 +284,13 @@
     pub fn grant(&self, request: &GrantRequest) -> Result<GrantReply> {
         let lease = self.lease()?;
         let now = self.now();
-        let grants = {
+        let grants = LeaderWork::timed(&self.work.grant_time_us, || {
             let mut tables = self.tables(lease);
             self.update_plan(&mut tables);
             tables.ledger.expire_grants(now);
             let ledger = &mut tables.ledger;
             ledger.answer_reports(&request.gateway, &request.shares, now)
-        };
+        });
         LeaderWork::add(&self.work.grant_requests, 1);
         // Another leader may grant the same tokens once the lease has expired.
         if lease.is_valid() {
