Let tokens granted to a waiting request expire by themselves

Cause: the bucket refills up to burst less outstanding tokens. A grant was outstanding until its gateway reported it as used, or until the gateway was silent for 3.6 s; a gateway whose requests wait returned nothing. A new leader had a quarter of each burst for those 3.6 s. The class is a resource that stays taken until its holder speaks. Ledger and share serve entries and gateways alike. Change: tokens for waiting requests are counted apart from those granted in advance. Each such grant expires after 500 ms at the entry and 600 ms at the leader, whatever the entry does; what was reported as returned before is credited. Tokens in advance keep their 3 s, and are limited to the part of the burst that the next leader takes for granted (the reserve; half of the burst without one), so that a new leader opens after 600 ms instead of 3.6 s. Advance tokens that are too few for a waiting request are returned. The bound level + outstanding <= burst and its proof stay. The random schedules of tests/allowance.rs stay within the bound. Tests changed: grants and reports have new fields, which literals in tests name. The seeded fault of an entry that keeps its incarnation is found in fewer schedules, since unseen urgent tokens are granted once only; its test searches 400 schedules instead of 40 and still has to find it.

--- a/src/allowance/bucket.rs
+++ b/src/allowance/bucket.rs
@@ -3,7 +3,9 @@
     time::Duration,
 };
 
-use super::{RateLimit, ShareGrant, ShareReport, granted_share::GrantedShare};
+use super::{
+    RateLimit, ShareGrant, ShareReport, granted_share::GrantedShare, urgent_grants::UrgentGrants,
+};
 use crate::ids::EntryKey;
 
 const NANOS_PER_SECOND: u128 = 1_000_000_000;
@@ -16,7 +18,12 @@
 pub(super) struct TeamBucket {
     limit: RateLimit,
     level: u64,
+    /// Granted tokens that may still be used, in advance and to waiting requests.
     outstanding: u64,
+    /// Part of `outstanding` that was granted in advance.
+    advance: u64,
+    /// Maximum of `advance`, which a new leader takes for granted while grants in advance may be in use.
+    advance_limit: u64,
     /// Fraction of a token left over from the last refill, in billionths of a token.
     fraction: u128,
     refilled_at: Duration,
@@ -24,39 +31,80 @@
     /// Entries with a waiting request, sorted by the time since which they wait.
     waiters: BTreeSet<(Duration, EntryKey)>,
     urgent_total: u64,
+    /// Entries with urgent grants, sorted by the time at which the first of these expires.
+    urgent_expiries: BTreeSet<(Duration, EntryKey)>,
 }
 
 impl TeamBucket {
-    pub fn new(limit: RateLimit, level: u64, now: Duration) -> Self {
+    pub fn new(limit: RateLimit, advance_limit: u64, level: u64, now: Duration) -> Self {
         Self {
             limit,
             level: level.min(limit.burst),
             outstanding: 0,
+            advance: 0,
+            advance_limit,
             fraction: 0,
             refilled_at: now,
             shares: HashMap::new(),
             waiters: BTreeSet::new(),
             urgent_total: 0,
+            urgent_expiries: BTreeSet::new(),
         }
     }
 
     /// Changes the limit. A smaller burst invalidates all grants: every share gets a new epoch at
     /// its next sync, and its tokens of the old epoch count as used. Otherwise, tokens returned by
     /// requests that are running now could be admitted again in excess of the new burst.
-    pub fn set_limit(&mut self, limit: RateLimit, now: Duration) {
-        self.refill(now);
+    pub fn set_limit(&mut self, limit: RateLimit, advance_limit: u64, now: Duration) {
+        self.advance_to(now);
         if limit.burst < self.limit.burst {
             self.shares.clear();
             self.waiters.clear();
+            self.urgent_expiries.clear();
             self.urgent_total = 0;
             self.outstanding = 0;
+            self.advance = 0;
             self.level = self.level.min(limit.burst);
         }
         self.limit = limit;
+        self.advance_limit = advance_limit;
+    }
+
+    /// Expires urgent grants and refills the bucket, in the order of time.
+    pub fn advance_to(&mut self, now: Duration) {
+        while let Some((at, entry)) = self.urgent_expiries.first().cloned()
+            && at <= now
+        {
+            self.refill(at);
+            let expired = self.change_urgent_grants(&entry, |grants| grants.expire(at));
+            self.outstanding -= expired.unwrap_or(0);
+        }
+        self.refill(now);
+    }
+
+    /// Changes the urgent grants of an entry, if it has a share, and updates the order of their expiry.
+    fn change_urgent_grants<T>(
+        &mut self,
+        entry: &EntryKey,
+        change: impl FnOnce(&mut UrgentGrants) -> T,
+    ) -> Option<T> {
+        let grants = &mut self.shares.get_mut(entry)?.urgent_grants;
+        let before = grants.next_expiry();
+        let result = change(grants);
+        let after = grants.next_expiry();
+        if before != after {
+            if let Some(at) = before {
+                self.urgent_expiries.remove(&(at, entry.clone()));
+            }
+            if let Some(at) = after {
+                self.urgent_expiries.insert((at, entry.clone()));
+            }
+        }
+        Some(result)
     }
 
     /// Adds the tokens earned at the rate since the last call, up to `burst - outstanding`.
-    pub fn refill(&mut self, now: Duration) {
+    fn refill(&mut self, now: Duration) {
         let elapsed = now.saturating_sub(self.refilled_at);
         self.refilled_at = self.refilled_at.max(now);
         let refill_capacity = self.refill_capacity();
@@ -93,54 +141,92 @@
         now: Duration,
         mut next_epoch: impl FnMut() -> u64,
     ) -> ShareGrant {
-        self.refill(now);
+        self.advance_to(now);
         self.expire_share(entry, now);
         self.remove_timed_out_waiters(now);
-        let grant = |epoch: u64, granted: u64, recall: u64| ShareGrant {
+        let empty_grant = |epoch: u64| ShareGrant {
             team: report.team.clone(),
             epoch,
-            granted,
-            recall,
+            granted: 0,
+            recall: 0,
+            urgent_granted: 0,
+            urgent_valid: 0,
+            held_ms: 0,
         };
         if !self.shares.contains_key(entry) {
             let epoch = next_epoch();
             // A new epoch without tokens invalidates all earlier grants of the entry.
             if report.requested == 0 {
-                return grant(epoch, 0, 0);
+                return empty_grant(epoch);
             }
             self.shares
                 .insert(entry.clone(), GrantedShare::new(epoch, now));
         }
-        let Some(share) = self.shares.get_mut(entry) else {
-            return grant(next_epoch(), 0, 0);
+        self.apply_report(entry, report, now);
+        let Some(share) = self.shares.get(entry) else {
+            return empty_grant(next_epoch());
         };
-        let (used, returned) = share.apply_report(report);
-        share.extend_expiry(now);
-        share.set_patience(report.waits_ms, now);
-        self.outstanding -= used + returned;
-        self.level += returned;
-        if share.epoch == report.epoch && share.outstanding() == 0 && report.requested == 0 {
-            let confirmed = grant(share.epoch, share.granted, 0);
+        let is_settled = share.outstanding() + share.urgent_grants.outstanding() == 0;
+        if share.epoch == report.epoch && is_settled && report.requested == 0 {
+            let confirmed = ShareGrant {
+                granted: share.granted + share.urgent_grants.granted(),
+                urgent_granted: share.urgent_grants.granted(),
+                ..empty_grant(share.epoch)
+            };
             self.remove(entry);
             return confirmed;
         }
-        let unseen = share.unseen_tokens(report);
+        let seen = share.urgent_counters(report).granted;
+        let unseen_advance = share.unseen_tokens(report);
+        let unseen = self.change_urgent_grants(entry, |grants| grants.renew_unseen(seen, now));
+        let unseen = unseen.unwrap_or(0);
         let urgent = self.set_urgent(entry, report.urgent.saturating_sub(unseen), now);
-        let amount = self.grantable(entry, urgent, report.requested.saturating_sub(unseen));
-        self.level -= amount;
-        self.outstanding += amount;
+        let advance = report.requested.saturating_sub(report.urgent);
+        let advance = advance.saturating_sub(unseen_advance);
+        let (amount, advance) = self.grantable(entry, urgent, advance);
+        self.level -= amount + advance;
+        self.outstanding += amount + advance;
+        self.advance += advance;
         if amount >= urgent {
             self.set_urgent(entry, 0, now);
         }
+        let valid = self.change_urgent_grants(entry, |grants| {
+            grants.grant(amount, now);
+            unseen + amount
+        });
         let recall = self.recall_amount(entry);
         let Some(share) = self.shares.get_mut(entry) else {
-            return grant(next_epoch(), 0, 0);
+            return empty_grant(next_epoch());
         };
-        share.granted += amount;
+        share.granted += advance;
         if recall > 0 {
             share.recalled_at = Some(now);
         }
-        grant(share.epoch, share.granted, recall)
+        ShareGrant {
+            granted: share.granted + share.urgent_grants.granted(),
+            recall,
+            urgent_granted: share.urgent_grants.granted(),
+            urgent_valid: valid.unwrap_or(0),
+            ..empty_grant(share.epoch)
+        }
+    }
+
+    /// Applies the counters of a report and extends the expiry of the share.
+    fn apply_report(&mut self, entry: &EntryKey, report: &ShareReport, now: Duration) {
+        let Some(share) = self.shares.get_mut(entry) else {
+            return;
+        };
+        let (used, returned) = share.apply_report(report);
+        share.extend_expiry(now);
+        share.set_patience(report.waits_ms, now);
+        let counters = share.urgent_counters(report);
+        self.advance -= used + returned;
+        self.outstanding -= used + returned;
+        self.level += returned;
+        let urgent = self.change_urgent_grants(entry, |grants| grants.apply_report(counters));
+        let (used, returned) = urgent.unwrap_or((0, 0));
+        self.outstanding -= used + returned;
+        self.level += returned;
     }
 
     /// Returns the earliest time at which an answer to `entry` would grant or recall tokens, if no
@@ -161,7 +247,7 @@
         if self.waiters.is_empty() {
             return None;
         }
-        self.refill(now);
+        self.advance_to(now);
         self.remove_timed_out_waiters(now);
         let (_, first) = self.waiters.first()?;
         let urgent = self.shares.get(first)?.urgent;
@@ -189,23 +275,24 @@
             .saturating_sub(self.level + self.outstanding)
     }
 
-    /// Returns the number of tokens that can be granted to `entry` now. The request that has waited
-    /// longest in the fleet is served first and completely, because parts granted to several
-    /// entries could all be too small to start a request. Tokens in advance are only granted from
-    /// the upper half of the burst, so that some remain for requests at other entries.
-    fn grantable(&self, entry: &EntryKey, urgent: u64, requested: u64) -> u64 {
+    /// Returns the number of tokens that can be granted to `entry` now, to its waiting request and in
+    /// advance. The request that has waited longest in the fleet is served first and completely, because
+    /// parts granted to several entries could all be too small to start a request. Tokens in advance are
+    /// only granted from the upper half of the burst, so that some remain for requests at other entries.
+    fn grantable(&self, entry: &EntryKey, urgent: u64, advance: u64) -> (u64, u64) {
         let others_urgent = self.urgent_total - urgent;
         let can_serve = self.level >= urgent + others_urgent || self.is_first_waiter(entry);
         let urgent = match urgent {
             0 => 0,
             _ if can_serve && self.level >= urgent => urgent,
-            _ => return 0,
+            _ => return (0, 0),
         };
-        let advance = self
+        let free = self
             .level
             .saturating_sub(urgent + others_urgent)
             .saturating_sub(self.limit.burst / 2);
-        urgent + advance.min(requested.saturating_sub(urgent))
+        let room = self.advance_limit.saturating_sub(self.advance);
+        (urgent, advance.min(free).min(room))
     }
 
     /// Returns the number of tokens to recall from `entry`. They are needed by the request that has
@@ -289,7 +376,11 @@
     fn remove(&mut self, entry: &EntryKey) {
         self.set_urgent(entry, 0, Duration::ZERO);
         if let Some(share) = self.shares.remove(entry) {
-            self.outstanding -= share.outstanding();
+            if let Some(at) = share.urgent_grants.next_expiry() {
+                self.urgent_expiries.remove(&(at, entry.clone()));
+            }
+            self.advance -= share.outstanding();
+            self.outstanding -= share.outstanding() + share.urgent_grants.outstanding();
         }
     }
 }
--- a/src/allowance/granted_share.rs
+++ b/src/allowance/granted_share.rs
@@ -1,6 +1,8 @@
 use std::time::Duration;
 
-use super::{GRANT_OUTSTANDING, ShareReport, WAITER_TIMEOUT};
+use super::{
+    GRANT_OUTSTANDING, ShareCounters, ShareReport, WAITER_TIMEOUT, urgent_grants::UrgentGrants,
+};
 
 /// Time that a grant takes to a request that waits for it, at a busy gateway. Tokens that come too late
 /// are locked until they are returned.
@@ -22,6 +24,8 @@
     /// Time from which a grant would come too late for that request, as far as the entry has said.
     grant_until: Option<Duration>,
     pub recalled_at: Option<Duration>,
+    /// Tokens granted to waiting requests.
+    pub urgent_grants: UrgentGrants,
 }
 
 impl GrantedShare {
@@ -37,6 +41,7 @@
             waiting_since: None,
             grant_until: None,
             recalled_at: None,
+            urgent_grants: UrgentGrants::default(),
         }
     }
 
@@ -48,16 +53,18 @@
         }
     }
 
-    /// Returns the granted tokens that are not known to be used or returned.
+    /// Returns the tokens granted in advance that are not known to be used or returned.
     pub fn outstanding(&self) -> u64 {
         self.granted - self.used - self.returned
     }
 
     /// Applies the counters of a report and returns the increase of the used and of the returned
-    /// tokens. Reports of another epoch, outdated reports and invalid counters are ignored.
+    /// tokens among those granted in advance. Reports of another epoch, outdated reports and invalid counters are ignored.
     pub fn apply_report(&mut self, report: &ShareReport) -> (u64, u64) {
-        let used = report.used.max(self.used);
-        let returned = report.returned.max(self.returned);
+        let urgent = report.urgent_counters;
+        let used = report.used.saturating_sub(urgent.used).max(self.used);
+        let returned = report.returned.saturating_sub(urgent.returned);
+        let returned = returned.max(self.returned);
         if report.epoch != self.epoch || used.saturating_add(returned) > self.granted {
             return (0, 0);
         }
@@ -67,6 +74,15 @@
         growth
     }
 
+    /// Returns the counters of a report about urgent grants; none of another epoch.
+    pub fn urgent_counters(&self, report: &ShareReport) -> ShareCounters {
+        if report.epoch == self.epoch {
+            report.urgent_counters
+        } else {
+            ShareCounters::default()
+        }
+    }
+
     /// Records how long the request that has waited longest still waits.
     pub fn set_patience(&mut self, waits_ms: Option<u32>, now: Duration) {
         self.grant_until = waits_ms.map(|waits_ms| {
@@ -75,10 +91,12 @@
         });
     }
 
-    /// Returns the granted tokens of which the entry was not aware when it reported.
+    /// Returns the tokens granted in advance of which the entry was not aware when it reported.
     pub fn unseen_tokens(&self, report: &ShareReport) -> u64 {
         let seen = if report.epoch == self.epoch {
-            report.granted
+            report
+                .granted
+                .saturating_sub(report.urgent_counters.granted)
         } else {
             0
         };
--- a/src/allowance/ledger.rs
+++ b/src/allowance/ledger.rs
@@ -6,7 +6,9 @@
 
 use smallvec::SmallVec;
 
-use super::{GRANT_OUTSTANDING, RateLimit, ShareGrant, ShareReport, bucket::TeamBucket};
+use super::{
+    GRANT_OUTSTANDING, RateLimit, ShareGrant, ShareReport, URGENT_OUTSTANDING, bucket::TeamBucket,
+};
 use crate::ids::{EntryKey, TeamId, Term};
 
 /// Position of the term in an epoch. 40 bits remain for the epochs of one term, which is enough for
@@ -22,11 +24,22 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum TakeoverReserve {
     /// There is no reserve. The whole burst can be granted, and a new leader waits until earlier
-    /// grants have expired.
+    /// grants to waiting requests have expired.
     None,
-    /// A part of the burst is reserved, from which a new leader grants. The ledger is closed while
-    /// earlier grants may be in use.
-    Kept { is_closed: bool },
+    /// A part of the burst is reserved, from which a new leader grants until then.
+    Kept,
+}
+
+/// Which grants of earlier terms may be in use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LedgerPhase {
+    /// Any.
+    Closed,
+    /// Only grants in advance, which are limited to a part of the burst. No others are made before these
+    /// have expired, since the next leader takes one such part for granted.
+    WithoutAdvance,
+    /// None.
+    Open,
 }
 
 /// The leader's record of every team's allowance.
@@ -37,10 +50,9 @@
 pub struct AllowanceLedger {
     term: Term,
     last_epoch: u64,
-    /// Time until which grants of earlier terms may be in use. Until then, this ledger only grants
-    /// from the reserve.
-    opens_at: Duration,
-    /// Reserve of each burst from which a new leader grants while earlier grants may be in use.
+    elected_at: Duration,
+    phase: LedgerPhase,
+    /// Reserve of each burst from which a new leader grants while it is closed.
     reserve: TakeoverReserve,
     limits: HashMap<TeamId, RateLimit>,
     teams: HashMap<TeamId, TeamBucket>,
@@ -54,7 +66,8 @@
         Self {
             term,
             last_epoch: 0,
-            opens_at: now + GRANT_OUTSTANDING,
+            elected_at: now,
+            phase: LedgerPhase::Closed,
             reserve: TakeoverReserve::None,
             limits: HashMap::new(),
             teams: HashMap::new(),
@@ -66,47 +79,60 @@
     /// Either all leaders of a fleet must do this or none.
     #[must_use]
     pub fn with_takeover_reserve(mut self) -> Self {
-        self.reserve = TakeoverReserve::Kept { is_closed: true };
+        self.reserve = TakeoverReserve::Kept;
         self
     }
 
-    /// Returns the part of a limit from which grants are made at present.
-    fn effective_limit(&self, limit: RateLimit) -> RateLimit {
+    /// Returns the part of a limit from which grants are made at present, and the part of it that may be
+    /// granted in advance.
+    fn effective_limit(&self, limit: RateLimit) -> (RateLimit, u64) {
         // Half a second of the rate covers the syncs during a takeover.
         let reserve = (limit.rate / 2).min(limit.burst / RESERVE_DIVISOR);
-        let burst = match self.reserve {
-            TakeoverReserve::None => limit.burst,
-            TakeoverReserve::Kept { is_closed: true } => reserve,
-            TakeoverReserve::Kept { is_closed: false } => limit.burst - reserve,
+        let advance_limit = match self.reserve {
+            TakeoverReserve::None => limit.burst / 2,
+            TakeoverReserve::Kept => reserve,
         };
-        RateLimit { burst, ..limit }
+        let burst = match (self.reserve, self.phase) {
+            (TakeoverReserve::Kept, LedgerPhase::Closed) => reserve,
+            (TakeoverReserve::Kept, _) => limit.burst - reserve,
+            (TakeoverReserve::None, LedgerPhase::Open) => limit.burst,
+            (TakeoverReserve::None, _) => limit.burst - advance_limit,
+        };
+        let advance_limit = match self.phase {
+            LedgerPhase::Open => advance_limit,
+            LedgerPhase::Closed | LedgerPhase::WithoutAdvance => 0,
+        };
+        (RateLimit { burst, ..limit }, advance_limit)
     }
 
     fn grants_nothing(&self, now: Duration) -> bool {
-        self.reserve == TakeoverReserve::None && now < self.opens_at
+        self.reserve == TakeoverReserve::None && now < self.elected_at + URGENT_OUTSTANDING
     }
 
     /// Sets a team's limit. A removed team must be set to the limit 0 and stays in the ledger, so
     /// that adding it again does not grant a second burst.
     ///
-    /// A team that is new to an open ledger starts with its whole burst. While the ledger is
-    /// closed, the previous leader may have granted any team its whole burst. Teams then start
-    /// without tokens. Their refill starts at once from the reserve, or when the ledger opens if
-    /// there is no reserve.
+    /// A team that is new to an open ledger starts with its whole burst. Before, the previous leader may
+    /// have granted any team its whole burst. Teams then start without tokens. Their refill starts at
+    /// once from the reserve, or once earlier grants to waiting requests have expired if there is none.
     pub fn set_limit(&mut self, team: &TeamId, limit: RateLimit, now: Duration) {
+        self.change_phase(now);
         self.limits.insert(team.clone(), limit);
-        let limit = self.effective_limit(limit);
+        let (limit, advance_limit) = self.effective_limit(limit);
         if let Some(bucket) = self.teams.get_mut(team) {
-            bucket.set_limit(limit, now);
+            bucket.set_limit(limit, advance_limit, now);
             return;
         }
-        let level = if now >= self.opens_at { limit.burst } else { 0 };
+        let level = match self.phase {
+            LedgerPhase::Open => limit.burst,
+            LedgerPhase::Closed | LedgerPhase::WithoutAdvance => 0,
+        };
         let refilled_at = if self.grants_nothing(now) {
-            self.opens_at
+            self.elected_at + URGENT_OUTSTANDING
         } else {
             now
         };
-        let bucket = TeamBucket::new(limit, level, refilled_at);
+        let bucket = TeamBucket::new(limit, advance_limit, level, refilled_at);
         self.teams.insert(team.clone(), bucket);
     }
 
@@ -125,6 +151,7 @@
         if self.grants_nothing(now) {
             return SmallVec::new();
         }
+        self.change_phase(now);
         let mut grants = SmallVec::with_capacity(reports.len());
         for report in reports {
             let (term, last_epoch) = (self.term, &mut self.last_epoch);
@@ -138,6 +165,9 @@
                     epoch: next_epoch(),
                     granted: 0,
                     recall: 0,
+                    urgent_granted: 0,
+                    urgent_valid: 0,
+                    held_ms: 0,
                 });
                 continue;
             };
@@ -187,7 +217,7 @@
 
     /// Counts expired grants as used. Takes amortised O(log n) per grant.
     pub fn expire_grants(&mut self, now: Duration) {
-        self.open_if_due(now);
+        self.change_phase(now);
         while let Some(Reverse((at, ..))) = self.expiries.peek()
             && *at <= now
         {
@@ -197,7 +227,7 @@
             let Some(bucket) = self.teams.get_mut(&team) else {
                 continue;
             };
-            bucket.refill(now);
+            bucket.advance_to(now);
             bucket.expire_share(&entry, now);
             match bucket.share_expiry(&entry) {
                 Some((current, at)) if current == epoch => {
@@ -208,17 +238,21 @@
         }
     }
 
-    /// Opens a ledger with a reserve once no earlier grant can be in use. From then on, it grants
-    /// from the whole burst except the reserve.
-    fn open_if_due(&mut self, now: Duration) {
-        if self.reserve != (TakeoverReserve::Kept { is_closed: true }) || now < self.opens_at {
+    /// Grants from larger parts of the bursts as earlier grants expire.
+    fn change_phase(&mut self, now: Duration) {
+        let phase = match now.saturating_sub(self.elected_at) {
+            age if age >= GRANT_OUTSTANDING => LedgerPhase::Open,
+            age if age >= URGENT_OUTSTANDING => LedgerPhase::WithoutAdvance,
+            _ => LedgerPhase::Closed,
+        };
+        if phase == self.phase {
             return;
         }
-        self.reserve = TakeoverReserve::Kept { is_closed: false };
+        self.phase = phase;
         for (team, limit) in &self.limits {
-            let limit = self.effective_limit(*limit);
+            let (limit, advance_limit) = self.effective_limit(*limit);
             if let Some(bucket) = self.teams.get_mut(team) {
-                bucket.set_limit(limit, now);
+                bucket.set_limit(limit, advance_limit, now);
             }
         }
     }
--- a/src/allowance/message.rs
+++ b/src/allowance/message.rs
@@ -2,6 +2,18 @@
 
 use crate::ids::TeamId;
 
+/// Counters of the tokens that were granted to waiting requests, which are a part of the share's. They are
+/// cumulative over its epoch.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShareCounters {
+    /// Tokens granted, as known to the entry.
+    pub granted: u64,
+    /// Tokens used, or expired at the entry.
+    pub used: u64,
+    /// Tokens returned to the leader.
+    pub returned: u64,
+}
+
 /// An entry's report about its share of one team's allowance. Counters are cumulative over the
 /// share's epoch, so that lost, late, reordered and duplicate messages are harmless.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -25,6 +37,9 @@
     /// Time for which that request still waits, in milliseconds; `None` when it is not known.
     #[serde(default)]
     pub waits_ms: Option<u32>,
+    /// Part of the counters that concerns tokens granted to waiting requests.
+    #[serde(default)]
+    pub urgent_counters: ShareCounters,
 }
 
 /// The leader's grant to one entry for one team.
@@ -40,4 +55,14 @@
     /// Idle tokens that the leader recalls for requests waiting at other entries.
     #[serde(default)]
     pub recall: u64,
+    /// Part of `granted` that was granted to waiting requests.
+    #[serde(default)]
+    pub urgent_granted: u64,
+    /// Number of these tokens that can be used of those that the report was not aware of.
+    #[serde(default)]
+    pub urgent_valid: u64,
+    /// Time from the arrival of the report to this grant, in milliseconds. The validity of the urgent
+    /// tokens begins that much later than the report was made.
+    #[serde(default)]
+    pub held_ms: u32,
 }
--- a/src/allowance/share.rs
+++ b/src/allowance/share.rs
@@ -1,6 +1,9 @@
 use std::{collections::HashMap, time::Duration};
 
-use super::{ShareGrant, ShareReport, team_share::TeamShare};
+use super::{
+    ShareGrant, ShareReport,
+    team_share::{TeamShare, TokenSource},
+};
 use crate::ids::TeamId;
 
 /// Identifies a reservation of this process.
@@ -24,6 +27,7 @@
     team: TeamId,
     epoch: u64,
     tokens: u64,
+    source: TokenSource,
 }
 
 /// An entry's share of every team's allowance.
@@ -64,12 +68,13 @@
                 missing: tokens - available,
             };
         }
-        share.reserve(tokens, now);
+        let source = share.reserve(tokens, now);
         self.last_id += 1;
         let reservation = RunningReservation {
             team: team.clone(),
             epoch: share.epoch(),
             tokens,
+            source,
         };
         self.running.insert(self.last_id, reservation);
         ReservationOutcome::Granted(self.last_id)
@@ -86,7 +91,7 @@
             Some(share) if share.epoch() == running.epoch => {
                 let tokens = tokens.min(running.tokens);
                 running.tokens -= tokens;
-                share.settle(tokens, tokens);
+                share.settle(running.source, tokens, tokens);
             }
             _ => {}
         }
@@ -101,7 +106,9 @@
             return;
         };
         match self.teams.get_mut(&running.team) {
-            Some(share) if share.epoch() == running.epoch => share.settle(running.tokens, used),
+            Some(share) if share.epoch() == running.epoch => {
+                share.settle(running.source, running.tokens, used);
+            }
             _ => {}
         }
     }
--- a/src/control/system.rs
+++ b/src/control/system.rs
@@ -66,6 +66,7 @@
             .filter(LeaderLease::is_valid)
             .ok_or(Status::MisdirectedRequest)
     };
+    let arrived_at = Instant::now();
     let has_grant = service.record(&mut request, valid_lease()?);
     let deadline = Instant::now() + Duration::from_millis(request.hold_ms).min(MAX_HOLD);
     let mut changes = service.watch();
@@ -84,8 +85,12 @@
         }
     }
     let lease = valid_lease()?;
-    let reply =
-        sync::encode(&service.reply(&request, lease)).map_err(|_| Status::InternalServerError)?;
+    let mut reply = service.reply(&request, lease);
+    let held_ms = u32::try_from(arrived_at.elapsed().as_millis()).unwrap_or(u32::MAX);
+    for grant in &mut reply.grants {
+        grant.held_ms = held_ms;
+    }
+    let reply = sync::encode(&reply).map_err(|_| Status::InternalServerError)?;
     // Building the reply may take long; the lease that it confirms must still hold when it is sent.
     if lease.is_valid() {
         Ok(reply)
--- a/src/coordinator/grant_server.rs
+++ b/src/coordinator/grant_server.rs
@@ -106,7 +106,7 @@
             }
             return;
         }
-        self.answer(&request, gateway).await;
+        self.answer(&request, gateway, Duration::ZERO).await;
         for share in &request.shares {
             let key = (request.gateway.clone(), share.team.clone());
             let entry = WaitingRequest {
@@ -130,7 +130,8 @@
             let mut is_pushed = false;
             for waiter in &due {
                 if let Some(entry) = waiting.get(waiter) {
-                    self.answer(&entry.request_now(), entry.gateway).await;
+                    let held = entry.received_at.elapsed();
+                    self.answer(&entry.request_now(), entry.gateway, held).await;
                     is_pushed = true;
                 }
             }
@@ -140,10 +141,15 @@
         }
     }
 
-    /// Answers a grant request. A gateway without a reply asks again or syncs with another
-    /// coordinator, so that failures are only logged.
-    async fn answer(&self, request: &GrantRequest, gateway: SocketAddr) {
-        let reply = self.state.grant(request);
+    /// Answers a grant request that arrived before the time `held`. A gateway without a reply asks again
+    /// or syncs with another coordinator, so that failures are only logged.
+    async fn answer(&self, request: &GrantRequest, gateway: SocketAddr, held: Duration) {
+        let reply = self.state.grant(request).map(|mut reply| {
+            for grant in &mut reply.grants {
+                grant.held_ms = u32::try_from(held.as_millis()).unwrap_or(u32::MAX);
+            }
+            reply
+        });
         let sent = match reply.and_then(|reply| sync::encode_compact(&reply)) {
             Ok(bytes) => self.socket.send_to(&bytes, gateway).await,
             Err(error) => {
--- a/tests/allowance.rs
+++ b/tests/allowance.rs
@@ -119,7 +119,7 @@
 #[case(SeededFault::NoTakeoverDelay)]
 #[case(SeededFault::SameIncarnation)]
 fn checker_detects_a_seeded_fault(#[case] fault: SeededFault) {
-    let found = (0..40)
+    let found = (0..400)
         .filter(|seed| simulate(*seed, 4, fault).excess() > 0)
         .count();
     assert!(found > 0, "{fault:?} was not detected");
--- a/tests/allowance_usage.rs
+++ b/tests/allowance_usage.rs
@@ -196,6 +196,11 @@
                 urgent: 0,
                 waits_ms: None,
                 team: team.clone(),
+                urgent_counters: waxwinglatch::allowance::ShareCounters {
+                    granted: grants[0].urgent_granted,
+                    used: grants[0].urgent_granted,
+                    returned: 0,
+                },
             };
             fleet.ledger.answer_reports(entry, &[used], fleet.now);
             served += 1;
--- a/tests/harness/stub_control.rs
+++ b/tests/harness/stub_control.rs
@@ -128,6 +128,9 @@
                 epoch: 1 << 40,
                 granted: spent + 1_000_000,
                 recall: 0,
+                urgent_granted: 0,
+                urgent_valid: 0,
+                held_ms: 0,
             }
         })
         .collect();
