Refuse for a team's limit only what the leader says it has no tokens for

Plain requests (aim 100 ms) stood behind prompts of 2,000 tokens. Cause: a gateway said "over its limit" once the leader had answered any report about the team, and told the leader the end of the present round of 200 or 400 ms as the request's patience. A request that waited longer re-entered the queue at its end. The leader knew neither which request it was asked for nor whether it could be served in time, kept all of them, and served the longest wait first. At entries a request stood in such a queue until its deadline. The class is a queue without admission. Change: a report names its waiting request, and the reply says how long its tokens take, after those for requests before it. What takes longer than the request waits is refused at once and leaves the queue; what is queued waits its patience from that answer, and as long as a grant travels. A leader that is still closed says nothing, so the request waits on instead of being told that its team is over its limit. Both queues are ordered by the end of the patience, so that requests that must be answered soon go first. Entries refuse at once too.

--- a/src/allowance.rs
+++ b/src/allowance.rs
@@ -17,7 +17,7 @@
 pub use demand::DemandRate;
 pub use ledger::AllowanceLedger;
 pub use limit::RateLimit;
-pub use message::{ShareCounters, ShareGrant, ShareReport};
+pub use message::{ShareCounters, ShareGrant, ShareReport, ShareShortage};
 pub use share::{AllowanceShare, ReservationId, ReservationOutcome};
 
 /// Time for which an entry may use tokens granted in advance, counted from the request for its latest
--- a/src/allowance/bucket.rs
+++ b/src/allowance/bucket.rs
@@ -4,7 +4,8 @@
 };
 
 use super::{
-    RateLimit, ShareGrant, ShareReport, granted_share::GrantedShare, urgent_grants::UrgentGrants,
+    RateLimit, ShareGrant, ShareReport, ShareShortage, granted_share::GrantedShare,
+    urgent_grants::UrgentGrants,
 };
 use crate::ids::EntryKey;
 
@@ -28,7 +29,8 @@
     fraction: u128,
     refilled_at: Duration,
     shares: HashMap<EntryKey, GrantedShare>,
-    /// Entries with a waiting request, sorted by the time since which they wait.
+    /// Entries with a waiting request, sorted by the time until which it waits. Small requests that have to be
+    /// answered soon would otherwise give up behind large ones that can wait.
     waiters: BTreeSet<(Duration, EntryKey)>,
     urgent_total: u64,
     /// Entries with urgent grants, sorted by the time at which the first of these expires.
@@ -152,6 +154,7 @@
             urgent_granted: 0,
             urgent_valid: 0,
             held_ms: 0,
+            shortage: None,
         };
         if !self.shares.contains_key(entry) {
             let epoch = next_epoch();
@@ -180,16 +183,25 @@
         let unseen_advance = share.unseen_tokens(report);
         let unseen = self.change_urgent_grants(entry, |grants| grants.renew_unseen(seen, now));
         let unseen = unseen.unwrap_or(0);
-        let urgent = self.set_urgent(entry, report.urgent.saturating_sub(unseen), now);
+        let urgent = self.set_urgent(entry, report.urgent.saturating_sub(unseen));
         let advance = report.requested.saturating_sub(report.urgent);
         let advance = advance.saturating_sub(unseen_advance);
         let (amount, advance) = self.grantable(entry, urgent, advance);
         self.level -= amount + advance;
         self.outstanding += amount + advance;
         self.advance += advance;
-        if amount >= urgent {
-            self.set_urgent(entry, 0, now);
-        }
+        let shortage = if report.urgent.saturating_sub(unseen) > self.limit.burst {
+            Some(ShareShortage {
+                request: report.request,
+                wait_ms: u32::MAX,
+                is_refused: true,
+            })
+        } else if amount >= urgent {
+            self.set_urgent(entry, 0);
+            None
+        } else {
+            Some(self.shortage(entry, report.request, now))
+        };
         let valid = self.change_urgent_grants(entry, |grants| {
             grants.grant(amount, now);
             unseen + amount
@@ -207,10 +219,40 @@
             recall,
             urgent_granted: share.urgent_grants.granted(),
             urgent_valid: valid.unwrap_or(0),
+            shortage,
             ..empty_grant(share.epoch)
         }
     }
 
+    /// Returns how long the waiting request of `entry` has to wait for its tokens. It leaves the queue if
+    /// that is longer than it waits, as far as the entry has said.
+    fn shortage(&mut self, entry: &EntryKey, request: u64, now: Duration) -> ShareShortage {
+        let mut needed = 0_u64;
+        for (_, waiter) in &self.waiters {
+            let share = self.shares.get(waiter);
+            needed = needed.saturating_add(share.map_or(0, |share| share.urgent));
+            if waiter == entry {
+                break;
+            }
+        }
+        // Tokens granted in advance are recalled for it.
+        let deficit = u128::from(needed.saturating_sub(self.level + self.advance));
+        let wait_ms = (deficit * 1_000).checked_div(u128::from(self.limit.rate));
+        let wait_ms = wait_ms.and_then(|wait_ms| u32::try_from(wait_ms).ok());
+        let wait_ms = wait_ms.unwrap_or(u32::MAX);
+        let wait = Duration::from_millis(wait_ms.into());
+        let share = self.shares.get(entry);
+        let is_refused = share.is_some_and(|share| share.gives_up_before(now.saturating_add(wait)));
+        if is_refused {
+            self.set_urgent(entry, 0);
+        }
+        ShareShortage {
+            request,
+            wait_ms,
+            is_refused,
+        }
+    }
+
     /// Applies the counters of a report and extends the expiry of the share.
     fn apply_report(&mut self, entry: &EntryKey, report: &ShareReport, now: Duration) {
         let Some(share) = self.shares.get_mut(entry) else {
@@ -242,7 +284,7 @@
         (may_recall && self.recall_amount(entry) > 0).then_some(now)
     }
 
-    /// Returns the entry whose request has waited longest, if there are tokens for it.
+    /// Returns the entry whose request gives up first, if there are tokens for it.
     pub fn due_waiter(&mut self, now: Duration) -> Option<EntryKey> {
         if self.waiters.is_empty() {
             return None;
@@ -276,7 +318,7 @@
     }
 
     /// Returns the number of tokens that can be granted to `entry` now, to its waiting request and in
-    /// advance. The request that has waited longest in the fleet is served first and completely, because
+    /// advance. The request of the fleet that gives up first is served first and completely, because
     /// parts granted to several entries could all be too small to start a request. Tokens in advance are
     /// only granted from the upper half of the burst, so that some remain for requests at other entries.
     fn grantable(&self, entry: &EntryKey, urgent: u64, advance: u64) -> (u64, u64) {
@@ -295,8 +337,8 @@
         (urgent, advance.min(free).min(room))
     }
 
-    /// Returns the number of tokens to recall from `entry`. They are needed by the request that has
-    /// waited longest, if it waits at another entry.
+    /// Returns the number of tokens to recall from `entry`. They are needed by the request that gives up
+    /// first, if it waits at another entry.
     fn recall_amount(&self, entry: &EntryKey) -> u64 {
         let Some((_, first)) = self.waiters.first() else {
             return 0;
@@ -340,7 +382,7 @@
 
     /// Sets the number of tokens that a waiting request of `entry` is missing. Returns the number
     /// that is taken into account.
-    fn set_urgent(&mut self, entry: &EntryKey, urgent: u64, now: Duration) -> u64 {
+    fn set_urgent(&mut self, entry: &EntryKey, urgent: u64) -> u64 {
         let Some(share) = self.shares.get_mut(entry) else {
             return 0;
         };
@@ -348,33 +390,52 @@
         let urgent = if urgent > self.limit.burst { 0 } else { urgent };
         self.urgent_total = self.urgent_total - share.urgent + urgent;
         share.urgent = urgent;
-        match (urgent, share.waiting_since) {
-            (0, Some(since)) => {
-                share.waiting_since = None;
-                self.waiters.remove(&(since, entry.clone()));
-            }
-            (1.., None) => {
-                share.waiting_since = Some(now);
-                self.waiters.insert((now, entry.clone()));
-            }
-            _ => {}
-        }
+        // A repeated report does not cost the place in the queue.
+        let place = share.queued_until.unwrap_or(Duration::MAX);
+        let place = (urgent > 0).then(|| share.waits_until().min(place));
+        self.set_place(entry, place);
         urgent
     }
 
+    /// Sets the place of an entry in the queue of waiting requests.
+    fn set_place(&mut self, entry: &EntryKey, place: Option<Duration>) {
+        let Some(share) = self.shares.get_mut(entry) else {
+            return;
+        };
+        let former = std::mem::replace(&mut share.queued_until, place);
+        if former == place {
+            return;
+        }
+        if let Some(until) = former {
+            self.waiters.remove(&(until, entry.clone()));
+        }
+        if let Some(until) = place {
+            self.waiters.insert((until, entry.clone()));
+        }
+    }
+
+    /// Removes the requests that have given up. Those that have said since that they wait longer go on in
+    /// a later place.
     fn remove_timed_out_waiters(&mut self, now: Duration) {
-        while let Some((_, first)) = self.waiters.first() {
-            let share = self.shares.get(first);
-            if share.is_some_and(|share| !share.has_given_up(now)) {
-                return;
+        while let Some((until, first)) = self.waiters.first()
+            && *until <= now
+        {
+            let first = first.clone();
+            let waits_until = self.shares.get(&first).map(GrantedShare::waits_until);
+            match waits_until {
+                Some(until) if until > now => self.set_place(&first, Some(until)),
+                Some(_) => {
+                    self.set_urgent(&first, 0);
+                }
+                None => {
+                    self.waiters.pop_first();
+                }
             }
-            let timed_out = first.clone();
-            self.set_urgent(&timed_out, 0, now);
         }
     }
 
     fn remove(&mut self, entry: &EntryKey) {
-        self.set_urgent(entry, 0, Duration::ZERO);
+        self.set_urgent(entry, 0);
         if let Some(share) = self.shares.remove(entry) {
             if let Some(at) = share.urgent_grants.next_expiry() {
                 self.urgent_expiries.remove(&(at, entry.clone()));
--- a/src/allowance/granted_share.rs
+++ b/src/allowance/granted_share.rs
@@ -20,7 +20,8 @@
     pub seen_at: Duration,
     /// Tokens that the entry is missing for its request that has waited longest.
     pub urgent: u64,
-    pub waiting_since: Option<Duration>,
+    /// Place in the queue of waiting requests.
+    pub queued_until: Option<Duration>,
     /// Time from which a grant would come too late for that request, as far as the entry has said.
     grant_until: Option<Duration>,
     pub recalled_at: Option<Duration>,
@@ -38,19 +39,21 @@
             expires_at: now + GRANT_OUTSTANDING,
             seen_at: now,
             urgent: 0,
-            waiting_since: None,
+            queued_until: None,
             grant_until: None,
             recalled_at: None,
             urgent_grants: UrgentGrants::default(),
         }
     }
 
-    /// Returns whether tokens granted now would come too late for the request that waits.
-    pub fn has_given_up(&self, now: Duration) -> bool {
-        match self.grant_until {
-            Some(until) => now >= until,
-            None => now >= self.seen_at + WAITER_TIMEOUT,
-        }
+    /// Returns the time from which tokens would come too late for the request that waits.
+    pub fn waits_until(&self) -> Duration {
+        self.grant_until.unwrap_or(self.seen_at + WAITER_TIMEOUT)
+    }
+
+    /// Returns whether the entry has said that the request that waits gives up before a time.
+    pub fn gives_up_before(&self, time: Duration) -> bool {
+        self.grant_until.is_some_and(|until| until <= time)
     }
 
     /// Returns the tokens granted in advance that are not known to be used or returned.
--- a/src/allowance/ledger.rs
+++ b/src/allowance/ledger.rs
@@ -168,11 +168,15 @@
                     urgent_granted: 0,
                     urgent_valid: 0,
                     held_ms: 0,
+                    shortage: None,
                 });
                 continue;
             };
             let known = bucket.share_expiry(entry).map(|(epoch, _)| epoch);
-            grants.push(bucket.answer_report(entry, report, now, next_epoch));
+            let grant = bucket.answer_report(entry, report, now, next_epoch);
+            // A part of the burst says nothing about the team's limit.
+            let shortage = grant.shortage.filter(|_| self.phase != LedgerPhase::Closed);
+            grants.push(ShareGrant { shortage, ..grant });
             match bucket.share_expiry(entry) {
                 Some((epoch, at)) if known != Some(epoch) => {
                     let expiry = (at, epoch, report.team.clone(), entry.clone());
--- a/src/allowance/message.rs
+++ b/src/allowance/message.rs
@@ -37,6 +37,9 @@
     /// Time for which that request still waits, in milliseconds; `None` when it is not known.
     #[serde(default)]
     pub waits_ms: Option<u32>,
+    /// Number of the request that has waited longest, unique within the entry's incarnation; 0 if none waits.
+    #[serde(default)]
+    pub request: u64,
     /// Part of the counters that concerns tokens granted to waiting requests.
     #[serde(default)]
     pub urgent_counters: ShareCounters,
@@ -65,4 +68,18 @@
     /// tokens begins that much later than the report was made.
     #[serde(default)]
     pub held_ms: u32,
+    /// What the leader has no tokens for; `None` if it has, or cannot tell yet.
+    #[serde(default)]
+    pub shortage: Option<ShareShortage>,
+}
+
+/// A waiting request that the leader has no tokens for at the moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShareShortage {
+    /// Number of the request, as reported.
+    pub request: u64,
+    /// Time until the tokens for it are refilled, after those for the requests before it, in milliseconds.
+    pub wait_ms: u32,
+    /// Whether that is longer than the request waits, so that it is not kept in the leader's queue.
+    pub is_refused: bool,
 }
--- a/src/allowance/share.rs
+++ b/src/allowance/share.rs
@@ -132,6 +132,13 @@
         }
     }
 
+    /// Sets the number of the team's request that has waited longest, by which the leader names it.
+    pub fn set_first_request(&mut self, team: &TeamId, request: u64) {
+        if let Some(share) = self.teams.get_mut(team) {
+            share.set_first_request(request);
+        }
+    }
+
     /// Returns whether a waiting request is missing tokens that no pending report requests. The
     /// entry should then send [`Self::make_urgent_reports`] at once.
     #[must_use]
--- a/src/allowance/team_share.rs
+++ b/src/allowance/team_share.rs
@@ -41,6 +41,8 @@
     all_waiting: u64,
     /// Time until which the request that has waited longest still waits.
     waits_until: Option<Duration>,
+    /// Number of that request.
+    first_request: u64,
     /// Value of `urgent` in the latest report, until it is answered.
     pending_urgent: u64,
 }
@@ -99,6 +101,14 @@
         self.waits_until = waits_until;
     }
 
+    pub fn set_first_request(&mut self, request: u64) {
+        if self.first_request != request {
+            self.first_request = request;
+            // The shortage of another request was reported.
+            self.pending_urgent = 0;
+        }
+    }
+
     /// Returns whether idle tokens should be returned to the leader.
     pub fn has_idle_tokens(&self, now: Duration) -> bool {
         let has_urgent = self.all_waiting == 0 && self.urgent.available(now) > 0;
@@ -183,6 +193,7 @@
                 let waits = until.saturating_sub(now).as_millis();
                 u32::try_from(waits).unwrap_or(u32::MAX)
             }),
+            request: self.first_request,
             urgent_counters: counters,
         }
     }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -42,7 +42,7 @@
 mod target_sync;
 mod view;
 
-pub use allowance::{ReservedTokens, SharedAllowance};
+pub use allowance::{ReservedTokens, SharedAllowance, TokenPatience, TokenRefusal};
 pub use caller_error::CallerError;
 pub use crash_snapshot::CrashSnapshot;
 pub use daemon::EntryDaemon;
--- a/src/entry/admission.rs
+++ b/src/entry/admission.rs
@@ -1,7 +1,9 @@
 //! Admission control: reserves a request's tokens from the team's allowance.
 
 use super::{
-    allowance::ReservedTokens, caller_error::CallerError, context::RequestContext,
+    allowance::{ReservedTokens, TokenPatience},
+    caller_error::CallerError,
+    context::RequestContext,
     proxy::CallerProxy,
 };
 use crate::code::ResultCode;
@@ -32,11 +34,15 @@
             let code = ResultCode::ExceedsBurst;
             return Err(CallerError::not_run(code, message, &context.id));
         }
+        let patience = TokenPatience {
+            shortage: context.deadline,
+            answer: context.deadline,
+        };
         let reserved = self
             .allowance
-            .reserve(&caller.team, tokens, caller.priority, context.deadline)
+            .reserve(&caller.team, tokens, caller.priority, patience)
             .await;
-        let Some(reserved) = reserved else {
+        let Ok(reserved) = reserved else {
             let message = "the team's allowance does not cover the request within its deadline";
             let code = ResultCode::RateLimited;
             return Err(CallerError::not_run(code, message, &context.id));
--- a/src/entry/allowance.rs
+++ b/src/entry/allowance.rs
@@ -10,24 +10,71 @@
 use tokio::sync::Notify;
 
 use crate::{
-    allowance::{AllowanceShare, ReservationId, ReservationOutcome, ShareGrant, ShareReport},
+    allowance::{
+        AllowanceShare, ReservationId, ReservationOutcome, ShareGrant, ShareReport, ShareShortage,
+    },
     ids::TeamId,
 };
 
 /// Head start in the queue for each level of priority. A request of the lowest of ten priorities
-/// is overtaken only by requests that arrive within nine such steps after it, so none starves.
+/// is overtaken only by requests whose patience ends within nine such steps after its own, so none starves.
 const PRIORITY_STEP: Duration = Duration::from_secs(2);
 
-/// Sort key in a team's queue: the virtual arrival time in milliseconds, then a sequence number
-/// that breaks ties.
+/// Sort key in a team's queue: the virtual end of the patience in milliseconds, then a sequence number that
+/// breaks ties and names the request to the leader.
 type QueuePosition = (i128, u64);
 
+/// How long a request waits for tokens.
+#[derive(Clone, Copy, Debug)]
+pub struct TokenPatience {
+    /// Time until which it waits for a leader that has no tokens for it.
+    pub shortage: Instant,
+    /// Time until which it waits for an answer of a leader.
+    pub answer: Instant,
+}
+
+/// Why a request gets no tokens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TokenRefusal {
+    /// The leader has no tokens for it within its patience.
+    OverLimit,
+    /// No leader has answered.
+    Unanswered,
+}
+
+/// What the leader has said about a waiting request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RequestStanding {
+    Unanswered,
+    /// The leader grants tokens once they are refilled, until the request's patience ends there. The request
+    /// waits until such a grant would have arrived.
+    Queued {
+        until: Duration,
+    },
+    /// The leader will have tokens only after the request's patience.
+    Refused,
+}
+
 /// A request that waits for tokens.
 #[derive(Clone, Copy, Debug)]
 struct WaitingRequest {
     tokens: u64,
-    /// Time at which it gives up.
+    /// Time until which it waits for a leader that has no tokens for it.
     until: Duration,
+    /// Time for which it waits then.
+    patience: Duration,
+    standing: RequestStanding,
+}
+
+impl WaitingRequest {
+    /// Returns the time until which tokens would be of use.
+    fn waits_until(&self, now: Duration) -> Duration {
+        match self.standing {
+            RequestStanding::Unanswered => self.until.max(now + self.patience),
+            RequestStanding::Queued { until } => until,
+            RequestStanding::Refused => now,
+        }
+    }
 }
 
 #[derive(Debug, Default)]
@@ -40,8 +87,6 @@
     urgent_teams: HashSet<TeamId>,
     /// Teams that have used tokens since the last report.
     used_teams: HashSet<TeamId>,
-    /// Time of the latest report about a team that the leader has answered.
-    answered_reports: HashMap<TeamId, Duration>,
 }
 
 /// The entry's share of every team's allowance, with the requests that wait for tokens.
@@ -76,39 +121,60 @@
         self.tables.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Reserves tokens for a request, waiting for them until `deadline`.
+    /// Reserves tokens for a request, waiting for them as long as `patience` says.
     ///
-    /// Requests of one team are served by priority and age. Returns `None`, with nothing reserved,
-    /// when the deadline passes.
+    /// Requests of one team are served by priority and by the end of their patience.
+    ///
+    /// # Errors
+    /// A [`TokenRefusal`], with nothing reserved.
     pub async fn reserve(
         self: &Arc<Self>,
         team: &TeamId,
         tokens: u64,
         priority: u8,
-        deadline: Instant,
-    ) -> Option<ReservedTokens> {
-        let until = deadline.saturating_duration_since(self.started);
-        let request = WaitingRequest { tokens, until };
+        patience: TokenPatience,
+    ) -> Result<ReservedTokens, TokenRefusal> {
+        let until = patience.shortage.saturating_duration_since(self.started);
+        let request = WaitingRequest {
+            tokens,
+            until,
+            patience: until.saturating_sub(self.started.elapsed()),
+            standing: RequestStanding::Unanswered,
+        };
         let position = self.enqueue(team, request, priority);
         loop {
             let changed = self.changed.notified();
             if let Some(id) = self.try_reserve(team, &position, tokens) {
-                return Some(ReservedTokens {
+                return Ok(ReservedTokens {
                     allowance: Arc::clone(self),
                     team: team.clone(),
                     id,
                     remaining: tokens,
                 });
             }
-            self.shortage.notify_one();
-            let until = tokio::time::Instant::from_std(deadline);
-            if tokio::time::timeout_at(until, changed).await.is_err() {
-                drop(position);
-                // The leader keeps tokens for a request that waits, so it is told when it is gone.
-                self.tables().used_teams.insert(team.clone());
-                self.usage.notify_one();
-                return None;
+            let standing = position.standing();
+            let deadline = match standing {
+                RequestStanding::Refused => Instant::now(),
+                RequestStanding::Queued { until } => self.started + until,
+                RequestStanding::Unanswered => patience.answer.max(patience.shortage),
+            };
+            if Instant::now() < deadline {
+                self.shortage.notify_one();
+                let deadline = tokio::time::Instant::from_std(deadline);
+                // After a timeout, the request is checked once more.
+                let _ = tokio::time::timeout_at(deadline, changed).await;
+                continue;
             }
+            drop(position);
+            // The leader keeps tokens for a request that waits, so it is told when it is gone.
+            self.tables().used_teams.insert(team.clone());
+            self.usage.notify_one();
+            return Err(match standing {
+                RequestStanding::Unanswered => TokenRefusal::Unanswered,
+                RequestStanding::Queued { .. } | RequestStanding::Refused => {
+                    TokenRefusal::OverLimit
+                }
+            });
         }
     }
 
@@ -120,9 +186,9 @@
     ) -> QueueEntry {
         let mut tables = self.tables();
         tables.last_sequence += 1;
-        let arrival = i128::try_from(self.started.elapsed().as_millis()).unwrap_or(i128::MAX);
+        let until = i128::try_from(request.until.as_millis()).unwrap_or(i128::MAX);
         let advance = i128::from(priority) * PRIORITY_STEP.as_millis().cast_signed();
-        let position = (arrival - advance, tables.last_sequence);
+        let position = (until - advance, tables.last_sequence);
         tables
             .queues
             .entry(team.clone())
@@ -150,7 +216,7 @@
         match reservation {
             ReservationOutcome::Granted(id) => Some(id),
             ReservationOutcome::Insufficient { .. } => {
-                tables.update_waiting(team);
+                tables.update_waiting(team, now);
                 None
             }
         }
@@ -192,15 +258,16 @@
         self.finish_urgent_reports(teams);
     }
 
-    /// Returns those of some teams whose requests still lack tokens.
+    /// Returns those of some teams whose first request waits in the leader's queue.
     #[must_use]
-    pub fn short_teams(&self, teams: &[TeamId]) -> Vec<TeamId> {
+    pub fn queued_teams(&self, teams: &[TeamId]) -> Vec<TeamId> {
         let tables = self.tables();
-        let now = self.started.elapsed();
-        let short = teams
-            .iter()
-            .filter(|team| tables.share.needs_urgent_report(team, now));
-        short.cloned().collect()
+        let queued = teams.iter().filter(|team| {
+            let queue = tables.queues.get(*team);
+            let first = queue.and_then(|queue| queue.values().next());
+            first.is_some_and(|first| matches!(first.standing, RequestStanding::Queued { .. }))
+        });
+        queued.cloned().collect()
     }
 
     /// Waits until tokens were used that no report tells the leader.
@@ -217,21 +284,6 @@
         tables.share.make_usage_reports(&teams, now)
     }
 
-    /// Returns the time of this process, to which [`Self::is_answered_since`] refers.
-    #[must_use]
-    pub fn now(&self) -> Duration {
-        self.started.elapsed()
-    }
-
-    /// Returns whether the leader has answered a report about a team that was made at `since` or
-    /// later. Only then a lack of tokens means that the team is over its limit.
-    #[must_use]
-    pub fn is_answered_since(&self, team: &TeamId, since: Duration) -> bool {
-        let tables = self.tables();
-        let answered = tables.answered_reports.get(team);
-        answered.is_some_and(|reported_at| *reported_at >= since)
-    }
-
     /// Returns the reports for the next sync and the time that identifies them.
     #[must_use]
     pub fn make_reports(&self) -> (Vec<ShareReport>, Duration) {
@@ -247,12 +299,14 @@
     pub fn apply_grants(&self, grants: &[ShareGrant], reported_at: Duration) {
         let mut tables = self.tables();
         tables.share.apply_grants(grants, reported_at);
+        let now = self.started.elapsed();
         for grant in grants {
-            let answered = tables.answered_reports.entry(grant.team.clone());
-            let answered = answered.or_default();
-            *answered = (*answered).max(reported_at);
+            if let Some(shortage) = grant.shortage {
+                // A grant takes as long as this answer, at most.
+                let travel_time = now.saturating_sub(reported_at);
+                tables.record_shortage(&grant.team, shortage, now + travel_time);
+            }
         }
-        let now = self.started.elapsed();
         // The request that these tokens were granted for has given up. Others need them.
         let idle: Vec<TeamId> = grants
             .iter()
@@ -291,16 +345,35 @@
         self.last_report
     }
 
-    fn update_waiting(&mut self, team: &TeamId) {
+    /// Records what the leader has said about a request. One in its queue waits for its patience from
+    /// `patient_from`.
+    fn record_shortage(&mut self, team: &TeamId, shortage: ShareShortage, patient_from: Duration) {
+        let queue = self.queues.get_mut(team);
+        let mut waiting = queue.into_iter().flatten();
+        if let Some((_, request)) = waiting.find(|(position, _)| position.1 == shortage.request) {
+            request.standing = match request.standing {
+                _ if shortage.is_refused => RequestStanding::Refused,
+                RequestStanding::Unanswered => RequestStanding::Queued {
+                    until: request.until.max(patient_from + request.patience),
+                },
+                standing => standing,
+            };
+        }
+    }
+
+    fn update_waiting(&mut self, team: &TeamId, now: Duration) {
         let queue = self.queues.get(team);
-        let first = queue.and_then(|queue| queue.values().next()).copied();
+        let first = queue.and_then(|queue| queue.first_key_value());
+        let first = first.map(|(position, request)| (position.1, *request));
         let all = queue.map_or(0, |queue| {
             queue.values().map(|request| request.tokens).sum()
         });
+        let tokens = first.map_or(0, |(_, first)| first.tokens);
+        self.share.set_waiting(team, tokens, all);
+        let waits_until = first.map(|(_, first)| first.waits_until(now));
+        self.share.set_waits_until(team, waits_until);
         self.share
-            .set_waiting(team, first.map_or(0, |first| first.tokens), all);
-        self.share
-            .set_waits_until(team, first.map(|first| first.until));
+            .set_first_request(team, first.map_or(0, |(request, _)| request));
     }
 }
 
@@ -311,6 +384,15 @@
     position: QueuePosition,
 }
 
+impl QueueEntry {
+    fn standing(&self) -> RequestStanding {
+        let tables = self.allowance.tables();
+        let queue = tables.queues.get(&self.team);
+        let request = queue.and_then(|queue| queue.get(&self.position));
+        request.map_or(RequestStanding::Unanswered, |request| request.standing)
+    }
+}
+
 impl Drop for QueueEntry {
     fn drop(&mut self) {
         let mut tables = self.allowance.tables();
@@ -320,7 +402,8 @@
                 tables.queues.remove(&self.team);
             }
         }
-        tables.update_waiting(&self.team);
+        let now = self.allowance.started.elapsed();
+        tables.update_waiting(&self.team, now);
         drop(tables);
         self.allowance.changed.notify_waiters();
     }
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -13,7 +13,7 @@
 };
 use crate::{
     adapter::{RefusalKind, RefusalNotice},
-    entry::ReservedTokens,
+    entry::{ReservedTokens, TokenPatience, TokenRefusal},
     route::PoolId,
     sync::ServedModel,
 };
@@ -118,32 +118,36 @@
             return Ok(None);
         };
         let wait = request.route.first_byte_target.mul_f64(TOKEN_WAIT_SHARE);
-        let mut wait = wait.clamp(MIN_TOKEN_WAIT, MAX_TOKEN_WAIT);
+        let now = Instant::now();
+        let patience = TokenPatience {
+            shortage: now + wait.clamp(MIN_TOKEN_WAIT, MAX_TOKEN_WAIT),
+            answer: now + request.time_left().mul_f64(LEADER_WAIT_SHARE),
+        };
         let priority = 9 - request.rank();
-        let leader_deadline = Instant::now() + request.time_left().mul_f64(LEADER_WAIT_SHARE);
-        let waiting_since = self.allowance.now();
-        loop {
-            let deadline = Instant::now() + wait;
-            let reserved =
-                self.allowance
-                    .reserve(&team.id, request.token_cost(), priority, deadline);
-            if let Some(tokens) = reserved.await {
-                return Ok(Some(tokens));
-            }
-            if self.allowance.is_answered_since(&team.id, waiting_since) {
+        let tokens = request.token_cost();
+        let mut is_refusing = self.is_refusing.clone();
+        let stopped = async {
+            // An error means that the daemon has ended.
+            let _ = is_refusing.wait_for(|is_refusing| *is_refusing).await;
+            tokio::time::sleep(MAX_TOKEN_WAIT).await;
+        };
+        let reserved = tokio::select! {
+            reserved = self.allowance.reserve(&team.id, tokens, priority, patience) => reserved,
+            () = stopped => Err(TokenRefusal::Unanswered),
+        };
+        match reserved {
+            Ok(tokens) => Ok(Some(tokens)),
+            Err(TokenRefusal::OverLimit) => {
                 info!("gateway: over limit", kv: {
                     request = request.log_id(),
                     team = team.id.as_str(),
-                    tokens = request.token_cost(),
+                    tokens = tokens,
                     plan = request.plan.plan().version,
                 });
                 let kind = RefusalKind::OverLimit;
-                return Err(RefusalNotice::new(kind, "the team is over its limit"));
-            }
-            if Instant::now() >= leader_deadline || *self.is_refusing.borrow() {
-                return Err(unavailable("no leader grants tokens"));
+                Err(RefusalNotice::new(kind, "the team is over its limit"))
             }
-            wait = MAX_TOKEN_WAIT;
+            Err(TokenRefusal::Unanswered) => Err(unavailable("no leader grants tokens")),
         }
     }
 }
--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -21,7 +21,7 @@
 /// Maximum number of grant requests that a gateway sends per sync interval. Without it, teams over
 /// their limit would make each gateway send requests as fast as the network carries them.
 const REQUESTS_PER_SYNC_INTERVAL: u32 = 25;
-/// Delay after which tokens are requested again for a team that the leader had none for.
+/// Delay after which tokens are requested again for a request in the leader's queue.
 const SHORTAGE_RETRY_DELAY: Duration = Duration::from_millis(120);
 /// Age up to which late replies are applied; tokens of older ones come with the next sync.
 const MAX_REPLY_AGE: Duration = Duration::from_secs(1);
@@ -172,20 +172,20 @@
         self.pending.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Ends a report. Teams that still lack tokens are reported again after a delay: hundreds of
-    /// gateways that ask for a team over its limit would keep the leader from serving the others.
+    /// Ends a report. Teams whose request waits in the leader's queue are reported again after a delay, in
+    /// case the grant is lost.
     fn finish_reports(&self, teams: Vec<TeamId>) {
-        let short = self.allowance.short_teams(&teams);
-        let (short, served): (Vec<_>, Vec<_>) =
-            teams.into_iter().partition(|team| short.contains(team));
-        self.allowance.finish_urgent_reports(&served);
-        if short.is_empty() {
+        let queued = self.allowance.queued_teams(&teams);
+        let (queued, others): (Vec<_>, Vec<_>) =
+            teams.into_iter().partition(|team| queued.contains(team));
+        self.allowance.finish_urgent_reports(&others);
+        if queued.is_empty() {
             return;
         }
         let allowance = Arc::clone(&self.allowance);
         tokio::spawn(async move {
             tokio::time::sleep(SHORTAGE_RETRY_DELAY).await;
-            allowance.finish_urgent_reports(&short);
+            allowance.finish_urgent_reports(&queued);
         });
     }
 
--- a/tests/allowance_usage.rs
+++ b/tests/allowance_usage.rs
@@ -196,6 +196,7 @@
                 urgent: 0,
                 waits_ms: None,
                 team: team.clone(),
+                request: 0,
                 urgent_counters: waxwinglatch::allowance::ShareCounters {
                     granted: grants[0].urgent_granted,
                     used: grants[0].urgent_granted,
--- a/tests/harness/stub_control.rs
+++ b/tests/harness/stub_control.rs
@@ -131,6 +131,7 @@
                 urgent_granted: 0,
                 urgent_valid: 0,
                 held_ms: 0,
+                shortage: None,
             }
         })
         .collect();
--- a/tests/hub.rs
+++ b/tests/hub.rs
@@ -317,6 +317,7 @@
         used,
         returned: 0,
         requested: 0,
+        request: 0,
         urgent_counters: waxwinglatch::allowance::ShareCounters::default(),
     };
     let mut served = ServedTokens::default();
--- a/tests/lost_leader_tokens.rs
+++ b/tests/lost_leader_tokens.rs
@@ -3,7 +3,7 @@
 //! Pattern: no tokens are granted for a second, callers come back together, and for some seconds more
 //! requests wait than the rate allows, at most of the 40 x 291 pairs of team and gateway. Guards against a
 //! fleet that stays at a part of its service though a leader stands (SHORT): tokens that lay unused at
-//! gateways with waiting requests stopped the refill, and a new leader had a quarter of each burst for 3.6 s.
+//! gateways with waiting requests stopped the refill, and the refused callers kept requests waiting.
 
 mod token_fleet;
 
@@ -28,6 +28,8 @@
 #[case::near_the_limit(0.9, 0.2, 5..90)]
 #[case::late_leader(0.75, 0.2, 60..150)]
 #[case::late_leader_near_the_limit(0.9, 0.2, 60..150)]
+#[case::late_over_the_limit(1.4, 0.2, 60..150)]
+#[case::very_late_over_the_limit(1.4, 0.2, 100..200)]
 fn fleet_comes_back_after_a_lost_leader(
     #[case] load: f64,
     #[case] placeless_share: f64,
--- a/tests/token_fleet/mod.rs
+++ b/tests/token_fleet/mod.rs
@@ -50,8 +50,11 @@
 struct Request {
     tokens: u64,
     arrived_at: Duration,
-    /// Time until which it waits in this round.
+    /// Time until which it waits once the leader has said that it has no tokens.
     until: Duration,
+    number: u64,
+    is_queued: bool,
+    is_refused: bool,
     is_repeat: bool,
 }
 
@@ -59,8 +62,6 @@
 struct TeamState {
     waiting: VecDeque<Request>,
     is_reporting: bool,
-    /// Time of the latest report that the leader has answered.
-    answered_at: Option<Duration>,
 }
 
 struct Gateway {
@@ -248,10 +249,14 @@
             _ => self.rng.random_range(700..2_900),
         };
         let gateway = self.rng.random_range(0..self.gateways.len());
+        self.sent += 1;
         let request = Request {
             tokens,
             arrived_at: self.now,
             until: self.now + REQUEST_WAIT,
+            number: self.sent,
+            is_queued: false,
+            is_refused: false,
             is_repeat,
         };
         self.gateways[gateway].teams[team]
@@ -310,15 +315,24 @@
             let team = self.names.iter().position(|name| *name == grant.team);
             let Some(team) = team else { continue };
             let gateway = &mut self.gateways[index];
-            let state = &mut gateway.teams[team];
-            state.answered_at = state.answered_at.max(Some(asked_at));
+            let waiting = &mut gateway.teams[team].waiting;
+            let travel_time = self.now.saturating_sub(asked_at);
+            if let Some(shortage) = grant.shortage {
+                let mut waiting = waiting.iter_mut();
+                if let Some(request) = waiting.find(|request| request.number == shortage.request) {
+                    if !std::mem::replace(&mut request.is_queued, true) {
+                        request.until = request.until.max(self.now + travel_time + REQUEST_WAIT);
+                    }
+                    request.is_refused |= shortage.is_refused;
+                }
+            }
             if gateway.share.has_idle_tokens(&grant.team, self.now) {
                 self.report_usage(index, team);
             }
             self.serve_team(index, team);
             let gateway = &mut self.gateways[index];
-            let is_short = gateway.share.needs_urgent_report(&grant.team, self.now);
-            let delay = if is_short {
+            let first = gateway.teams[team].waiting.front();
+            let delay = if first.is_some_and(|first| first.is_queued) {
                 SHORTAGE_DELAY
             } else {
                 Duration::ZERO
@@ -439,23 +453,20 @@
         admitted[second] += tokens;
     }
 
-    /// Ends the waits whose round is over: refused once the leader has answered, another round otherwise.
+    /// Ends the waits of requests that the leader has no tokens for, and of those without an answer.
     fn end_waits(&mut self, index: usize, team: usize) {
         let now = self.now;
         let state = &mut self.gateways[index].teams[team];
-        let answered_at = state.answered_at;
         let mut refused = Vec::new();
         for request in std::mem::take(&mut state.waiting) {
-            if now < request.until {
-                state.waiting.push_back(request);
-                continue;
-            }
-            let is_answered = answered_at.is_some_and(|at| at >= request.arrived_at);
-            if is_answered || now >= request.arrived_at + LEADER_WAIT {
+            let until = match request.is_queued {
+                true => request.until,
+                false => request.arrived_at + LEADER_WAIT,
+            };
+            if now >= until || request.is_refused {
                 refused.push(request);
             } else {
-                let until = now + MAX_ANSWER_TIME;
-                state.waiting.push_back(Request { until, ..request });
+                state.waiting.push_back(request);
             }
         }
         if refused.is_empty() {
@@ -479,16 +490,22 @@
     }
 
     fn update_waiting(&mut self, index: usize, team: usize) {
+        let now = self.now;
         let gateway = &mut self.gateways[index];
-        let waiting = &gateway.teams[team].waiting;
+        let (waiting, name) = (&gateway.teams[team].waiting, &self.names[team]);
         let first = waiting.front();
         let all = waiting.iter().map(|request| request.tokens).sum();
-        let (tokens, until) = (
-            first.map_or(0, |first| first.tokens),
-            first.map(|first| first.until),
-        );
-        gateway.share.set_waiting(&self.names[team], tokens, all);
-        gateway.share.set_waits_until(&self.names[team], until);
+        let until = first.map(|first| match first.is_queued {
+            true => first.until,
+            false => first.until.max(now + REQUEST_WAIT),
+        });
+        gateway
+            .share
+            .set_waiting(name, first.map_or(0, |first| first.tokens), all);
+        gateway.share.set_waits_until(name, until);
+        gateway
+            .share
+            .set_first_request(name, first.map_or(0, |first| first.number));
     }
 
     fn send_reports(&mut self, index: usize) {
