Continue a stream only at the version of the software that began it

Cause: gateways decoded neither a target's software version nor the header that names the stream's first attempt, and routed a request that takes a stream up like any other. The class is state that only the process which began the work knows. Change: the log knows which versions the platform lists of each service, committed before gateways get a target of a new one. While a service has more than one, or had in the last 60 s (or twice the longest timeout of a route), gateways report which version began each running stream with their syncs, and at once when one breaks; the leader commits them in batches of 100 ms. A gateway that gets a request which takes a stream up asks the leader: a recorded version, or the only one that the service has had, is the only one that it is routed to. Unknown or gone versions are answered 502 at once (unknown: after 700 ms at most, in which the record may arrive); without a leader 503. Gateways do not use engines with a version that no leader has listed. Conclusion: ended at gateways.

--- a/src/adapter/metadata.rs
+++ b/src/adapter/metadata.rs
@@ -35,6 +35,8 @@
     pub parts: SmallVec<[PromptPart; 4]>,
     /// Id of the last event that the caller received from the stream that it resumes.
     pub last_event_id: Option<CompactString>,
+    /// Id of the caller's attempt that brought the first event of the stream that it resumes.
+    pub first_attempt: Option<RequestId>,
 }
 
 /// Metadata that a gateway adds to a request that it forwards to a target.
--- a/src/adapter/target_entry.rs
+++ b/src/adapter/target_entry.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{DataCentreId, ModelId, ServiceId, TargetId};
+use crate::ids::{DataCentreId, ModelId, ServiceId, SoftwareVersion, TargetId};
 
 /// A model that an engine has in memory.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -32,6 +32,9 @@
     /// Start time of the target, in milliseconds since the Unix epoch; 0 when it is not listed.
     #[serde(rename = "born_ms")]
     pub started_ms: u64,
+    /// Version of the target's software; empty when it is not listed.
+    #[serde(default)]
+    pub software: SoftwareVersion,
     /// Models that the target has in memory.
     pub models: Vec<LoadedModel>,
 }
--- a/src/coordinator/order_dispatcher.rs
+++ b/src/coordinator/order_dispatcher.rs
@@ -56,7 +56,13 @@
             self.state.update_plan(&mut self.state.tables(lease));
             let requested_at = self.state.now();
             match self.state.adapter.list_targets().await {
-                Ok(list) => self.state.apply_list(lease, list, requested_at),
+                Ok(list) if self.state.observe_versions(lease, &list).await => {
+                    self.state.apply_list(lease, list, requested_at);
+                }
+                Ok(_) => warn!(
+                    "place: the versions in the platform's list are not committed, keeping the \
+                     previous list"
+                ),
                 Err(error) => warn!(
                     "place: reading the platform's list failed, keeping the previous one: {error}"
                 ),
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -23,6 +23,7 @@
     plan_news::PlanNewsReceiver,
     proxy::GatewayProxy,
     readiness::ReadinessServer,
+    stream_origins::StreamOrigins,
     sync_client::{SyncClient, SyncParts},
     targets::TargetTable,
     view::{ModelDemand, PlanView},
@@ -86,10 +87,12 @@
         let loads = LoadExchange::new(socket, incarnation, Arc::clone(&targets));
         let loads = Arc::new(loads);
         let crash_watch = Arc::new(CrashWatch::new(&config.vm));
+        let stream_origins = Arc::new(StreamOrigins::new());
         let (news_socket, news_address) = PlanNewsReceiver::bind(config.load_listen).await?;
         let parts = SyncParts {
             news_address,
             crash_watch: Arc::clone(&crash_watch),
+            stream_origins: Arc::clone(&stream_origins),
             loads: Arc::clone(&loads),
             adapter: Arc::clone(&self.adapter),
             view: Arc::clone(&view),
@@ -124,6 +127,7 @@
             demand,
             sync_client: Arc::clone(&sync_client),
             crash_watch,
+            stream_origins,
             retry_budget: RetryBudget::new().into(),
             started_at: Instant::now(),
             plan_lease: config.plan_lease,
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -27,6 +27,7 @@
     relay::{RelayBody, RelayedAnswer},
     request::GatewayRequest,
     routing::{model_pool, prefix_blocks},
+    stream_origins::StreamOrigins,
     sync_client::SyncClient,
     targets::{ChosenTarget, TargetTable},
     view::{ModelDemand, PlanView},
@@ -64,6 +65,7 @@
     pub demand: Arc<ModelDemand>,
     pub sync_client: Arc<SyncClient>,
     pub crash_watch: Arc<CrashWatch>,
+    pub stream_origins: Arc<StreamOrigins>,
     pub retry_budget: std::sync::Mutex<RetryBudget>,
     pub started_at: Instant,
     pub plan_lease: PlanLease,
@@ -85,7 +87,10 @@
             .read_request(arrived_at, parts, incoming, metadata)
             .await
         {
-            Ok(request) => self.forward(&request).await,
+            Ok(mut request) => match self.resolve_origin(&mut request).await {
+                Ok(()) => self.forward(&request).await,
+                Err(notice) => Err(notice),
+            },
             Err(notice) => Err(notice),
         };
         let mut response = response.unwrap_or_else(|notice| {
@@ -173,6 +178,7 @@
             parts,
             metadata,
             plan,
+            origin: None,
         })
     }
 
@@ -215,7 +221,10 @@
         request: &GatewayRequest,
     ) -> Result<Response<CallerBody>, RefusalNotice> {
         let sample = rand::rng().random();
-        let service = request.route.service(sample);
+        let service = match &request.origin {
+            Some((service, _)) => Some(service),
+            None => request.route.service(sample),
+        };
         let service = service.and_then(|id| request.plan.service(id));
         let service = service.ok_or_else(|| unavailable("the route has no service"))?;
         let model = match (&service.engine, &request.metadata.model) {
@@ -275,6 +284,13 @@
         pool: &PoolId,
         tried: &[TargetId],
     ) -> Option<ChosenTarget> {
+        // A stream goes on only at the version that began it.
+        let others = request.origin.as_ref().map(|(service, version)| {
+            let (_, mut others) = self.targets.split_by_software(service, version);
+            others.extend_from_slice(tried);
+            others
+        });
+        let tried = others.as_deref().unwrap_or(tried);
         let prompt_tokens = u32::try_from(request.metadata.prompt_tokens).unwrap_or(u32::MAX);
         self.targets.choose(&RouteRequest {
             pool,
@@ -430,7 +446,9 @@
             parts.headers.remove(CONTENT_LENGTH);
         }
         let request_id = request.metadata.request_id.clone().unwrap_or_default();
+        let run = self.begin_stream(request, status.is_success(), &guard.chosen.choice.target);
         let answer = RelayedAnswer {
+            run,
             incoming,
             framing,
             end_check,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -14,6 +14,7 @@
 use super::{
     connections::{TargetConnection, TargetConnections},
     exchange::LoadGuard,
+    stream_origins::StreamRun,
 };
 use crate::{
     adapter::PromptPart,
@@ -31,6 +32,8 @@
     pub end_check: EndCheck,
     /// Whether the status is a success.
     pub is_success: bool,
+    /// The stream that the answer begins.
+    pub run: Option<StreamRun>,
 }
 
 /// Body that relays a target's answer to the caller. An error aborts the caller's connection, so
@@ -75,6 +78,9 @@
 
     fn complete(&mut self) {
         self.is_finished = true;
+        if let Some(run) = &mut self.answer.run {
+            run.complete();
+        }
         match self.answer.framing {
             // The target may have broken the answer off between two events.
             AnswerFraming::Connection if self.is_stream() && self.is_starting() => {
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -10,7 +10,7 @@
 use super::part_watch::RequestParts;
 use crate::{
     adapter::{PromptPart, RequestMetadata},
-    ids::{Fingerprint, ServiceId, TeamId},
+    ids::{Fingerprint, ServiceId, SoftwareVersion, TeamId},
     plan::{PlanIndex, RoutePlan, TeamPlan},
     route::PrefixBlock,
     sync::PartKind,
@@ -39,6 +39,8 @@
     pub deadline: Instant,
     /// Prefixes of the prompt, shortest first.
     pub prefix_blocks: SmallVec<[PrefixBlock; 4]>,
+    /// Service and version that began the stream that the request takes up.
+    pub origin: Option<(ServiceId, SoftwareVersion)>,
 }
 
 impl GatewayRequest {
@@ -102,6 +104,13 @@
         parts.chain(std::iter::once(request.finish())).collect()
     }
 
+    /// Returns whether the caller takes up a stream that broke off.
+    pub fn is_resuming(&self) -> bool {
+        let metadata = &self.metadata;
+        self.route.kind.is_stream()
+            && (metadata.last_event_id.is_some() || metadata.first_attempt.is_some())
+    }
+
     /// Returns the request id for log lines, `-` when the caller sent none.
     pub fn log_id(&self) -> &str {
         self.metadata.request_id.as_deref().unwrap_or("-")
--- a/src/gateway/sync_client.rs
+++ b/src/gateway/sync_client.rs
@@ -17,6 +17,7 @@
     loads::LoadExchange,
     part_watch::PartReport,
     proxy::random_duration,
+    stream_origins::StreamOrigins,
     sync_pacing::SyncPacing,
     targets::TargetTable,
     view::{ModelDemand, PlanView},
@@ -61,6 +62,7 @@
     demand: Arc<ModelDemand>,
     loads: Arc<LoadExchange>,
     crash_watch: Arc<CrashWatch>,
+    stream_origins: Arc<StreamOrigins>,
     news_address: SocketAddr,
     http_client: Client,
     secret: String,
@@ -100,6 +102,7 @@
     pub demand: Arc<ModelDemand>,
     pub loads: Arc<LoadExchange>,
     pub crash_watch: Arc<CrashWatch>,
+    pub stream_origins: Arc<StreamOrigins>,
 }
 
 impl SyncClient {
@@ -137,6 +140,7 @@
             demand: parts.demand,
             loads: parts.loads,
             crash_watch: parts.crash_watch,
+            stream_origins: parts.stream_origins,
             news_address: parts.news_address,
             http_client,
             secret,
@@ -242,6 +246,7 @@
                 () = tokio::time::sleep(delay) => {}
                 () = self.sync_requested.notified() => {}
                 () = self.crash_watch.report_due() => {}
+                () = self.stream_origins.report_due() => {}
             }
             tokio::time::sleep(MIN_SYNC_INTERVAL.saturating_sub(started_at.elapsed())).await;
         }
@@ -287,7 +292,10 @@
         let wanted: BTreeSet<ServedModel> = self.wanted_models().keys().cloned().collect();
         let (list_version, list_digest) = self.list_state(coordinator)?;
         let (parts_version, parts) = self.crash_watch.take_report();
+        let (streams, stream_queries) = self.stream_origins.make_report();
         let report = GatewayReport {
+            streams,
+            stream_queries,
             crashes: parts.crashes,
             completed_parts: parts.completed,
             parts_version,
@@ -306,6 +314,9 @@
         let sent_at = Instant::now();
         match self.send_report(coordinator, &report).await {
             Ok(reply) => {
+                if reply.are_streams_recorded {
+                    self.stream_origins.confirm(&report.streams);
+                }
                 if !reply.are_parts_recorded {
                     self.put_back_parts(report);
                 }
@@ -405,6 +416,8 @@
         if let Some(section) = &reply.parts {
             self.crash_watch.apply_section(section);
         }
+        self.stream_origins
+            .apply_reply(reply.recorded_services, reply.stream_answers);
         self.loads.set_topology(reply.load_topology);
         let mut state = self.state();
         state.sync_interval = Duration::from_millis(reply.sync_interval_ms);
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -15,7 +15,7 @@
 use crate::{
     adapter::TargetEntry,
     error::Result,
-    ids::{DataCentreId, TargetId},
+    ids::{DataCentreId, ServiceId, SoftwareVersion, TargetId},
     plan::PlanIndex,
     route::{
         Availability, ExchangeOutcome, LoadReport, PrefixBlock, ReplicaTable, RouteChoice,
@@ -96,6 +96,8 @@
     list_version: ListVersion,
     /// Number of changes of the list that the leader did not make.
     local_changes: u64,
+    /// Versions of the software of each service that leaders have listed. The log knows them.
+    announced_software: HashSet<(ServiceId, SoftwareVersion)>,
 }
 
 impl TargetTable {
@@ -121,6 +123,7 @@
                 running_requests: BTreeMap::new(),
                 list_version: ListVersion::default(),
                 local_changes: 0,
+                announced_software: HashSet::new(),
             }),
             list_changed: Notify::new(),
             own_load_changed: Notify::new(),
@@ -182,6 +185,9 @@
     /// Applies a full or incremental target list from the leader.
     pub fn apply_list(&self, plan: &PlanIndex, list: TargetList) {
         let mut state = self.state();
+        let software = list.targets.iter();
+        let software = software.map(|entry| (entry.service.clone(), entry.software.clone()));
+        state.announced_software.extend(software);
         match list.base {
             None => state.replace_entries(plan, list.targets),
             Some(base) if base == state.list_version => {
@@ -206,7 +212,21 @@
     pub fn apply_platform_list(&self, plan: &PlanIndex, targets: Vec<TargetEntry>) {
         let mut state = self.state();
         state.record_local_change();
-        state.replace_entries(plan, targets);
+        // Streams that a version unknown to the log began could be continued by another one.
+        let has_engines = |entry: &TargetEntry| {
+            let service = plan.service(&entry.service);
+            service.is_some_and(|service| service.engine.is_some())
+        };
+        let (usable, unknown): (Vec<_>, Vec<_>) = targets.into_iter().partition(|entry| {
+            let software = (entry.service.clone(), entry.software.clone());
+            !has_engines(entry) || state.announced_software.contains(&software)
+        });
+        if !unknown.is_empty() {
+            warn!("gateway: targets with a version that no leader has listed are not used yet", kv: {
+                targets = unknown.len(),
+            });
+        }
+        state.replace_entries(plan, usable);
         drop(state);
         self.list_changed.notify_waiters();
     }
@@ -279,6 +299,29 @@
         })
     }
 
+    /// Returns the entry of a target in the list.
+    pub fn entry(&self, target: &TargetId) -> Option<TargetEntry> {
+        self.state().entries.get(target).cloned()
+    }
+
+    /// Returns the targets of a service by whether they run a version of its software.
+    pub fn split_by_software(
+        &self,
+        service: &ServiceId,
+        version: &SoftwareVersion,
+    ) -> (Vec<TargetId>, Vec<TargetId>) {
+        let state = self.state();
+        let targets = state
+            .entries
+            .values()
+            .filter(|entry| entry.service == *service);
+        let (same, others): (Vec<_>, Vec<_>) =
+            targets.partition(|entry| entry.software == *version);
+        let ids =
+            |entries: Vec<&TargetEntry>| entries.iter().map(|entry| entry.id.clone()).collect();
+        (ids(same), ids(others))
+    }
+
     /// Returns whether a target has room for another request: a free slot, and so few prompt tokens
     /// to process that running streams pause no longer than `max_gap`.
     #[allow(clippy::cast_precision_loss)] // Counts are far below 2^24.
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -25,6 +25,10 @@
 pub type ServiceId = CompactString;
 /// Identifies a route.
 pub type RouteId = CompactString;
+/// Version of the software that a target runs, not of its models. Versions have no order.
+pub type SoftwareVersion = CompactString;
+/// Hash of the team and the first attempt of a stream.
+pub type StreamKey = u64;
 /// Identifies one request of a caller or an operator.
 pub type RequestId = CompactString;
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -19,6 +19,7 @@
 mod part_table;
 mod recorded_response;
 mod request_table;
+mod stream_table;
 mod target_memory;
 
 pub use apply_request::ApplyRequest;
@@ -38,4 +39,5 @@
 pub use part_table::PartTable;
 pub use recorded_response::RecordedResponse;
 pub use request_table::{ChangeDigest, RequestLookup, RequestTable, change_digest};
+pub use stream_table::{StreamBatch, StreamTable};
 pub use target_memory::{TargetMemory, UnsettledOrder};
--- a/src/state/command.rs
+++ b/src/state/command.rs
@@ -4,15 +4,20 @@
     ApplyRequest, ClaimRequest, ClaimTicket, DrainRequest, RecordedResponse, SettleResult,
 };
 use crate::{
-    ids::{Attempt, CommandLevel, EntryKey, FencingNumber, Fingerprint, Incarnation, TargetId},
+    ids::{
+        Attempt, CommandLevel, EntryKey, FencingNumber, Fingerprint, Incarnation, SoftwareVersion,
+        StreamKey, TargetId,
+    },
     order::OrderAction,
-    sync::{CompletedPart, CrashEvidence, PublishedPlan, ResidentCopy},
+    sync::{CompletedPart, CrashEvidence, PublishedPlan, ResidentCopy, VersionObservation},
 };
 
 /// Lowest command level at which every voter can apply serving plans.
 const PUBLISH_LEVEL: CommandLevel = 2;
 /// Lowest command level at which every voter can apply evidence about parts of requests.
 const PARTS_LEVEL: CommandLevel = 3;
+/// Lowest command level at which every voter can apply versions that began streams.
+const STREAMS_LEVEL: CommandLevel = 4;
 
 /// A state change that is replicated through the log; docs/design.md, section 5, lists them all.
 ///
@@ -54,6 +59,15 @@
     ReportParts(CrashEvidence),
     /// Records parts of requests whose answers were complete.
     ClearParts(Vec<CompletedPart>),
+    /// Records which versions of the targets' software the platform lists.
+    ObserveVersions(VersionObservation),
+    /// Records streams and the version that began them.
+    RecordStreams {
+        /// The version.
+        version: SoftwareVersion,
+        /// The streams.
+        streams: Vec<StreamKey>,
+    },
     /// Requests the exclusive turn to run a suspect; only one entry at a time may have it.
     TakeTurn {
         /// Fingerprint of the request.
@@ -120,6 +134,7 @@
         match self {
             Self::Publish(_) => PUBLISH_LEVEL,
             Self::ReportParts(_) | Self::ClearParts(_) => PARTS_LEVEL,
+            Self::ObserveVersions(_) | Self::RecordStreams { .. } => STREAMS_LEVEL,
             _ => 1,
         }
     }
--- a/src/state/machine.rs
+++ b/src/state/machine.rs
@@ -4,7 +4,7 @@
 
 use super::{
     ApplyOutcome, ApplyRequest, ClaimTable, Command, ConfigHistory, CrashTable, DrainOutcome,
-    DrainRequest, DrainTable, MemoryTable, Outcome, RequestTable, StampedCommand,
+    DrainRequest, DrainTable, MemoryTable, Outcome, RequestTable, StampedCommand, StreamTable,
     request_table::{RequestLookup, change_digest},
 };
 use crate::{
@@ -32,6 +32,8 @@
     drains: DrainTable,
     #[serde(default)]
     plan: Option<Arc<PublishedPlan>>,
+    #[serde(default)]
+    streams: StreamTable,
 }
 
 impl ControlState {
@@ -65,6 +67,10 @@
                 parts.report(now_ms, &evidence.crash, &evidence.parts);
             }
             Command::ClearParts(completed) => self.crashes.parts_mut().clear(now_ms, completed),
+            Command::ObserveVersions(observation) => self.streams.observe(now_ms, observation),
+            Command::RecordStreams { version, streams } => {
+                self.streams.record(now_ms, version, streams);
+            }
             Command::TakeTurn {
                 fingerprint,
                 holder,
@@ -216,6 +222,12 @@
         &self.crashes
     }
 
+    /// Returns the versions that began streams.
+    #[must_use]
+    pub fn streams(&self) -> &StreamTable {
+        &self.streams
+    }
+
     /// Returns the memory table of the engines.
     #[must_use]
     pub fn memory(&self) -> &MemoryTable {
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -9,6 +9,7 @@
 mod reply;
 mod report;
 mod request;
+mod streams;
 
 pub use claims::{CLAIMS_PATH, CRASHES_PATH, ClaimMessage, CommandReply, CrashMessage};
 pub use gateway::{
@@ -26,6 +27,7 @@
 };
 pub use report::{EngineReport, ResidentCopy};
 pub use request::{ModelDemand, SyncRequest, TargetObservation, TargetReport};
+pub use streams::{StreamAnswer, StreamOrigin, StreamQuery, StreamStart, VersionObservation};
 
 use serde::{Serialize, de::DeserializeOwned};
 
--- a/src/sync/gateway.rs
+++ b/src/sync/gateway.rs
@@ -10,7 +10,8 @@
     ids::{DataCentreId, EntryKey, ModelId, ServiceId, TargetId, Term},
     plan::PlanVersion,
     sync::{
-        self, CompletedPart, CrashEvidence, LoadTopology, PartSection, TargetHash, target_hash,
+        self, CompletedPart, CrashEvidence, LoadTopology, PartSection, StreamAnswer, StreamQuery,
+        StreamStart, TargetHash, target_hash,
     },
 };
 
@@ -54,6 +55,12 @@
     /// Version of the suspect parts that the gateway has.
     #[serde(default)]
     pub parts_version: u64,
+    /// Streams that the leader has to record.
+    #[serde(default)]
+    pub streams: Vec<StreamStart>,
+    /// Streams that callers take up.
+    #[serde(default)]
+    pub stream_queries: Vec<StreamQuery>,
     /// Models that requests wait for because no target has them loaded.
     #[serde(rename = "wanted")]
     pub missing_models: Vec<ServedModel>,
@@ -138,6 +145,15 @@
     /// Parts that may crash targets; `None` when the gateway has them already.
     #[serde(default)]
     pub parts: Option<PartSection>,
+    /// Services whose streams have to be reported, as they have more than one version.
+    #[serde(default)]
+    pub recorded_services: Vec<ServiceId>,
+    /// Whether the streams in the report are recorded; otherwise they must be repeated.
+    #[serde(default)]
+    pub are_streams_recorded: bool,
+    /// Answers to the questions about streams.
+    #[serde(default)]
+    pub stream_answers: Vec<StreamAnswer>,
     /// Gateways that this gateway exchanges loads with.
     #[serde(rename = "loads")]
     pub load_topology: LoadTopology,
--- a/src/voter.rs
+++ b/src/voter.rs
@@ -23,6 +23,7 @@
 mod thread;
 
 pub use address_book::AddressBook;
+pub(crate) use driver::unix_time_ms;
 pub use handle::VoterHandle;
 pub use lease::LeaderLease;
 pub use member::{member_name, parse_member_name};
--- a/src/voter/part_recorder.rs
+++ b/src/voter/part_recorder.rs
@@ -9,14 +9,14 @@
 
 use super::{VoterHandle, driver::unix_time_ms};
 use crate::{
-    state::PartBatch,
-    sync::{CompletedPart, CrashEvidence},
+    state::{Command, PartBatch, StreamBatch},
+    sync::{CompletedPart, CrashEvidence, StreamStart},
 };
 
 /// Interval at which evidence is committed.
 const COMMIT_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Commits evidence about parts of requests in batches, for the leader of gateways or entries.
+/// Commits evidence about parts of requests and about streams in batches, for the leader of gateways or entries.
 pub struct PartRecorder {
     voter: VoterHandle,
     started_at: Instant,
@@ -30,6 +30,7 @@
 struct WaitingEvidence {
     number: u64,
     batch: PartBatch,
+    streams: StreamBatch,
 }
 
 impl PartRecorder {
@@ -42,6 +43,7 @@
             waiting: Mutex::new(WaitingEvidence {
                 number: 1,
                 batch: PartBatch::default(),
+                streams: StreamBatch::default(),
             }),
             is_waiting: Notify::new(),
             ended: watch::channel((0, true)).0,
@@ -63,11 +65,27 @@
         if crashes.is_empty() && completed.is_empty() {
             return true;
         }
+        let now = self.started_at.elapsed();
+        self.submit(limit, |waiting| {
+            waiting.batch.add(crashes, completed, now);
+        })
+        .await
+    }
+
+    /// Records streams as [`Self::record`] does evidence.
+    pub async fn record_streams(&self, starts: &[StreamStart], limit: Duration) -> bool {
+        if starts.is_empty() {
+            return true;
+        }
+        self.submit(limit, |waiting| waiting.streams.add(starts))
+            .await
+    }
+
+    async fn submit(&self, limit: Duration, add: impl FnOnce(&mut WaitingEvidence)) -> bool {
         let mut ended = self.ended.subscribe();
         let number = {
             let mut waiting = self.waiting();
-            let now = self.started_at.elapsed();
-            waiting.batch.add(crashes, completed, now);
+            add(&mut waiting);
             waiting.number
         };
         self.is_waiting.notify_one();
@@ -90,17 +108,21 @@
     async fn commit(&self) {
         let (number, commands) = {
             let mut waiting = self.waiting();
-            if waiting.batch.is_empty() {
+            if waiting.batch.is_empty() && waiting.streams.is_empty() {
                 return;
             }
             let number = waiting.number;
             waiting.number += 1;
             let now = self.started_at.elapsed();
-            let commands = self.voter.read_local(|state| {
+            let mut commands = self.voter.read_local(|state| {
                 let now_ms = state.now_ms().max(unix_time_ms());
                 let table = state.crashes().parts();
                 waiting.batch.take_commands(table, now_ms, now)
             });
+            let streams = waiting.streams.take();
+            commands.extend(
+                streams.map(|(version, streams)| Command::RecordStreams { version, streams }),
+            );
             (number, commands)
         };
         let commits = commands
@@ -108,7 +130,7 @@
             .map(|command| self.voter.propose(command));
         let failed = join_all(commits).await.into_iter().find_map(Result::err);
         if let Some(error) = &failed {
-            warn!("route: cannot commit evidence about parts; its reporters repeat it: {error}");
+            warn!("route: cannot commit evidence; its reporters repeat it: {error}");
         }
         self.ended.send_replace((number, failed.is_none()));
     }
--- a/tests/engine_fleet/mod.rs
+++ b/tests/engine_fleet/mod.rs
@@ -99,6 +99,7 @@
             data_centre: "a".into(),
             slots: 12,
             is_draining: false,
+            software: "".into(),
             started_ms: 1,
             models: held_models(number, models),
         })
@@ -160,6 +161,8 @@
         news_address: None,
         demand,
         unresponsive: Vec::new(),
+        streams: Vec::new(),
+        stream_queries: Vec::new(),
         missing_models: Vec::new(),
     }
 }
--- a/tests/load_aggregator.rs
+++ b/tests/load_aggregator.rs
@@ -70,6 +70,8 @@
                 news_address: None,
                 demand: Vec::new(),
                 unresponsive: Vec::new(),
+                streams: Vec::new(),
+                stream_queries: Vec::new(),
                 missing_models: Vec::new(),
             };
             table.record(&report, Duration::ZERO);
