Resume a stream at entries only on engines with the version that began it

An entry resumes a broken stream itself and compared no versions. Ruled out: the confirmed offset tells nothing of the version. Change: engines may name their version in X-Software-Version with a stream. A resume is accepted only from an engine that names the same one as the first; another engine is tried, and without any the stream ends with an error event, as before. Measured: tests/entry_faults.rs, engines of v1 and v2: with the comparison taken out the first case fails (the stream is complete though only the other version was left); with it both cases pass. Conclusion: ended at entries for engines that name their version.

--- a/src/bin/waxwing-fake.rs
+++ b/src/bin/waxwing-fake.rs
@@ -51,6 +51,7 @@
         report_lag_ms: value(arguments, "report-lag-ms"),
         echoes_ids: value(arguments, "echo-ids"),
         resumes: value(arguments, "resume"),
+        software: value(arguments, "software"),
     }
 }
 
--- a/src/clap_app.rs
+++ b/src/clap_app.rs
@@ -66,6 +66,7 @@
                 .arg(echo.clone())
                 .args(engine_numbers())
                 .args(engine_switches())
+                .arg(software_argument())
                 .arg(
                     Arg::new("crash-on")
                         .long("crash-on")
@@ -137,6 +138,14 @@
     ]
 }
 
+fn software_argument() -> Arg {
+    Arg::new("software")
+        .long("software")
+        .value_name("VERSION")
+        .default_value("")
+        .help("Version of the software that responses with a stream name; empty for none")
+}
+
 fn number_argument<T>(name: &'static str, default: &'static str, help: &'static str) -> Arg
 where
     T: std::str::FromStr + Clone + Send + Sync + 'static,
--- a/src/entry/model_stream.rs
+++ b/src/entry/model_stream.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use futures::{Stream, StreamExt, stream::BoxStream};
-use hyper::StatusCode;
+use hyper::{StatusCode, header::HeaderValue};
 use spdlog::prelude::*;
 use tokio::time::timeout;
 
@@ -27,6 +27,8 @@
 
 /// Response header with the token offset at which an engine resumes.
 const RESUME_OFFSET_HEADER: &str = "x-resume-offset";
+/// Response header with the version of the engine's software.
+const SOFTWARE_HEADER: &str = "x-software-version";
 /// Maximum wait for the end of the body after the end mark, so that the connection can be reused.
 const TRAILER_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time from the first token in which a crash of the engine may be due to the request.
@@ -41,6 +43,8 @@
     context: Arc<RequestContext>,
     request: StreamRequest,
     guard: StreamGuard,
+    /// Version of the software that began the stream; `None` if the engine does not name it.
+    software: Option<HeaderValue>,
     source: Option<EventSource>,
     splitter: EventSplitter,
     delivered: u64,
@@ -75,6 +79,7 @@
             context,
             request,
             guard,
+            software: software_version(&reply),
             source: Some(EventSource::new(reply)),
             splitter: EventSplitter::default(),
             delivered: 0,
@@ -219,10 +224,18 @@
             proxy.metrics.count_retry(RetryKind::Resume);
             proxy.metrics.count_upstream_request();
             match exchange(slot, permit, &mut outgoing, &context, &mut self.guard).await {
-                Ok(reply) if confirms_resume(&reply, self.delivered) => {
+                Ok(reply)
+                    if confirms_resume(&reply, self.delivered)
+                        && software_version(&reply) == self.software =>
+                {
                     self.source = Some(EventSource::new(reply));
                     return Ok(());
                 }
+                Ok(reply) if software_version(&reply) != self.software => info!(
+                    "route: {} target {} runs another version of the software than began the stream; \
+                     trying another target",
+                    context.id, target.id
+                ),
                 Ok(_) => info!(
                     "route: {} target {} did not confirm the resume offset; trying another target",
                     context.id, target.id
@@ -307,6 +320,12 @@
     }
 }
 
+/// Returns the version of the software of the engine that replied. What two versions write does not fit
+/// together.
+fn software_version(reply: &TargetReply) -> Option<HeaderValue> {
+    reply.response.headers().get(SOFTWARE_HEADER).cloned()
+}
+
 /// Whether an engine confirms that it resumes at token `offset`, counted from 0.
 fn confirms_resume(reply: &TargetReply, offset: u64) -> bool {
     let headers = reply.response.headers();
--- a/src/fake/engine_calls.rs
+++ b/src/fake/engine_calls.rs
@@ -82,6 +82,11 @@
                 if let Some(offset) = offset {
                     response.set_header(Header::new("x-resume-offset", offset.to_string()));
                 }
+                let shared = request.rocket().state::<EngineShared>();
+                let software = shared.map(|shared| shared.options.software.clone());
+                if let Some(software) = software.filter(|software| !software.is_empty()) {
+                    response.set_header(Header::new("x-software-version", software));
+                }
                 Ok(response)
             }
             Self::Whole {
--- a/src/fake/options.rs
+++ b/src/fake/options.rs
@@ -63,6 +63,8 @@
     pub echoes_ids: Switch,
     /// Whether broken streams can be resumed.
     pub resumes: Switch,
+    /// Version of the software that responses name; empty if they name none.
+    pub software: String,
 }
 
 impl Default for EngineOptions {
@@ -82,6 +84,7 @@
             report_lag_ms: 0,
             echoes_ids: Switch::On,
             resumes: Switch::On,
+            software: String::new(),
         }
     }
 }
--- a/tests/entry_faults.rs
+++ b/tests/entry_faults.rs
@@ -81,6 +81,38 @@
     assert!(resumed > 0, "no stream was completed");
 }
 
+/// Guards against a response whose text is joined from two versions of the engines' software (ORDER).
+#[rstest]
+#[case::other_version_only(&["v1", "v2"], false)]
+#[case::same_version_too(&["v1", "v2", "v1", "v2"], true)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_is_resumed_only_at_the_version_that_began_it(
+    #[case] versions: &[&str],
+    #[case] is_resumed: bool,
+) {
+    let arguments: Vec<[&str; 2]> = versions.iter().map(|name| ["--software", name]).collect();
+    let arguments: Vec<&[&str]> = arguments.iter().map(|pair| pair.as_slice()).collect();
+    let fleet = EntryFleet::start(&arguments).await;
+    let text = fleet.stream_text("warm up", 2).await;
+    assert!(tokens_of(&text).1, "{text}");
+    let fault = faults(|it| {
+        it.cuts = 1;
+        it.cut_after_tokens = 7;
+    });
+    inject_all(&fleet, &fault).await;
+    let text = fleet.stream_text(PROMPT, 20).await;
+    let (tokens, is_ended) = tokens_of(&text);
+    assert_eq!(is_ended, is_resumed, "{text}");
+    let expected = expected_tokens(PROMPT, 20);
+    match is_resumed {
+        true => assert_eq!(tokens, expected),
+        false => {
+            assert_eq!(tokens, expected[..7]);
+            assert!(text.contains("event: error"), "{text}");
+        }
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_mismatched_response_is_an_error_and_its_connection_is_discarded() {
     let fleet = EntryFleet::start(&[]).await;
