--- a/tests/entry_faults.rs
+++ b/tests/entry_faults.rs
@@ -91,7 +91,7 @@
     #[case] is_resumed: bool,
 ) {
     let arguments: Vec<[&str; 2]> = versions.iter().map(|name| ["--software", name]).collect();
-    let arguments: Vec<&[&str]> = arguments.iter().map(|pair| pair.as_slice()).collect();
+    let arguments: Vec<&[&str]> = arguments.iter().map(<[&str; 2]>::as_slice).collect();
     let fleet = EntryFleet::start(&arguments).await;
     let text = fleet.stream_text("warm up", 2).await;
     assert!(tokens_of(&text).1, "{text}");
@@ -104,12 +104,11 @@
     let (tokens, is_ended) = tokens_of(&text);
     assert_eq!(is_ended, is_resumed, "{text}");
     let expected = expected_tokens(PROMPT, 20);
-    match is_resumed {
-        true => assert_eq!(tokens, expected),
-        false => {
-            assert_eq!(tokens, expected[..7]);
-            assert!(text.contains("event: error"), "{text}");
-        }
+    if is_resumed {
+        assert_eq!(tokens, expected);
+    } else {
+        assert_eq!(tokens, expected[..7]);
+        assert!(text.contains("event: error"), "{text}");
     }
 }
 
--- a/tests/model_streams.rs
+++ b/tests/model_streams.rs
@@ -30,6 +30,14 @@
     AnnouncedOnly,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Leader {
+    Lost,
+    Elected,
+    /// It has read a list with these versions.
+    Listed(Versions),
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Gateway {
     targets: Versions,
@@ -41,8 +49,7 @@
     /// Versions that run; the release is at its first, second or last stage.
     stage: usize,
     log: StreamTable,
-    /// Versions in the list that the leader of this term has read.
-    leader: Option<Option<Versions>>,
+    leader: Leader,
     gateways: [Gateway; GATEWAYS],
     /// Version that began the stream, and the gateway that knows it.
     stream: Option<(&'static str, Option<usize>)>,
@@ -60,7 +67,7 @@
         Self {
             stage: 0,
             log: StreamTable::default(),
-            leader: Some(None),
+            leader: Leader::Elected,
             gateways: [gateway.clone(), gateway],
             stream: None,
             continued: None,
@@ -94,22 +101,21 @@
         if self.stage < 2 {
             add(&|fleet| fleet.stage += 1);
         }
-        match &self.leader {
-            None => add(&|fleet| fleet.leader = Some(None)),
-            Some(_) => {
+        if self.leader == Leader::Lost {
+            add(&|fleet| fleet.leader = Leader::Elected);
+        } else {
+            add(&|fleet| {
+                fleet.observe();
+                fleet.leader = Leader::Listed(fleet.running());
+            });
+            if left_out == LeftOut::ObservationFirst {
+                add(&|fleet| fleet.leader = Leader::Listed(fleet.running()));
+            }
+            if self.losses < 2 {
                 add(&|fleet| {
-                    fleet.observe();
-                    fleet.leader = Some(Some(fleet.running()));
+                    fleet.leader = Leader::Lost;
+                    fleet.losses += 1;
                 });
-                if left_out == LeftOut::ObservationFirst {
-                    add(&|fleet| fleet.leader = Some(Some(fleet.running())));
-                }
-                if self.losses < 2 {
-                    add(&|fleet| {
-                        fleet.leader = None;
-                        fleet.losses += 1;
-                    });
-                }
             }
         }
         if self.losses < 2 {
@@ -122,7 +128,7 @@
                     log,
                     losses,
                     stream,
-                    leader: None,
+                    leader: Leader::Lost,
                     ..Self::new()
                 };
             });
@@ -139,7 +145,7 @@
             change(&mut fleet);
             next.push(fleet);
         };
-        if let Some(Some(listed)) = &self.leader {
+        if let Leader::Listed(listed) = &self.leader {
             add(&|fleet| {
                 let state = &mut fleet.gateways[gateway];
                 state.targets.clone_from(listed);
@@ -163,7 +169,7 @@
             }
             Some((version, Some(owner))) if owner == gateway => {
                 // A report, which may also be lost. Streams are reported while versions are mixed.
-                if self.leader.is_some() && !self.log.mixed_services(0).is_empty() {
+                if self.leader != Leader::Lost && !self.log.mixed_services(0).is_empty() {
                     add(&|fleet| fleet.log.record(0, &version.into(), &[STREAM]));
                 }
             }
@@ -173,7 +179,7 @@
 
     fn add_continuation(&self, gateway: usize, next: &mut Vec<Self>) {
         // A new leader answers before it has read the list.
-        if self.leader.is_none() || self.continued.is_some() {
+        if self.leader == Leader::Lost || self.continued.is_some() {
             return;
         }
         let origin = self.log.origin(&SERVICE.into(), Some(STREAM), 0);
--- a/tests/token_fleet/mod.rs
+++ b/tests/token_fleet/mod.rs
@@ -497,9 +497,10 @@
 
     fn run(&mut self, gateway: usize, team: usize, id: ReservationId, tokens: u64) {
         let is_placeless = self.rng.random_bool(self.load.placeless_share);
-        let place_wait = match is_placeless {
-            true => self.rng.random_range(Duration::ZERO..MAX_PLACE_WAIT),
-            false => Duration::ZERO,
+        let place_wait = if is_placeless {
+            self.rng.random_range(Duration::ZERO..MAX_PLACE_WAIT)
+        } else {
+            Duration::ZERO
         };
         if is_placeless && self.rng.random_bool(0.5) {
             let settled = Event::Settled {
@@ -530,9 +531,10 @@
         let state = &mut self.gateways[index].teams[team];
         let mut refused = Vec::new();
         for request in std::mem::take(&mut state.waiting) {
-            let until = match request.is_queued {
-                true => request.until,
-                false => request.arrived_at + LEADER_WAIT,
+            let until = if request.is_queued {
+                request.until
+            } else {
+                request.arrived_at + LEADER_WAIT
             };
             if now >= until || request.is_refused {
                 refused.push(request);
@@ -566,9 +568,12 @@
         let (waiting, name) = (&gateway.teams[team].waiting, &self.names[team]);
         let first = waiting.front();
         let all = waiting.iter().map(|request| request.tokens).sum();
-        let until = first.map(|first| match first.is_queued {
-            true => first.until,
-            false => first.until.max(now + REQUEST_WAIT),
+        let until = first.map(|first| {
+            if first.is_queued {
+                first.until
+            } else {
+                first.until.max(now + REQUEST_WAIT)
+            }
         });
         gateway
             .share
