Move counters, patience and versions into files of their own

Change: GrantWork, TokenPatience with the waiting request, and the coordinator's versions of software stand alone; ShareGrant::empty. No behaviour.

--- a/src/allowance/bucket.rs
+++ b/src/allowance/bucket.rs
@@ -146,16 +146,7 @@
         self.advance_to(now);
         self.expire_share(entry, now);
         self.remove_timed_out_waiters(now);
-        let empty_grant = |epoch: u64| ShareGrant {
-            team: report.team.clone(),
-            epoch,
-            granted: 0,
-            recall: 0,
-            urgent_granted: 0,
-            urgent_valid: 0,
-            held_ms: 0,
-            shortage: None,
-        };
+        let empty_grant = |epoch: u64| ShareGrant::empty(&report.team, epoch);
         if !self.shares.contains_key(entry) {
             let epoch = next_epoch();
             // A new epoch without tokens invalidates all earlier grants of the entry.
--- a/src/allowance/ledger.rs
+++ b/src/allowance/ledger.rs
@@ -160,16 +160,7 @@
                 (term << TERM_SHIFT) | *last_epoch
             };
             let Some(bucket) = self.teams.get_mut(&report.team) else {
-                grants.push(ShareGrant {
-                    team: report.team.clone(),
-                    epoch: next_epoch(),
-                    granted: 0,
-                    recall: 0,
-                    urgent_granted: 0,
-                    urgent_valid: 0,
-                    held_ms: 0,
-                    shortage: None,
-                });
+                grants.push(ShareGrant::empty(&report.team, next_epoch()));
                 continue;
             };
             let known = bucket.share_expiry(entry).map(|(epoch, _)| epoch);
--- a/src/allowance/message.rs
+++ b/src/allowance/message.rs
@@ -73,6 +73,23 @@
     pub shortage: Option<ShareShortage>,
 }
 
+impl ShareGrant {
+    /// Returns a grant without tokens, which invalidates those of earlier epochs.
+    #[must_use]
+    pub fn empty(team: &TeamId, epoch: u64) -> Self {
+        Self {
+            team: team.clone(),
+            epoch,
+            granted: 0,
+            recall: 0,
+            urgent_granted: 0,
+            urgent_valid: 0,
+            held_ms: 0,
+            shortage: None,
+        }
+    }
+}
+
 /// A waiting request that the leader has no tokens for at the moment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ShareShortage {
--- a/src/coordinator.rs
+++ b/src/coordinator.rs
@@ -25,6 +25,7 @@
 mod plan_pusher;
 mod plan_store;
 mod state;
+mod stream_versions;
 mod target_history;
 
 pub use config::CoordinatorConfig;
--- a/src/coordinator/state.rs
+++ b/src/coordinator/state.rs
@@ -1,5 +1,4 @@
 use std::{
-    collections::{BTreeMap, BTreeSet},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
@@ -20,22 +19,17 @@
     adapter::{PlatformAdapter, TargetEntry},
     allowance::{AllowanceLedger, RateLimit, ShareGrant},
     error::{Error, Result},
-    ids::{EntryKey, ServiceId, SoftwareVersion, TeamId, Term},
+    ids::{EntryKey, TeamId, Term},
     plan::PlanIndex,
-    state::{Command, ControlState},
-    sync::{
-        GatewayReply, GatewayReport, GrantReply, GrantRequest, StreamAnswer, StreamQuery,
-        TargetList, VersionObservation,
-    },
-    voter::{LeaderLease, PartRecorder, VoterHandle, unix_time_ms},
+    state::ControlState,
+    sync::{GatewayReply, GatewayReport, GrantReply, GrantRequest, TargetList},
+    voter::{LeaderLease, PartRecorder, VoterHandle},
 };
 
 /// Maximum time for which the reply to a sync is delayed while requests wait for a model. It covers
 /// an order to an engine and the load of an adapter.
 const MAX_REPLY_DELAY: Duration = Duration::from_millis(200);
 
-/// Minimum time for which it is known which version began a stream, and that a version served.
-const MIN_STREAM_RETENTION: Duration = Duration::from_secs(60);
 /// Term of a fleet's first leader, before which no leases and orders exist.
 pub(super) const FIRST_TERM: Term = 1;
 /// Maximum time for which a reply waits until the evidence of a crash is committed.
@@ -380,10 +374,7 @@
             None => None,
         };
         let stream_answers = self.answer_streams(&report.stream_queries);
-        let recorded_services = self.voter.read_local(|state| {
-            let now_ms = state.now_ms().max(unix_time_ms());
-            state.streams().mixed_services(now_ms)
-        });
+        let recorded_services = self.recorded_services();
         let age = tables.listed_at.map(|at| now.saturating_sub(at));
         let own = self.voter.addresses().own().system;
         let others = self.voter.addresses().others();
@@ -407,56 +398,6 @@
         }
     }
 
-    /// Commits which versions of the targets' software a list names, unless that is known. Gateways get a
-    /// target only after this, so that no version begins a stream unknown to the log.
-    pub(super) async fn observe_versions(&self, lease: LeaderLease, list: &[TargetEntry]) -> bool {
-        let Some(plan) = self.tables(lease).plan.clone() else {
-            return true;
-        };
-        let mut services: BTreeMap<ServiceId, BTreeSet<SoftwareVersion>> = BTreeMap::new();
-        for entry in list {
-            let versions = services.entry(entry.service.clone()).or_default();
-            versions.insert(entry.software.clone());
-        }
-        let timeouts = plan.plan().routes.iter().map(|route| route.timeout);
-        let longest = timeouts.max().unwrap_or_default() * 2;
-        let retention = longest.max(MIN_STREAM_RETENTION).as_millis();
-        let observation = VersionObservation {
-            services: services.into_iter().collect(),
-            retention_ms: u64::try_from(retention).unwrap_or(u64::MAX),
-        };
-        let is_known = self
-            .voter
-            .read_local(|state| !state.streams().needs_observation(&observation));
-        if is_known {
-            return true;
-        }
-        info!("route: versions of the targets have changed", kv: { versions:? = observation.services });
-        let committed = self.voter.propose(Command::ObserveVersions(observation));
-        match committed.await {
-            Ok(_) => true,
-            Err(error) => {
-                warn!("route: cannot commit the versions of the targets: {error}");
-                false
-            }
-        }
-    }
-
-    /// Answers questions about streams.
-    fn answer_streams(&self, queries: &[StreamQuery]) -> Vec<StreamAnswer> {
-        if queries.is_empty() {
-            return Vec::new();
-        }
-        self.voter.read_local(|state| {
-            let now_ms = state.now_ms().max(unix_time_ms());
-            let answers = queries.iter().map(|query| StreamAnswer {
-                origin: state.streams().origin(&query.service, query.stream, now_ms),
-                query: query.clone(),
-            });
-            answers.collect()
-        })
-    }
-
     /// Applies the platform's list that was requested at `requested_at`.
     pub(super) fn apply_list(
         &self,
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -40,13 +40,15 @@
 mod sync_follower;
 mod target_slot;
 mod target_sync;
+mod token_wait;
 mod view;
 
-pub use allowance::{ReservedTokens, SharedAllowance, TokenPatience, TokenRefusal};
+pub use allowance::{ReservedTokens, SharedAllowance};
 pub use caller_error::CallerError;
 pub use crash_snapshot::CrashSnapshot;
 pub use daemon::EntryDaemon;
 pub use demand::DemandCounter;
 pub use report_poller::PolledReports;
 pub use sync_follower::{SyncContext, SyncFollower};
+pub use token_wait::{TokenPatience, TokenRefusal};
 pub use view::{EntryView, ResidencyTable, SharedView};
--- a/src/entry/admission.rs
+++ b/src/entry/admission.rs
@@ -1,10 +1,8 @@
 //! Admission control: reserves a request's tokens from the team's allowance.
 
 use super::{
-    allowance::{ReservedTokens, TokenPatience},
-    caller_error::CallerError,
-    context::RequestContext,
-    proxy::CallerProxy,
+    allowance::ReservedTokens, caller_error::CallerError, context::RequestContext,
+    proxy::CallerProxy, token_wait::TokenPatience,
 };
 use crate::code::ResultCode;
 
--- a/src/entry/allowance.rs
+++ b/src/entry/allowance.rs
@@ -16,6 +16,8 @@
     ids::TeamId,
 };
 
+use super::token_wait::{RequestStanding, TokenPatience, TokenRefusal, WaitingRequest};
+
 /// Head start in the queue for each level of priority. A request of the lowest of ten priorities
 /// is overtaken only by requests whose patience ends within nine such steps after its own, so none starves.
 const PRIORITY_STEP: Duration = Duration::from_secs(2);
@@ -24,59 +26,6 @@
 /// breaks ties and names the request to the leader.
 type QueuePosition = (i128, u64);
 
-/// How long a request waits for tokens.
-#[derive(Clone, Copy, Debug)]
-pub struct TokenPatience {
-    /// Time until which it waits for a leader that has no tokens for it.
-    pub shortage: Instant,
-    /// Time until which it waits for an answer of a leader.
-    pub answer: Instant,
-}
-
-/// Why a request gets no tokens.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum TokenRefusal {
-    /// The leader has no tokens for it within its patience.
-    OverLimit,
-    /// No leader has answered.
-    Unanswered,
-}
-
-/// What the leader has said about a waiting request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum RequestStanding {
-    Unanswered,
-    /// The leader grants tokens once they are refilled, until the request's patience ends there. The request
-    /// waits until such a grant would have arrived.
-    Queued {
-        until: Duration,
-    },
-    /// The leader will have tokens only after the request's patience.
-    Refused,
-}
-
-/// A request that waits for tokens.
-#[derive(Clone, Copy, Debug)]
-struct WaitingRequest {
-    tokens: u64,
-    /// Time until which it waits for a leader that has no tokens for it.
-    until: Duration,
-    /// Time for which it waits then.
-    patience: Duration,
-    standing: RequestStanding,
-}
-
-impl WaitingRequest {
-    /// Returns the time until which tokens would be of use.
-    fn waits_until(&self, now: Duration) -> Duration {
-        match self.standing {
-            RequestStanding::Unanswered => self.until.max(now + self.patience),
-            RequestStanding::Queued { until } => until,
-            RequestStanding::Refused => now,
-        }
-    }
-}
-
 #[derive(Debug, Default)]
 struct AllowanceTables {
     share: AllowanceShare,
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -10,6 +10,7 @@
 mod daemon;
 mod exchange;
 mod grant_pacing;
+mod grant_work;
 mod grants;
 mod list_fallback;
 mod loads;
--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -1,17 +1,14 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU64, Ordering},
-    },
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
 use spdlog::prelude::*;
 use tokio::net::UdpSocket;
 
-use super::{grant_pacing::GrantPacing, sync_client::SyncClient};
+use super::{grant_pacing::GrantPacing, grant_work::GrantWork, sync_client::SyncClient};
 use crate::{
     entry::SharedAllowance,
     error::{Error, Result},
@@ -30,8 +27,6 @@
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Delay after which used tokens are reported, so that the requests of a moment share a datagram.
 const USAGE_REPORT_DELAY: Duration = Duration::from_millis(200);
-/// Interval of the log line about requests for tokens.
-const WORK_LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum size of a reply, which fits into one packet.
 const MAX_REPLY_BYTES: usize = 1_400;
 
@@ -53,57 +48,6 @@
     pacing: GrantPacing,
 }
 
-/// Counters for a log line each second, which tells lost requests for tokens from a leader without tokens.
-#[derive(Default)]
-struct GrantWork {
-    requests: AtomicU64,
-    reports: AtomicU64,
-    replies: AtomicU64,
-    timeouts: AtomicU64,
-    failures: AtomicU64,
-    longest_reply_ms: AtomicU64,
-}
-
-impl GrantWork {
-    fn add(counter: &AtomicU64) {
-        counter.fetch_add(1, Ordering::Relaxed);
-    }
-
-    /// Logs the counters while requests are repeated or fail, until the task is dropped.
-    async fn run(&self) {
-        loop {
-            tokio::time::sleep(WORK_LOG_INTERVAL).await;
-            let take = |counter: &AtomicU64| counter.swap(0, Ordering::Relaxed);
-            let [
-                requests,
-                reports,
-                replies,
-                timeouts,
-                failures,
-                longest_reply_ms,
-            ] = [
-                &self.requests,
-                &self.reports,
-                &self.replies,
-                &self.timeouts,
-                &self.failures,
-                &self.longest_reply_ms,
-            ]
-            .map(take);
-            if timeouts + failures > 0 {
-                info!("gateway: requests for tokens", kv: {
-                    requests = requests,
-                    reports = reports,
-                    replies = replies,
-                    timeouts = timeouts,
-                    failures = failures,
-                    longest_reply_ms = longest_reply_ms,
-                });
-            }
-        }
-    }
-}
-
 /// Requests to which replies are applied, by serial number.
 type PendingRequests = BTreeMap<u64, PendingRequest>;
 
@@ -190,8 +134,7 @@
                 is_usage_only: false,
             };
             GrantWork::add(&self.work.requests);
-            let reports = u64::try_from(teams.len()).unwrap_or(u64::MAX);
-            self.work.reports.fetch_add(reports, Ordering::Relaxed);
+            self.work.add_reports(teams.len());
             let pending = PendingRequest {
                 teams,
                 reported_at,
@@ -241,8 +184,7 @@
                         if is_first {
                             self.pacing().pacing.record_reply(age);
                         }
-                        let age = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
-                        self.work.longest_reply_ms.fetch_max(age, Ordering::Relaxed);
+                        self.work.record_reply_age(age);
                         self.allowance.apply_grants(&reply.grants, reported_at);
                         self.finish_reports(teams);
                     }
