Let only a quorum of voters prove that there is no leader

Cause: a gateway without a proof of its plan stops after L + apply_time, unless there is no leader. It took one answer "leader: unknown" for that, and kept it while later syncs were lost. A coordinator that is cut off or has just started says so while the others follow a leader, which acknowledges plans once the gateway's lease is over. Class: a conclusion about a quorum from one member. Ruled out by reading: the proof counts from the sending of the sync; a confirmation is of a plan in force. Change: voters say since when and as of when no leader could count on them (their refusal of votes is over). A gateway goes on only where a quorum of each membership that these voters name made no promise from the end of its lease until apply_time ago. The model also found that the end must not be included: a voter may follow a leader in the moment of its answer. At entries: they conclude nothing from coordinators that do not lead; a proof older than 2 s fails closed. Conclusion: the hole is closed by design. That the users' record came from it is the best explanation, not proved: it has no log of the gateway.

--- a/src/coordinator/api.rs
+++ b/src/coordinator/api.rs
@@ -23,17 +23,19 @@
     _peer: SystemPeer,
     body: Data<'_>,
     state: &State<Arc<CoordinatorState>>,
-) -> Result<Vec<u8>, (Status, String)> {
-    let failure = |status: Status| (status, String::new());
+) -> Result<Vec<u8>, (Status, Vec<u8>)> {
+    let failure = |status: Status| (status, Vec::new());
     let bytes = body.open(MAX_REPORT_MIB.mebibytes()).into_bytes().await;
     let bytes = bytes.map_err(|_| failure(Status::BadRequest))?;
     let report: GatewayReport =
         sync::decode("gateway report", &bytes).map_err(|_| failure(Status::BadRequest))?;
     match state.sync(report).await {
         Ok(reply) => sync::encode(&reply).map_err(|_| failure(Status::InternalServerError)),
-        Err(Error::NotLeader { leader }) => {
-            Err((Status::MisdirectedRequest, leader.unwrap_or_default()))
+        Err(Error::NotLeader { .. }) => {
+            let redirect = sync::encode(&state.redirect());
+            let redirect = redirect.map_err(|_| failure(Status::InternalServerError))?;
+            Err((Status::MisdirectedRequest, redirect))
         }
-        Err(error) => Err((Status::InternalServerError, error.to_string())),
+        Err(error) => Err((Status::InternalServerError, error.to_string().into_bytes())),
     }
 }
--- a/src/coordinator/state.rs
+++ b/src/coordinator/state.rs
@@ -22,7 +22,7 @@
     ids::{EntryKey, TeamId, Term},
     plan::PlanIndex,
     state::ControlState,
-    sync::{GatewayReply, GatewayReport, GrantReply, GrantRequest, TargetList},
+    sync::{GatewayReply, GatewayReport, GrantReply, GrantRequest, LeaderRedirect, TargetList},
     voter::{LeaderLease, PartRecorder, VoterHandle},
 };
 
@@ -174,6 +174,16 @@
         })
     }
 
+    /// Returns what gateways are told while this daemon does not lead.
+    pub(super) fn redirect(&self) -> LeaderRedirect {
+        let leader = self.voter.status().leader;
+        let addresses = self.voter.addresses();
+        LeaderRedirect {
+            leader: leader.and_then(|leader| addresses.system_address(&leader.vm)),
+            absence: self.voter.absence(),
+        }
+    }
+
     /// Publishes changed targets to gateways.
     pub(super) fn publish_targets(&self, tables: &mut LeaderTables) {
         match tables.engines.take_unpublished() {
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -1,6 +1,7 @@
 //! Gateway that forwards callers' requests to targets according to the serving plan; see
 //! docs/platform.md.
 
+mod absence_watch;
 mod admission;
 mod caller_server;
 mod config;
@@ -29,6 +30,7 @@
 mod targets;
 mod view;
 
+pub use absence_watch::AbsenceWatch;
 pub use config::GatewayConfig;
 pub use coordinator_list::CoordinatorList;
 pub use crash_watch::CrashWatch;
@@ -37,5 +39,5 @@
 pub use list_fallback::ListFallback;
 pub use loads::LoadAggregator;
 pub use part_watch::{PartReport, PartWatch, RequestParts};
-pub use plan_lease::{PlanLease, PlanStanding};
+pub use plan_lease::{DoubtfulTime, PlanLease, PlanStanding};
 pub use sync_pacing::SyncPacing;
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -183,9 +183,9 @@
     }
 
     fn plan_standing(&self) -> PlanStanding {
-        let is_leader_known = self.sync_client.is_leader_known();
-        self.plan_lease
-            .standing(self.view.proof_age(), is_leader_known)
+        self.plan_lease.standing(self.view.proof_age(), |doubtful| {
+            self.sync_client.was_leaderless(doubtful)
+        })
     }
 
     /// Returns the refusal of a request that the plan does not allow. A newer plan may allow it, so
--- a/src/gateway/sync_client.rs
+++ b/src/gateway/sync_client.rs
@@ -10,12 +10,14 @@
 use tokio::sync::Notify;
 
 use super::{
+    absence_watch::AbsenceWatch,
     config::GatewayConfig,
     coordinator_list::CoordinatorList,
     crash_watch::CrashWatch,
     list_fallback::ListFallback,
     loads::LoadExchange,
     part_watch::PartReport,
+    plan_lease::DoubtfulTime,
     proxy::random_duration,
     stream_origins::StreamOrigins,
     sync_pacing::SyncPacing,
@@ -30,8 +32,8 @@
     ids::{EntryKey, Incarnation},
     plan::{DocumentDelta, PlanIndex, PlanVersion},
     sync::{
-        self, GATEWAY_SYNC_PATH, GatewayReply, GatewayReport, ListVersion, PlanUpdate,
-        SECRET_HEADER, ServedModel, TargetDigest,
+        self, GATEWAY_SYNC_PATH, GatewayReply, GatewayReport, LeaderRedirect, ListVersion,
+        PlanUpdate, SECRET_HEADER, ServedModel, TargetDigest,
     },
 };
 
@@ -42,8 +44,8 @@
 /// Minimum and maximum interval between syncs while the leader is busy sending the full plan to
 /// other gateways.
 const PLAN_RETRY_INTERVAL: [Duration; 2] = [Duration::from_millis(80), Duration::from_millis(250)];
-/// Maximum size of a reply that names the leader.
-const MAX_ADDRESS_BYTES: usize = 256;
+/// Maximum size of a reply that names the leader and the voters.
+const MAX_REDIRECT_BYTES: usize = 4_096;
 /// Interval between syncs while requests wait for a model.
 const MODEL_RETRY_INTERVAL: Duration = Duration::from_millis(150);
 /// Interval at which the age of the leader's list is checked.
@@ -76,8 +78,8 @@
     /// When the leader's target list was read from the platform.
     listed_at: Option<Instant>,
     is_connected: bool,
-    /// Whether the coordinator that answered last led or named a leader.
-    is_leader_known: bool,
+    /// What voters have said of times without a leader.
+    absence: AbsenceWatch,
     /// Coordinator that answered the last sync; `None` after a failed one.
     synced_with: Option<SocketAddr>,
     sync_interval: Duration,
@@ -117,7 +119,7 @@
             coordinators: CoordinatorList::new(config.coordinators.clone()),
             listed_at: None,
             is_connected: false,
-            is_leader_known: false,
+            absence: AbsenceWatch::new(),
             synced_with: None,
             sync_interval: INITIAL_SYNC_INTERVAL,
             document: (0, Vec::new()),
@@ -173,10 +175,12 @@
         leader.filter(|_| state.is_connected)
     }
 
-    /// Returns whether a plan may be acknowledged that this gateway does not know: as far as the
-    /// coordinators say, there is a leader.
-    pub fn is_leader_known(&self) -> bool {
-        self.state().is_leader_known
+    /// Returns whether a quorum of voters has said that no leader can have acknowledged anything in a time.
+    pub fn was_leaderless(&self, doubtful: DoubtfulTime) -> bool {
+        let now = self.started_at.elapsed();
+        let began = now.saturating_sub(doubtful.began_ago);
+        let ended = now.saturating_sub(doubtful.ended_ago);
+        self.state().absence.was_leaderless(began, ended)
     }
 
     /// Applies a plan that the leader has sent between two syncs, and returns the version in force; `None`
@@ -229,7 +233,7 @@
                 continue;
             };
             let synced = self.sync_once(coordinator).await;
-            self.record_leader_state(synced.as_ref().err());
+            self.record_connection(synced.as_ref().err());
             if let Err(error) = &synced {
                 let delay = self.record_failure(coordinator, error, started_at.elapsed());
                 tokio::time::sleep(delay).await;
@@ -269,14 +273,8 @@
         state.pacing.record_failure(elapsed, interval, &mut rng)
     }
 
-    fn record_leader_state(&self, error: Option<&Error>) {
+    fn record_connection(&self, error: Option<&Error>) {
         let mut state = self.state();
-        match error {
-            None => state.is_leader_known = true,
-            Some(Error::NotLeader { leader }) => state.is_leader_known = leader.is_some(),
-            // No coordinator has said anything.
-            Some(_) => {}
-        }
         if state.is_connected == error.is_none() {
             return;
         }
@@ -371,6 +369,7 @@
             peer: coordinator.to_string(),
             reason: error.to_string(),
         };
+        let sent_at = self.started_at.elapsed();
         let response = self
             .http_client
             .post(format!("http://{coordinator}{GATEWAY_SYNC_PATH}"))
@@ -382,10 +381,9 @@
             .map_err(transport_error)?;
         if response.status() == reqwest::StatusCode::MISDIRECTED_REQUEST {
             let peer = coordinator.to_string();
-            let leader = client::read_body(&peer, response, MAX_ADDRESS_BYTES).await?;
-            let leader = String::from_utf8_lossy(&leader).into_owned();
-            let leader = Some(leader).filter(|leader| !leader.is_empty());
-            return Err(Error::NotLeader { leader });
+            let body = client::read_body(&peer, response, MAX_REDIRECT_BYTES).await?;
+            let redirect: LeaderRedirect = sync::decode("redirect", &body)?;
+            return Err(self.apply_redirect(&redirect, sent_at));
         }
         let response = response.error_for_status().map_err(transport_error)?;
         let peer = coordinator.to_string();
@@ -393,6 +391,16 @@
         sync::decode("gateway reply", &body)
     }
 
+    fn apply_redirect(&self, redirect: &LeaderRedirect, sent_at: Duration) -> Error {
+        let received_at = self.started_at.elapsed();
+        if let Some(report) = &redirect.absence {
+            self.state().absence.record(report, sent_at, received_at);
+        }
+        Error::NotLeader {
+            leader: redirect.leader.map(|leader| leader.to_string()),
+        }
+    }
+
     fn apply_reply(&self, reply: GatewayReply, sent_at: Instant) {
         let applied = reply
             .plan
--- a/src/raft/core.rs
+++ b/src/raft/core.rs
@@ -272,6 +272,16 @@
         self.leader.as_ref()
     }
 
+    /// Returns the time from which no leader counts on this member, unless it follows one again; `None` while
+    /// it leads.
+    #[must_use]
+    pub fn support_end(&self) -> Option<Duration> {
+        match self.role {
+            RoleState::Leader(_) => None,
+            _ => Some(self.refuse_votes_until),
+        }
+    }
+
     /// Returns the membership in force, which may be uncommitted.
     #[must_use]
     pub fn membership(&self) -> &Membership {
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -6,6 +6,7 @@
 mod load;
 mod parts;
 mod plan_news;
+mod redirect;
 mod reply;
 mod report;
 mod request;
@@ -21,6 +22,7 @@
     CompletedPart, CrashEvidence, CrashedPart, PartKind, PartSection, SuspectPart, TargetCrash,
 };
 pub use plan_news::{PlanConfirmation, PlanNews};
+pub use redirect::{AbsenceReport, LeaderRedirect};
 pub use reply::{
     AvoidedSection, ConfigSection, CrashSection, ResidencySection, ResidentModel, SyncReply,
     TargetLoad,
--- a/src/voter.rs
+++ b/src/voter.rs
@@ -3,6 +3,7 @@
 //! One thread owns the consensus core and the journal, and is the only writer of the state; see
 //! docs/design.md, section 5.
 
+mod absence;
 mod address_book;
 mod applier;
 mod driver;
@@ -22,6 +23,7 @@
 mod status;
 mod thread;
 
+pub use absence::VoterAbsence;
 pub use address_book::AddressBook;
 pub(crate) use driver::unix_time_ms;
 pub use handle::VoterHandle;
--- a/src/voter/driver.rs
+++ b/src/voter/driver.rs
@@ -6,7 +6,7 @@
 use spdlog::prelude::*;
 
 use super::{
-    AddressBook, LeaderLease, PeerMessages, PeerSender, VoterPhase, VoterSettings,
+    AddressBook, LeaderLease, PeerMessages, PeerSender, VoterAbsence, VoterPhase, VoterSettings,
     applier::StateApplier,
     level_reports::LevelReports,
     pending::{PendingStage, PendingTable, send_answer},
@@ -279,6 +279,11 @@
             term,
             until: self.started + until,
         }));
+        let absence = self
+            .core
+            .support_end()
+            .and_then(|end| VoterAbsence::new(self.started + end, self.started + now));
+        self.shared.set_absence(absence);
         let applied = self.shared.state().applied();
         // If an entry of the current term is applied, so are all entries of earlier terms.
         let has_applied_term = self.applier.last_term() == term;
--- a/src/voter/handle.rs
+++ b/src/voter/handle.rs
@@ -19,7 +19,7 @@
     journal::OpenedJournal,
     raft::{MemberChange, Membership, RaftRole},
     state::{Command, ControlState, Outcome},
-    sync::PartSection,
+    sync::{AbsenceReport, PartSection},
 };
 
 /// Maximum number of concurrent proposals, changes and reads; further ones wait for a free slot
@@ -145,6 +145,19 @@
         self.shared.lease().filter(LeaderLease::is_valid)
     }
 
+    /// Returns what this voter can say of a time without a leader; `None` while it leads, may support a
+    /// leader, or is not a voter.
+    #[must_use]
+    pub fn absence(&self) -> Option<AbsenceReport> {
+        // Read before the status, which is published later: a voter that has followed another leader since
+        // would report its membership with an older time.
+        let absence = self.shared.absence()?;
+        let status = self.status();
+        let voters = status.membership.voters;
+        let is_voter = voters.contains(&status.id);
+        is_voter.then(|| absence.report(status.id, voters))
+    }
+
     /// Returns a receiver of the last applied index.
     #[must_use]
     pub fn watch_applied(&self) -> watch::Receiver<LogIndex> {
--- a/src/voter/shared.rs
+++ b/src/voter/shared.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync::watch;
 
-use super::{LeaderLease, VoterPhase, VoterStatus};
+use super::{LeaderLease, VoterAbsence, VoterPhase, VoterStatus};
 use crate::{ids::LogIndex, raft::RaftRole, state::ControlState};
 
 /// State that the voter thread shares with the handles.
@@ -12,6 +12,7 @@
     state: RwLock<ControlState>,
     status: RwLock<VoterStatus>,
     lease: Mutex<Option<LeaderLease>>,
+    absence: Mutex<Option<VoterAbsence>>,
     /// Number of queued batches of peer messages, which is limited.
     pub queued_messages: AtomicUsize,
     /// Index of the last applied entry.
@@ -25,6 +26,7 @@
         Self {
             state: RwLock::default(),
             lease: Mutex::default(),
+            absence: Mutex::default(),
             queued_messages: AtomicUsize::new(0),
             applied: watch::channel(0).0,
             phase: watch::channel(status.phase).0,
@@ -65,9 +67,18 @@
         *self.lease.lock().unwrap_or_else(PoisonError::into_inner) = lease;
     }
 
+    pub fn absence(&self) -> Option<VoterAbsence> {
+        *self.absence.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub fn set_absence(&self, absence: Option<VoterAbsence>) {
+        *self.absence.lock().unwrap_or_else(PoisonError::into_inner) = absence;
+    }
+
     /// Marks the voter as stopped.
     pub fn stop(&self) {
         self.set_lease(None);
+        self.set_absence(None);
         self.update_status(|status| {
             status.phase = VoterPhase::Stopped;
             status.role = RaftRole::Follower;
--- a/tests/model_plans.rs
+++ b/tests/model_plans.rs
@@ -10,12 +10,19 @@
 use rstest::rstest;
 use waxwinglatch::{
     coordinator::PlanConfirmations,
-    gateway::{PlanLease, PlanStanding},
+    gateway::{AbsenceWatch, DoubtfulTime, PlanLease, PlanStanding},
     ids::EntryKey,
+    raft::VoterId,
+    sync::AbsenceReport,
 };
 
 const TICK: Duration = Duration::from_secs(1);
 const GATEWAYS: usize = 2;
+/// Voters of the log, of which two are a quorum.
+const VOTERS: usize = 3;
+/// Ticks for which a voter that has followed a leader supports no other, and in which a leader may count on
+/// it.
+const SUPPORT: u8 = 1;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Fault {
@@ -30,9 +37,38 @@
     NewsIsProof,
     /// A gateway without a proof goes on by its plan.
     RunsWithoutProof,
+    /// A gateway goes on by its plan after one coordinator has said that it knows no leader, until another
+    /// names one.
+    OneVoterDecides,
+    /// A voter that has just started says that it has followed no leader.
+    StartForgetsSupport,
+    /// A gateway asks whether there is a leader now, not whether there was one since its lease ended.
+    OnlyNowCounts,
+}
+
+/// A question to a voter on its way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Question {
+    None,
+    Sent {
+        voter: usize,
+        at: u8,
+    },
+    Answered {
+        voter: usize,
+        sent_at: u8,
+        answered_at: u8,
+        supports_until: u8,
+    },
+}
+
+/// Time in which a voter supported no leader, as the gateway may take it from an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Answer {
+    began: u8,
+    ended: u8,
 }
 
-/// A sync of a gateway on its way.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 enum Sync {
     None,
@@ -60,6 +96,15 @@
     reports: [Option<(u8, u8)>; GATEWAYS],
     /// News on their way.
     news: [bool; GATEWAYS],
+    /// Until when a leader can count on each voter. Voters that are cut off follow none.
+    supports_until: [u8; VOTERS],
+    /// Until when the first voter, which may have started anew, says that a leader could count on it.
+    remembered: u8,
+    /// Question of the first gateway, and the last answer of each voter to it.
+    question: Question,
+    answers: [Option<Answer>; VOTERS],
+    /// Whether the voter that answered last knew no leader.
+    is_leader_unknown: bool,
 }
 
 #[derive(Debug)]
@@ -73,6 +118,11 @@
     ReceiveNews(#[allow(dead_code)] usize),
     Acknowledge,
     ChangeLeader,
+    FollowLeader(#[allow(dead_code)] usize),
+    StartVoter(#[allow(dead_code)] usize),
+    AskVoter(#[allow(dead_code)] usize),
+    AnswerQuestion,
+    ReceiveAnswer,
 }
 
 struct PlanModel {
@@ -82,6 +132,8 @@
     /// Length of a lease and time in which an acknowledged plan must be in force, each in ticks.
     bound: u8,
     last_tick: u8,
+    /// Whether leaders need the support of voters, which gateways ask whether there is a leader.
+    has_voters: bool,
 }
 
 fn key(gateway: usize) -> EntryKey {
@@ -91,6 +143,10 @@
     }
 }
 
+fn voter_id(voter: usize) -> VoterId {
+    VoterId::new(format!("core-{voter}"), 1)
+}
+
 fn ticks(count: u8) -> Duration {
     TICK * u32::from(count)
 }
@@ -110,21 +166,62 @@
         confirmations
     }
 
+    /// Returns whether a leader may act, which it does only with a lease.
+    fn has_lease(&self, state: &State) -> bool {
+        let support = state.supports_until.iter();
+        let support = support.filter(|until| state.now < **until).count();
+        !self.has_voters || support > VOTERS / 2
+    }
+
     fn can_acknowledge(&self, state: &State) -> bool {
+        if !self.has_lease(state) {
+            return false;
+        }
         self.fault == Fault::AcknowledgedAtCommit
             || self
                 .confirmations(state)
                 .is_confirmed(u64::from(state.newest), ticks(state.now))
     }
 
-    fn standing(&self, gateway: Gateway, now: u8) -> PlanStanding {
+    /// Returns whether the first gateway holds that nothing was acknowledged in a time.
+    fn was_leaderless(&self, state: &State, began: Duration, ended: Duration) -> bool {
+        if self.fault == Fault::OneVoterDecides {
+            return state.is_leader_unknown;
+        }
+        let mut watch = AbsenceWatch::new();
+        for (voter, answer) in state.answers.iter().enumerate() {
+            let Some(answer) = answer else {
+                continue;
+            };
+            let report = AbsenceReport {
+                voter: voter_id(voter),
+                voters: (0..VOTERS).map(voter_id).collect(),
+                began_ms: 0,
+                ended_ms: 0,
+            };
+            watch.record(&report, ticks(answer.ended), ticks(answer.began));
+        }
+        let began = match self.fault {
+            Fault::OnlyNowCounts => ended,
+            _ => began,
+        };
+        watch.was_leaderless(began, ended)
+    }
+
+    fn standing(&self, state: &State, index: usize) -> PlanStanding {
+        let (gateway, now) = (state.gateways[index], state.now);
         let lease = PlanLease {
             length: ticks(self.bound),
             apply_time: ticks(self.bound),
-            leaderless_time: Duration::ZERO,
+            leaderless_time: ticks(self.last_tick),
         };
         let age = gateway.proved_at.map(|at| ticks(now - at));
-        match lease.standing(age, true) {
+        let was_leaderless = |doubtful: DoubtfulTime| {
+            let began = ticks(now).saturating_sub(doubtful.began_ago);
+            let ended = ticks(now).saturating_sub(doubtful.ended_ago);
+            index == 0 && self.has_voters && self.was_leaderless(state, began, ended)
+        };
+        match lease.standing(age, was_leaderless) {
             PlanStanding::Outdated if self.fault == Fault::RunsWithoutProof => {
                 PlanStanding::Running
             }
@@ -133,6 +230,73 @@
     }
 }
 
+impl PlanModel {
+    /// Adds what voters do: any of them follows a leader at any time or, if it is cut off, at none, is
+    /// started anew, and answers the first gateway's questions.
+    fn add_voter_actions(&self, state: &State, add: &mut impl FnMut(Action, &dyn Fn(&mut State))) {
+        for voter in 0..VOTERS {
+            if state.supports_until[voter] < state.now + SUPPORT {
+                add(Action::FollowLeader(voter), &|state| {
+                    state.supports_until[voter] = state.now + SUPPORT;
+                    if voter == 0 {
+                        state.remembered = state.now + SUPPORT;
+                    }
+                });
+            }
+            // One voter that starts anew shows it for all.
+            if voter == 0 {
+                add(Action::StartVoter(voter), &|state| {
+                    // What a leader may count on outlasts the process.
+                    state.remembered = match self.fault {
+                        Fault::StartForgetsSupport => 0,
+                        _ => state.now + SUPPORT,
+                    };
+                });
+            }
+        }
+        let is_doubtful = state.gateways[0]
+            .proved_at
+            .is_some_and(|at| state.now > at + self.bound);
+        match state.question {
+            Question::None if is_doubtful => {
+                for voter in 0..VOTERS {
+                    add(Action::AskVoter(voter), &|state| {
+                        let at = state.now;
+                        state.question = Question::Sent { voter, at };
+                    });
+                }
+            }
+            Question::None => {}
+            Question::Sent { voter, at } => add(Action::AnswerQuestion, &|state| {
+                state.question = Question::Answered {
+                    voter,
+                    sent_at: at,
+                    answered_at: state.now,
+                    supports_until: match voter {
+                        0 => state.remembered,
+                        _ => state.supports_until[voter],
+                    },
+                };
+            }),
+            Question::Answered {
+                voter,
+                sent_at,
+                answered_at,
+                supports_until,
+            } => add(Action::ReceiveAnswer, &|state| {
+                state.question = Question::None;
+                state.is_leader_unknown =
+                    self.fault == Fault::OneVoterDecides && supports_until <= answered_at;
+                let age = answered_at.checked_sub(supports_until);
+                state.answers[voter] = age.map(|age| Answer {
+                    began: state.now - age,
+                    ended: sent_at,
+                });
+            }),
+        }
+    }
+}
+
 impl Specification for PlanModel {
     type State = State;
     type Action = Action;
@@ -143,14 +307,25 @@
             proved_at: None,
             sync: Sync::None,
         };
+        // With voters, the first gateway has just been answered, and hears of no plan after that.
+        let answered = self.has_voters.then_some(0);
+        let mut gateways = [gateway; GATEWAYS];
+        gateways[0].proved_at = answered;
+        let mut reports = [None; GATEWAYS];
+        reports[0] = answered.map(|at| (1, at));
         State {
             now: 0,
             newest: 1,
             acknowledged_at: None,
             took_over_at: None,
-            gateways: [gateway; GATEWAYS],
-            reports: [None; GATEWAYS],
+            gateways,
+            reports,
             news: [false; GATEWAYS],
+            supports_until: [SUPPORT; VOTERS],
+            remembered: SUPPORT,
+            question: Question::None,
+            answers: [None; VOTERS],
+            is_leader_unknown: false,
         }
     }
 
@@ -166,6 +341,7 @@
         }
         for (index, gateway) in state.gateways[..self.gateways].iter().enumerate() {
             match gateway.sync {
+                Sync::None if self.has_voters => {}
                 Sync::None => add(Action::SendSync(index), &|state| {
                     let gateway = &mut state.gateways[index];
                     gateway.sync = Sync::Sent {
@@ -217,7 +393,7 @@
                 state.newest += 1;
                 state.acknowledged_at = None;
                 // News of an earlier plan may arrive later than this.
-                state.news = [state.newest == 2; GATEWAYS];
+                state.news = [state.newest == 2 && !self.has_voters; GATEWAYS];
             });
         }
         if state.newest > 1 && state.acknowledged_at.is_none() && self.can_acknowledge(state) {
@@ -225,7 +401,10 @@
                 state.acknowledged_at = Some(state.now);
             });
         }
-        if state.took_over_at.is_none() {
+        if self.has_voters {
+            self.add_voter_actions(state, &mut add);
+        }
+        if state.took_over_at.is_none() && !self.has_voters {
             add(Action::ChangeLeader, &|state| {
                 state.took_over_at = Some(state.now);
                 state.reports = [None; GATEWAYS];
@@ -236,9 +415,9 @@
 
     fn violation(&self, state: &State) -> Option<&'static str> {
         let acknowledged_at = state.acknowledged_at?;
-        let behind = state.gateways.iter();
-        let mut behind = behind.filter(|gateway| gateway.version < state.newest);
-        behind.find_map(|gateway| match self.standing(*gateway, state.now) {
+        let mut behind =
+            (0..GATEWAYS).filter(|index| state.gateways[*index].version < state.newest);
+        behind.find_map(|index| match self.standing(state, index) {
             PlanStanding::Leased => Some("acknowledged under a lease on an older plan"),
             PlanStanding::Running if state.now >= acknowledged_at + self.bound => {
                 Some("a request runs by an older plan")
@@ -263,10 +442,41 @@
         gateways,
         bound,
         last_tick,
+        has_voters: false,
     };
     assert_holds("plan leases", &model, min_states);
 }
 
+/// Guards against gateways that took one coordinator's word for the lack of a leader (CONFIG): voters are cut
+/// off, answer late or have just started while others support a leader that acknowledges a plan.
+#[test]
+fn plan_is_in_force_in_time_where_voters_know_no_leader() {
+    let model = PlanModel {
+        fault: Fault::None,
+        gateways: 1,
+        bound: 1,
+        last_tick: 3,
+        has_voters: true,
+    };
+    assert_holds("plan leases with voters", &model, 100_000);
+}
+
+#[rstest]
+#[case::one_voter_decides(Fault::OneVoterDecides)]
+#[case::start_forgets_support(Fault::StartForgetsSupport)]
+#[case::only_now_counts(Fault::OnlyNowCounts)]
+fn seeded_fault_of_gateways_without_a_leader_is_found(#[case] fault: Fault) {
+    let model = PlanModel {
+        fault,
+        gateways: 1,
+        bound: 1,
+        last_tick: 3,
+        has_voters: true,
+    };
+    let property = "a request runs by an older plan";
+    assert_violates(&format!("{fault:?}"), &model, property);
+}
+
 #[rstest]
 #[case::acknowledged_at_commit(
     Fault::AcknowledgedAtCommit,
@@ -285,6 +495,7 @@
         gateways: 1,
         bound: 2,
         last_tick: 5,
+        has_voters: false,
     };
     assert_violates(&format!("{fault:?}"), &model, property);
 }
--- a/tests/plan_fleet.rs
+++ b/tests/plan_fleet.rs
@@ -255,7 +255,7 @@
     fn check(&self, number: usize) {
         let gateway = &self.gateways[number];
         let age = gateway.proved_at.map(|at| self.now.saturating_sub(at));
-        let standing = LEASE.standing(age, true);
+        let standing = LEASE.standing(age, |_| false);
         let newer = self.acknowledged.iter();
         let mut newer = newer.filter(|(version, _)| *version > gateway.version);
         let is_leased = standing == PlanStanding::Leased;
