Measure leases and proofs on a clock that counts suspended time

Cause: leader leases, votes and proofs were measured by std::time::Instant, which stands still while a VM is suspended (DEPLOY.md says that VMs are). A leader that resumes holds its lease for valid for up to 640 ms although another leads and has acknowledged plans, and proves its older plan to gateways that sync in this time. Change: BootInstant (CLOCK_BOOTTIME, by the crate nix) for the voter's clock, leader leases, absences, and the proofs at gateways and at entries. Test: the clock is compared with the kernel's uptime. It fails on a clock without suspended time only where the VM has been suspended; this machine's has not, so it was not seen to fail here. Conclusion: closed by design, suspected only.

--- a/src/entry/stream_guard.rs
+++ b/src/entry/stream_guard.rs
@@ -1,6 +1,6 @@
 use std::{sync::Arc, time::Duration};
 
-use tokio::{sync::watch, time::Instant};
+use tokio::sync::watch;
 
 use super::{context::Caller, view::SharedView};
 use crate::ids::Revision;
@@ -35,16 +35,15 @@
                 Some(key) if key.team == caller.team => {}
                 _ => return "the key was revoked",
             }
-            let expiry = view
+            let remaining = view
                 .confirmed_at
-                .map(|requested_at| Instant::from_std(requested_at + self.freshness_bound))
-                .filter(|expiry| *expiry > Instant::now());
-            let Some(expiry) = expiry else {
+                .and_then(|requested_at| self.freshness_bound.checked_sub(requested_at.elapsed()));
+            let Some(remaining) = remaining.filter(|remaining| !remaining.is_zero()) else {
                 return "this entry can no longer prove that the key is valid";
             };
             tokio::select! {
                 _ = self.revisions.changed() => {}
-                () = tokio::time::sleep_until(expiry) => {}
+                () = tokio::time::sleep(remaining) => {}
             }
         }
     }
--- a/src/entry/sync_follower.rs
+++ b/src/entry/sync_follower.rs
@@ -4,7 +4,7 @@
         Arc,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use reqwest::Client;
@@ -18,6 +18,7 @@
 use crate::{
     allowance::ShareReport,
     client,
+    clock::BootInstant,
     config::EntryConfig,
     error::{Error, Result},
     gateway::CrashWatch,
@@ -195,7 +196,7 @@
         };
         // The demand of a failed sync is dropped: the planner smooths demand, and counting it twice
         // would be worse than missing it.
-        let requested_at = Instant::now();
+        let requested_at = BootInstant::now();
         let reply = self.send(control, &request).await?;
         if reply.serial != serial {
             return Err(Error::Decode {
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -9,6 +9,7 @@
 use super::crash_snapshot::CrashSnapshot;
 use crate::{
     border::FleetConfig,
+    clock::BootInstant,
     fleet::FleetIndex,
     ids::{ModelId, Revision, TargetId, TeamId, Term, VersionId},
     sync::{ConfigSection, ResidencySection, ResidentModel, SyncReply, TargetLoad},
@@ -37,7 +38,7 @@
     /// Requests that crashed targets.
     pub crashes: Arc<CrashSnapshot>,
     /// Send time of the last sync that the leader confirmed; `None` before the first one.
-    pub confirmed_at: Option<Instant>,
+    pub confirmed_at: Option<BootInstant>,
 }
 
 impl EntryView {
@@ -56,7 +57,7 @@
 
     /// Returns the view after the reply to a sync that was sent at `requested_at`.
     #[must_use]
-    pub fn with_reply(mut self, reply: SyncReply, requested_at: Instant) -> Self {
+    pub fn with_reply(mut self, reply: SyncReply, requested_at: BootInstant) -> Self {
         match reply.config {
             // Revisions only increase, even if replies arrive out of order.
             ConfigSection::Snapshot(revision, config) if revision > self.revision => {
@@ -166,7 +167,7 @@
 
     /// Applies the reply to a sync that was sent at `requested_at`, and returns the revision if it
     /// is new.
-    pub fn update(&self, mut reply: SyncReply, requested_at: Instant) -> Option<Revision> {
+    pub fn update(&self, mut reply: SyncReply, requested_at: BootInstant) -> Option<Revision> {
         let update = SyncUpdate {
             received: Instant::now(),
             term: reply.term,
--- a/src/gateway/sync_client.rs
+++ b/src/gateway/sync_client.rs
@@ -27,6 +27,7 @@
 use crate::{
     adapter::PlatformAdapter,
     client,
+    clock::BootInstant,
     entry::SharedAllowance,
     error::{Error, Result},
     ids::{EntryKey, Incarnation},
@@ -54,7 +55,7 @@
 /// Client that synchronises plan, targets and token grants of a gateway with the leading
 /// coordinator.
 pub struct SyncClient {
-    started_at: Instant,
+    started_at: BootInstant,
     key: EntryKey,
     config: GatewayConfig,
     adapter: Arc<dyn PlatformAdapter>,
@@ -129,7 +130,7 @@
             list_fallback: ListFallback::new(config.list_calls_per_second),
         };
         Self {
-            started_at: Instant::now(),
+            started_at: BootInstant::now(),
             key: EntryKey {
                 vm: config.vm.clone(),
                 incarnation,
@@ -309,7 +310,7 @@
             unresponsive: self.targets.silent_targets(),
             missing_models: wanted.iter().cloned().collect(),
         };
-        let sent_at = Instant::now();
+        let sent_at = BootInstant::now();
         match self.send_report(coordinator, &report).await {
             Ok(reply) => {
                 if reply.are_streams_recorded {
@@ -401,7 +402,7 @@
         }
     }
 
-    fn apply_reply(&self, reply: GatewayReply, sent_at: Instant) {
+    fn apply_reply(&self, reply: GatewayReply, sent_at: BootInstant) {
         let applied = reply
             .plan
             .as_ref()
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -1,10 +1,11 @@
 use std::{
     collections::HashMap,
     sync::{Arc, Mutex, PoisonError, RwLock},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use crate::{
+    clock::BootInstant,
     plan::PlanIndex,
     sync::{ModelRequests, ServedModel},
 };
@@ -14,7 +15,7 @@
 pub struct PlanView {
     plan: RwLock<Option<Arc<PlanIndex>>>,
     /// Start of the last sync in which the leader had no newer plan.
-    proved_at: RwLock<Option<Instant>>,
+    proved_at: RwLock<Option<BootInstant>>,
 }
 
 impl PlanView {
@@ -25,7 +26,7 @@
     }
 
     /// Records that the plan was the newest one at `proved_at`.
-    pub fn record_proof(&self, proved_at: Instant) {
+    pub fn record_proof(&self, proved_at: BootInstant) {
         let mut known = self
             .proved_at
             .write()
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod border;
 pub mod clap_app;
 pub mod client;
+pub mod clock;
 pub mod code;
 pub mod config;
 pub mod control;
--- a/src/voter/driver.rs
+++ b/src/voter/driver.rs
@@ -15,6 +15,7 @@
     snapshot_buffers::SnapshotBuffers,
 };
 use crate::{
+    clock::BootInstant,
     error::{Error, Result},
     ids::{CommandLevel, LogIndex, Term},
     journal::{Journal, Snapshot},
@@ -37,7 +38,7 @@
     pub addresses: Arc<AddressBook>,
     pub peers: Box<dyn PeerSender>,
     /// Instant at which the clock of the core is zero.
-    pub started: Instant,
+    pub started: BootInstant,
     pub core: RaftCore,
     pub journal: Journal,
     pub applier: StateApplier,
--- a/src/voter/thread.rs
+++ b/src/voter/thread.rs
@@ -11,6 +11,7 @@
     request::VoterRequest, shared::SharedVoter, snapshot_buffers::SnapshotBuffers,
 };
 use crate::{
+    clock::BootInstant,
     error::Result,
     journal::{DataFolder, OpenedJournal, RecoveredLog},
     raft::{Membership, RaftCore, RaftRole, RestoredState, SnapshotMeta, VoterId},
@@ -80,7 +81,7 @@
             meta.index,
             restore_started.elapsed()
         );
-        let started = Instant::now();
+        let started = BootInstant::now();
         let driver = VoterDriver {
             snapshot: snapshot.is_some().then_some(meta.index),
             state_bytes: snapshot.as_ref().map_or(0, |snapshot| snapshot.state.len()),
