Let gateways without a plan hold up no acknowledgement

Class: absence of state taken for old state. Change: a sync without a plan gives no lease. The reply with the first plan does, before it is sent, since the gateway may put it in force; a further sync without a plan shows that this reply was lost. A gateway that has lost the document of its plan keeps its lease. Test: gateways_without_a_plan_hold_up_no_plan fails under the former rule (run with it put back) and passes now. At entries nothing is acknowledged by what entries hold, so that the class does not exist there.

--- a/src/coordinator/plan_confirmations.rs
+++ b/src/coordinator/plan_confirmations.rs
@@ -20,6 +20,8 @@
 struct LeasedPlan {
     version: PlanVersion,
     until: Duration,
+    /// Whether the gateway has said that it has the plan; otherwise it was sent to it.
+    is_reported: bool,
 }
 
 impl PlanConfirmations {
@@ -34,21 +36,39 @@
         }
     }
 
-    /// Records a sync of a gateway, which renews its lease. Returns whether it confirms a newer plan
-    /// than before.
+    /// Records a sync of a gateway, which renews its lease. One without a plan (version 0) gets none: it runs
+    /// nothing until a plan is sent to it. Returns whether plans may wait for fewer gateways than before.
     pub fn record_report(
         &mut self,
         gateway: &EntryKey,
         version: PlanVersion,
         now: Duration,
     ) -> bool {
-        let until = now + self.lease;
-        let known = self.gateways.entry(gateway.clone());
-        let leased = known.or_insert(LeasedPlan { version: 0, until });
-        leased.until = until;
-        let is_newer = leased.version < version;
-        leased.version = leased.version.max(version);
-        is_newer
+        let known = self.gateways.get(gateway).copied();
+        if version == 0 {
+            // A gateway syncs again only after it has given up the reply with its first plan.
+            let is_lost = known.is_some_and(|known| !known.is_reported);
+            return is_lost && self.gateways.remove(gateway).is_some();
+        }
+        let before = known.map_or(0, |known| known.version);
+        let leased = LeasedPlan {
+            version: before.max(version),
+            until: now + self.lease,
+            is_reported: true,
+        };
+        self.gateways.insert(gateway.clone(), leased);
+        before < version
+    }
+
+    /// Records that a gateway without a plan is sent its first one, which it may have in force from now on.
+    pub fn record_first_plan(&mut self, gateway: &EntryKey, version: PlanVersion, now: Duration) {
+        let leased = LeasedPlan {
+            version,
+            until: now + self.lease,
+            is_reported: false,
+        };
+        // A gateway that has lost the document of its plan still runs by it.
+        self.gateways.entry(gateway.clone()).or_insert(leased);
     }
 
     /// Records that a gateway has put a plan in force. Its lease is not renewed, since the gateway learns
@@ -57,6 +77,7 @@
         match self.gateways.get_mut(gateway) {
             Some(leased) if leased.version < version => {
                 leased.version = version;
+                leased.is_reported = true;
                 true
             }
             _ => false,
--- a/src/coordinator/state.rs
+++ b/src/coordinator/state.rs
@@ -22,7 +22,10 @@
     ids::{EntryKey, TeamId, Term},
     plan::PlanIndex,
     state::ControlState,
-    sync::{GatewayReply, GatewayReport, GrantReply, GrantRequest, LeaderRedirect, TargetList},
+    sync::{
+        GatewayReply, GatewayReport, GrantReply, GrantRequest, LeaderRedirect, PlanUpdate,
+        TargetList,
+    },
     voter::{LeaderLease, PartRecorder, VoterHandle},
 };
 
@@ -367,7 +370,7 @@
         lease: LeaderLease,
     ) -> GatewayReply {
         let now = self.now();
-        let tables = self.tables(lease);
+        let mut tables = self.tables(lease);
         let plan = self
             .plans()
             .update_since(report.plan_version, now)
@@ -379,6 +382,10 @@
                 );
                 None
             });
+        if let (0, Some(PlanUpdate::Full { version, .. })) = (report.plan_version, &plan) {
+            let confirmations = &mut tables.confirmations;
+            confirmations.record_first_plan(&report.gateway, *version, now);
+        }
         let targets = match tables.listed_at {
             Some(_) => tables.target_changes(report),
             None => None,
--- a/tests/plan_fleet.rs
+++ b/tests/plan_fleet.rs
@@ -314,3 +314,30 @@
         fleet.longest_wait
     );
 }
+
+/// Guards against changes that no operator gets acknowledged while gateways start (CONFIG): a gateway without a
+/// plan counted as one with a lease on an older plan, so that each of its syncs held up all plans.
+///
+/// Pattern: most gateways of a large fleet lost power, and their syncs are answered late or not at all.
+#[test]
+fn gateways_without_a_plan_hold_up_no_plan() {
+    let mut confirmations = PlanConfirmations::new(BOUND, Duration::ZERO);
+    for second in 0..20 {
+        let now = Duration::from_secs(second);
+        for gateway in 0..291 {
+            let held = if gateway < 100 { 8 } else { 0 };
+            confirmations.record_report(&key(gateway), held, now);
+        }
+        assert!(confirmations.is_confirmed(8, now), "after {now:?}");
+        // One in ten is sent a plan, which is lost.
+        for gateway in (100..291).step_by(10) {
+            confirmations.record_first_plan(&key(gateway), 8, now);
+        }
+    }
+    let last = Duration::from_secs(19);
+    assert_eq!(confirmations.count_behind(9, last), 120);
+    // A gateway that has lost the document of its plan still runs by it.
+    confirmations.record_report(&key(0), 0, last);
+    confirmations.record_first_plan(&key(0), 9, last);
+    assert_eq!(confirmations.count_behind(9, last), 120);
+}
