Answer syncs of large fleets at all coordinators

Cause: all that gateways need comes from one process, though most of it is the same for every coordinator. Class: work that grows with the fleet on the one process that cannot be multiplied. Ruled out: a slower sync interval (plans and lists come later, recoveries cost the same). Change: in a fleet of more than 20 gateways the other coordinators answer syncs in the leader's place (docs/design.md, section 20). They follow the leader by one sync each 100 ms, prove plans as of their last one, and report their gateways; the leader acknowledges a plan once each delegate and each gateway has it or has no lease left. Gateways rank delegates by a hash. Orders, tokens, changes and records stay with the leader. Open: the leader's tasks are still 30 to 150 ms late after a takeover: rounds, polls of engines and tokens.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -39,6 +39,12 @@
     pub fn saturating_since(&self, earlier: Self) -> Duration {
         self.0.saturating_sub(earlier.0)
     }
+
+    /// Returns the moment that lies some time before this one, at the earliest that of the boot.
+    #[must_use]
+    pub fn saturating_sub(&self, duration: Duration) -> Self {
+        Self(self.0.saturating_sub(duration))
+    }
 }
 
 impl Add<Duration> for BootInstant {
--- a/src/coordinator/acknowledgement.rs
+++ b/src/coordinator/acknowledgement.rs
@@ -2,7 +2,10 @@
 
 use spdlog::prelude::*;
 
-use super::{plan_pusher::LaggingGateway, state::CoordinatorState};
+use super::{
+    gateway_table::GatewayTable, plan_confirmations::PlanConfirmations,
+    plan_pusher::LaggingGateway, state::CoordinatorState,
+};
 use crate::{
     error::{Error, Result},
     ids::EntryKey,
@@ -54,6 +57,9 @@
     /// Records that a gateway has put a plan in force.
     pub(super) fn confirm_plan(&self, confirmation: &PlanConfirmation) {
         let Ok(lease) = self.lease() else {
+            if self.delegate().confirm(confirmation) {
+                self.delegate_due.notify_one();
+            }
             return;
         };
         let (gateway, version) = (&confirmation.gateway, confirmation.version);
@@ -62,24 +68,38 @@
         }
     }
 
-    /// Returns at most `count` gateways that lack the newest plan and are due to be told of it; none when
-    /// this daemon does not lead.
+    /// Returns at most `count` gateways that lack the newest plan and are due to be told of it, of
+    /// those that sync with this coordinator.
     pub(super) fn lagging_gateways(
         &self,
         count: usize,
         is_due: impl Fn(&EntryKey, PlanVersion) -> bool,
     ) -> Vec<LaggingGateway> {
         let Ok(lease) = self.lease() else {
-            return Vec::new();
+            let delegate = self.delegate();
+            if !delegate.is_needed() {
+                return Vec::new();
+            }
+            return self.lagging_of(&delegate.gateways, &delegate.confirmations, count, is_due);
         };
         let tables = self.tables(lease);
+        self.lagging_of(&tables.gateways, &tables.confirmations, count, is_due)
+    }
+
+    fn lagging_of(
+        &self,
+        gateways: &GatewayTable,
+        confirmations: &PlanConfirmations,
+        count: usize,
+        is_due: impl Fn(&EntryKey, PlanVersion) -> bool,
+    ) -> Vec<LaggingGateway> {
         let mut plans = self.plans();
         let Some(newest) = plans.newest_version() else {
             return Vec::new();
         };
-        let gateways = tables.gateways.news_addresses();
+        let gateways = gateways.news_addresses();
         let lagging = gateways.filter_map(|(gateway, address)| {
-            let held = tables.confirmations.version(gateway)?;
+            let held = confirmations.version(gateway)?;
             (held < newest && is_due(gateway, newest)).then_some((gateway, address, held))
         });
         let lagging = lagging.take(count).filter_map(|(gateway, address, held)| {
--- a/src/coordinator/api.rs
+++ b/src/coordinator/api.rs
@@ -11,7 +11,7 @@
 use crate::{
     control::SystemPeer,
     error::Error,
-    sync::{self, GatewayReport},
+    sync::{self, DelegateReport, GatewayReport},
 };
 
 /// Maximum size of a report.
@@ -39,3 +39,19 @@
         Err(error) => Err((Status::InternalServerError, error.to_string().into_bytes())),
     }
 }
+
+/// Processes a delegate's report.
+#[post("/delegate/v1/sync", data = "<body>")]
+pub async fn sync_delegate(
+    _peer: SystemPeer,
+    body: Data<'_>,
+    state: &State<Arc<CoordinatorState>>,
+) -> Result<Vec<u8>, Status> {
+    let bytes = body.open(MAX_REPORT_MIB.mebibytes()).into_bytes().await;
+    let bytes = bytes.map_err(|_| Status::BadRequest)?;
+    let report: DelegateReport =
+        sync::decode("delegate report", &bytes).map_err(|_| Status::BadRequest)?;
+    let reply = state.sync_delegate(&report);
+    let reply = reply.map_err(|_| Status::MisdirectedRequest)?;
+    sync::encode_compact(&reply).map_err(|_| Status::InternalServerError)
+}
--- a/src/coordinator/daemon.rs
+++ b/src/coordinator/daemon.rs
@@ -5,7 +5,7 @@
 use tokio::{sync::watch, task::JoinSet};
 
 use super::{
-    api, config::CoordinatorConfig, grant_server::GrantServer,
+    api, config::CoordinatorConfig, delegate_client::DelegateClient, grant_server::GrantServer,
     membership_controller::MembershipController, order_dispatcher::OrderDispatcher,
     plan_pusher::PlanPusher, plan_store::PlanStore, state::CoordinatorState,
 };
@@ -101,14 +101,19 @@
             .manage(voter.clone())
             .manage(Arc::clone(&state))
             .mount("/", raft_routes())
-            .mount("/", routes![api::sync_gateway]);
+            .mount("/", routes![api::sync_gateway, api::sync_delegate]);
         let operator = build(&listen_address(config.operator_listen))
             .manage(plans)
             .mount("/", self.operator_routes);
         let founder =
             FleetBootstrap::new(control, voter.clone(), client.clone(), self.secret.clone());
-        let membership =
-            MembershipController::new(voter.clone(), client, self.secret, config.voter_count);
+        let membership = MembershipController::new(
+            voter.clone(),
+            client.clone(),
+            self.secret.clone(),
+            config.voter_count,
+        );
+        let delegate = DelegateClient::new(Arc::clone(&state), client, self.secret);
         let part_recorder = Arc::clone(&state.part_recorder);
         let [plan_follower, work] = [(); 2].map(|()| Arc::clone(&state));
         let dispatcher = OrderDispatcher::new(state, config.vm.clone(), config.holder_lease);
@@ -116,6 +121,7 @@
         let mut servers = JoinSet::new();
         servers.spawn(grants.run());
         servers.spawn(pusher.run());
+        servers.spawn(delegate.run());
         servers.spawn(part_recorder.run());
         servers.spawn(async move { work.work.run(|| work.tokens()).await });
         servers.spawn(async move { plan_follower.follow_plans().await });
--- a/src/coordinator/gateway_table.rs
+++ b/src/coordinator/gateway_table.rs
@@ -8,7 +8,7 @@
 use super::{demand_trend::DemandTrend, load_groups::LoadGroups};
 use crate::{
     ids::{DataCentreId, EntryKey},
-    sync::{GatewayReport, LoadTopology, ServedModel},
+    sync::{GatewayReport, GatewayRoster, LoadTopology, ModelRequests, RosterEntry, ServedModel},
 };
 
 /// Time without a report after which a gateway counts as gone.
@@ -16,7 +16,7 @@
 /// Maximum number of gateways that send their loads to every other one directly. In larger fleets,
 /// the messages of one gateway would exceed what the link and the processor of a small VM can
 /// handle.
-const MAX_DIRECT_GATEWAYS: usize = 20;
+pub(super) const MAX_DIRECT_GATEWAYS: usize = 20;
 /// Mean interval between the syncs of all gateways together. One sync takes the leader some tenths
 /// of a millisecond.
 const LEADER_SYNC_INTERVAL: Duration = Duration::from_millis(10);
@@ -37,6 +37,8 @@
     first_demand_at: Option<Duration>,
     /// Groups of gateways that share a relay; empty after a gateway has come or gone.
     groups: OnceLock<LoadGroups>,
+    /// Number of the roster, which grows as gateways come and go.
+    roster_number: u64,
 }
 
 #[derive(Debug)]
@@ -46,39 +48,148 @@
     pub load_address: SocketAddr,
     news_address: Option<SocketAddr>,
     awaited_models: Vec<ServedModel>,
+    /// When the gateway last synced with this coordinator and not with another one.
+    synced_at: Option<Duration>,
+}
+
+impl GatewayState {
+    fn new(entry: &RosterEntry, now: Duration) -> Self {
+        Self {
+            last_report_at: now,
+            data_centre: entry.data_centre.clone(),
+            load_address: entry.load_address,
+            news_address: None,
+            awaited_models: Vec::new(),
+            synced_at: None,
+        }
+    }
+
+    fn has_synced(&self, now: Duration) -> bool {
+        self.synced_at
+            .is_some_and(|at| now.saturating_sub(at) < GATEWAY_TIMEOUT)
+    }
+}
+
+fn roster_entry((gateway, state): (&EntryKey, &GatewayState)) -> RosterEntry {
+    RosterEntry {
+        gateway: gateway.clone(),
+        data_centre: state.data_centre.clone(),
+        load_address: state.load_address,
+    }
 }
 
 impl GatewayTable {
-    /// Records a gateway's report.
+    /// Records requests that gateways have reported.
     #[allow(clippy::cast_precision_loss)] // Token counts are estimates.
-    pub fn record(&mut self, report: &GatewayReport, now: Duration) {
-        if !report.demand.is_empty() {
+    pub fn record_demand(&mut self, demand: &[ModelRequests], now: Duration) {
+        if !demand.is_empty() {
             self.first_demand_at.get_or_insert(now);
         }
-        for requests in &report.demand {
+        for requests in demand {
             let trend = self.demand.entry(requests.model.clone()).or_default();
             trend.record(requests.tokens as f64, f64::from(requests.requests), now);
         }
+    }
+
+    /// Records a gateway's report.
+    pub fn record(&mut self, report: &GatewayReport, now: Duration) {
+        self.record_demand(&report.demand, now);
         let state = GatewayState {
             last_report_at: now,
             data_centre: report.data_centre.clone(),
             load_address: report.load_address,
             news_address: report.news_address,
             awaited_models: report.missing_models.clone(),
+            synced_at: Some(now),
         };
         let former = self.gateways.insert(report.gateway.clone(), state);
         if former.is_none_or(|former| former.load_address != report.load_address) {
-            self.groups = OnceLock::new();
+            self.change_roster();
+        }
+    }
+
+    /// Records a gateway that has synced with a delegate.
+    pub fn record_delegated(&mut self, entry: &RosterEntry, now: Duration) {
+        let known = self.gateways.get_mut(&entry.gateway);
+        match known.filter(|known| known.load_address == entry.load_address) {
+            Some(known) => {
+                known.last_report_at = now;
+                let is_recent = |at: Duration| now.saturating_sub(at) < MAX_SYNC_INTERVAL;
+                if !known.synced_at.is_some_and(is_recent) {
+                    known.awaited_models.clear();
+                }
+            }
+            None => {
+                self.gateways
+                    .insert(entry.gateway.clone(), GatewayState::new(entry, now));
+                self.change_roster();
+            }
         }
     }
 
+    fn change_roster(&mut self) {
+        self.groups = OnceLock::new();
+        self.roster_number += 1;
+    }
+
+    /// Returns whether the gateways are too many for the leader alone.
+    #[must_use]
+    pub fn needs_delegates(&self) -> bool {
+        self.gateways.len() > MAX_DIRECT_GATEWAYS
+    }
+
+    /// Returns all gateways, unless the receiver has the roster already.
+    #[must_use]
+    pub fn roster_since(&self, number: u64) -> Option<GatewayRoster> {
+        (self.roster_number != number).then(|| GatewayRoster {
+            number: self.roster_number,
+            gateways: self.gateways.iter().map(roster_entry).collect(),
+        })
+    }
+
+    /// Replaces the gateways by those of a roster and those that have just synced with this coordinator.
+    pub fn set_roster(&mut self, roster: Vec<RosterEntry>, now: Duration) {
+        let mut former = std::mem::take(&mut self.gateways);
+        for entry in roster {
+            let known = former.remove(&entry.gateway);
+            let known = known.filter(|known| known.load_address == entry.load_address);
+            let state = known.unwrap_or_else(|| GatewayState::new(&entry, now));
+            self.gateways.insert(entry.gateway, state);
+        }
+        former.retain(|_, state| state.has_synced(now));
+        self.gateways.append(&mut former);
+        self.change_roster();
+    }
+
+    /// Returns where a gateway is found.
+    #[must_use]
+    pub fn roster_entry(&self, gateway: &EntryKey) -> Option<RosterEntry> {
+        self.gateways.get_key_value(gateway).map(roster_entry)
+    }
+
+    /// Returns the gateways that have lately synced with this coordinator.
+    pub fn synced_gateways(&self, now: Duration) -> impl Iterator<Item = RosterEntry> {
+        let synced = self.gateways.iter();
+        let synced = synced.filter(move |(_, state)| state.has_synced(now));
+        synced.map(roster_entry)
+    }
+
+    /// Returns a table of the same gateways, as if each had just reported, without what they reported.
+    #[must_use]
+    pub fn reported_at(&self, now: Duration) -> Self {
+        let mut table = Self::default();
+        let entries = self.gateways.iter().map(roster_entry).collect();
+        table.set_roster(entries, now);
+        table
+    }
+
     /// Removes gateways without recent reports and models without demand.
     pub fn expire(&mut self, now: Duration) {
         let known = self.gateways.len();
         self.gateways
             .retain(|_, state| now.saturating_sub(state.last_report_at) < GATEWAY_TIMEOUT);
         if self.gateways.len() < known {
-            self.groups = OnceLock::new();
+            self.change_roster();
         }
         self.demand
             .retain(|_, trend| trend.current(now) > MIN_TOKENS_PER_SECOND);
--- a/src/coordinator/leader_work.rs
+++ b/src/coordinator/leader_work.rs
@@ -16,6 +16,10 @@
 pub struct LeaderWork {
     /// Answered syncs.
     pub syncs: AtomicU64,
+    /// Answered syncs of delegates.
+    pub delegate_syncs: AtomicU64,
+    /// Syncs that this coordinator has answered in the leader's place.
+    pub delegated_syncs: AtomicU64,
     /// Answered requests for tokens.
     pub grant_requests: AtomicU64,
     /// Datagrams that were received on the port for tokens.
@@ -74,12 +78,16 @@
                 &self.grant_datagrams,
             ]
             .map(take);
-            if syncs + grant_requests == 0 {
+            let (delegate_syncs, delegated_syncs) =
+                (take(&self.delegate_syncs), take(&self.delegated_syncs));
+            if syncs + grant_requests + delegated_syncs == 0 {
                 continue;
             }
             let (free_tokens, outstanding_tokens) = tokens();
             info!("coordinator: work", kv: {
                 syncs = syncs,
+                delegate_syncs = delegate_syncs,
+                delegated_syncs = delegated_syncs,
                 grant_datagrams = grant_datagrams,
                 grant_requests = grant_requests,
                 free_tokens = free_tokens,
--- a/src/coordinator/plan_confirmations.rs
+++ b/src/coordinator/plan_confirmations.rs
@@ -14,6 +14,8 @@
     /// Time until which gateways that have not reported yet may have a lease of a former leader.
     unknown_until: Duration,
     gateways: HashMap<EntryKey, LeasedPlan>,
+    /// Newest plans of the coordinators that answer syncs in the leader's place.
+    delegates: HashMap<EntryKey, LeasedPlan>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -33,6 +35,7 @@
             lease,
             unknown_until,
             gateways: HashMap::new(),
+            delegates: HashMap::new(),
         }
     }
 
@@ -71,6 +74,27 @@
         self.gateways.entry(gateway.clone()).or_insert(leased);
     }
 
+    /// Records a sync of a delegate whose newest plan is `version`. Until its lease ends, the delegate may give
+    /// leases on this plan that it has not reported yet. Returns whether the plan is newer than before.
+    pub fn record_delegate(
+        &mut self,
+        delegate: &EntryKey,
+        version: PlanVersion,
+        now: Duration,
+    ) -> bool {
+        let before = self
+            .delegates
+            .get(delegate)
+            .map_or(0, |known| known.version);
+        let leased = LeasedPlan {
+            version: before.max(version),
+            until: now + self.lease,
+            is_reported: true,
+        };
+        self.delegates.insert(delegate.clone(), leased);
+        before < version
+    }
+
     /// Records that a gateway has put a plan in force. Its lease is not renewed, since the gateway learns
     /// nothing from it. Returns whether the plan is newer than the one before.
     pub fn confirm(&mut self, gateway: &EntryKey, version: PlanVersion) -> bool {
@@ -90,16 +114,17 @@
         self.gateways.get(gateway).map(|leased| leased.version)
     }
 
-    /// Returns whether each gateway has a plan or a newer one in force, or no lease on an older one.
+    /// Returns whether each gateway has a plan or a newer one in force, or no lease on an older one, and no
+    /// delegate can give one.
     #[must_use]
     pub fn is_confirmed(&self, version: PlanVersion, now: Duration) -> bool {
         now >= self.unknown_until && self.count_behind(version, now) == 0
     }
 
-    /// Returns the number of gateways with a lease on an older plan.
+    /// Returns the number of gateways and delegates with a lease on an older plan.
     #[must_use]
     pub fn count_behind(&self, version: PlanVersion, now: Duration) -> usize {
-        let leased = self.gateways.values();
+        let leased = self.gateways.values().chain(self.delegates.values());
         leased
             .filter(|leased| leased.version < version && now < leased.until)
             .count()
@@ -108,5 +133,6 @@
     /// Forgets gateways whose leases have ended.
     pub fn expire(&mut self, now: Duration) {
         self.gateways.retain(|_, leased| now < leased.until);
+        self.delegates.retain(|_, leased| now < leased.until);
     }
 }
--- a/src/coordinator/state.rs
+++ b/src/coordinator/state.rs
@@ -1,4 +1,5 @@
 use std::{
+    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
@@ -7,24 +8,26 @@
 use tokio::sync::Notify;
 
 use super::{
+    delegate_table::DelegateTable,
+    delegate_view::DelegateView,
     engine_table::{EngineTable, TargetChanges},
     gateway_table::GatewayTable,
     leader_work::LeaderWork,
     model_waits::ModelWaits,
     plan_confirmations::PlanConfirmations,
     plan_history::PlanHistory,
-    target_history::TargetHistory,
+    served_list::ServedList,
 };
 use crate::{
     adapter::{PlatformAdapter, TargetEntry},
     allowance::{AllowanceLedger, RateLimit, ShareGrant},
     error::{Error, Result},
-    ids::{EntryKey, TeamId, Term},
+    ids::{EntryKey, Incarnation, TeamId, Term},
     plan::PlanIndex,
     state::ControlState,
     sync::{
-        GatewayReply, GatewayReport, GrantReply, GrantRequest, LeaderRedirect, PlanUpdate,
-        TargetList,
+        GatewayReply, GatewayReport, GrantReply, GrantRequest, LeaderRedirect, ListVersion,
+        ModelRequests, PartSection, PlanUpdate, TargetList,
     },
     voter::{LeaderLease, PartRecorder, VoterHandle},
 };
@@ -50,6 +53,14 @@
     /// Wakes publications that wait for gateways.
     pub(super) confirmed: Notify,
     tables: Mutex<LeaderTables>,
+    /// State of a coordinator that does not lead. Locked after the tables.
+    pub(super) delegate: Mutex<DelegateView>,
+    /// Starts an early sync of a delegate.
+    pub(super) delegate_due: Notify,
+    /// Locked after the tables and the delegate.
+    list: Mutex<ServedList>,
+    /// Distinguishes this process from earlier ones on the VM.
+    incarnation: Incarnation,
     /// Latest plans, which each coordinator keeps: a new leader that knew the newest one only would send it
     /// in full to each gateway that has an earlier one. Locked after the tables.
     plans: Mutex<PlanHistory>,
@@ -69,11 +80,11 @@
     pub engines: EngineTable,
     pub plan: Option<Arc<PlanIndex>>,
     pub listed_at: Option<Duration>,
-    targets: TargetHistory,
+    pub delegates: DelegateTable,
 }
 
 impl LeaderTables {
-    fn new(term: Term, now: Duration, plan_lease: Duration) -> Self {
+    fn new(term: Term, now: Duration, plan_lease: Duration, gateways: GatewayTable) -> Self {
         // Leases of a former leader began before its own lease ended, and so before this term.
         let unknown_until = if term == FIRST_TERM {
             now
@@ -85,23 +96,21 @@
             term,
             started_at: now,
             ledger: AllowanceLedger::new(term, now).with_takeover_reserve(),
-            gateways: GatewayTable::default(),
+            gateways,
+            delegates: DelegateTable::default(),
             engines: EngineTable::default(),
             plan: None,
             listed_at: None,
-            targets: TargetHistory::new(),
         }
     }
 }
 
 impl LeaderTables {
-    /// Returns the changes of the list for a gateway; `None` when it is up to date.
-    fn target_changes(&self, report: &GatewayReport) -> Option<TargetList> {
-        let (held, digest) = (report.list_version, &report.list_digest);
-        if digest.is_empty() || self.targets.is_known(held, self.term) {
-            self.targets.changes_since(held, self.term)
-        } else {
-            Some(self.targets.changes_from(digest, held, self.term))
+    /// Records requests that gateways have reported.
+    pub(super) fn record_demand(&mut self, demand: &[ModelRequests], now: Duration) {
+        self.gateways.record_demand(demand, now);
+        for requests in demand {
+            self.engines.record_adapter_use(&requests.model.model, now);
         }
     }
 }
@@ -122,7 +131,16 @@
             voter,
             plan_lease,
             confirmed: Notify::new(),
-            tables: Mutex::new(LeaderTables::new(0, Duration::ZERO, plan_lease)),
+            tables: Mutex::new(LeaderTables::new(
+                0,
+                Duration::ZERO,
+                plan_lease,
+                GatewayTable::default(),
+            )),
+            delegate: Mutex::new(DelegateView::new(plan_lease)),
+            delegate_due: Notify::new(),
+            list: Mutex::default(),
+            incarnation: rand::random(),
             plans: Mutex::new(PlanHistory::new()),
             model_waits: ModelWaits::default(),
             round_trigger: Notify::new(),
@@ -139,7 +157,13 @@
     pub(super) fn tables(&self, lease: LeaderLease) -> MutexGuard<'_, LeaderTables> {
         let mut tables = self.tables.lock().unwrap_or_else(PoisonError::into_inner);
         if tables.term != lease.term {
-            *tables = LeaderTables::new(lease.term, self.now(), self.plan_lease);
+            let now = self.now();
+            let mut delegate = self.delegate();
+            // The gateways of the former leader belong to this one.
+            let gateways = delegate.gateways.reported_at(now);
+            *delegate = DelegateView::new(self.plan_lease);
+            drop(delegate);
+            *tables = LeaderTables::new(lease.term, now, self.plan_lease, gateways);
         }
         tables
     }
@@ -157,6 +181,7 @@
             let newest = self.voter.read_local(ControlState::plan);
             if let Some(published) = newest.filter(|newest| Some(newest.version) > known) {
                 self.plans().add(&published);
+                self.delegate_due.notify_one();
             }
         }
     }
@@ -193,14 +218,14 @@
             TargetChanges::All(targets) => {
                 LeaderWork::add(&self.work.publications, 1);
                 self.model_waits.wake(&targets);
-                tables.targets.update(targets);
+                self.list().update(targets);
             }
             TargetChanges::Some(targets) => {
                 if !targets.is_empty() {
                     LeaderWork::add(&self.work.publications, 1);
                 }
                 self.model_waits.wake(&targets);
-                tables.targets.upsert(targets);
+                self.list().upsert(targets);
             }
         }
     }
@@ -246,7 +271,9 @@
     /// # Errors
     /// [`Error::NotLeader`] when this daemon does not lead.
     pub async fn sync(&self, report: GatewayReport) -> Result<GatewayReply> {
-        let lease = self.lease()?;
+        let Ok(lease) = self.lease() else {
+            return self.sync_as_delegate(&report);
+        };
         LeaderWork::add(&self.work.syncs, 1);
         for evidence in &report.crashes {
             info!("route: a target crashed", kv: {
@@ -267,7 +294,7 @@
         let sync_time = &self.work.sync_time_us;
         let grants = LeaderWork::timed(sync_time, || self.record(&report, lease));
         if !report.missing_models.is_empty() {
-            self.await_models(&report, lease).await;
+            self.await_models(&report).await;
         }
         let mut reply = LeaderWork::timed(sync_time, || self.reply(&report, grants, lease));
         reply.are_parts_recorded = are_parts_recorded;
@@ -281,10 +308,10 @@
 
     /// Waits until a target holds one of the models that the gateway is missing, or until the reply
     /// has to be sent without.
-    async fn await_models(&self, report: &GatewayReport, lease: LeaderLease) {
+    async fn await_models(&self, report: &GatewayReport) {
         let mut wait = self.model_waits.add(&report.missing_models);
         let is_held = LeaderWork::timed(&self.work.sync_time_us, || {
-            self.tables(lease).targets.holds_any(&report.missing_models)
+            self.list().history().holds_any(&report.missing_models)
         });
         if is_held {
             return;
@@ -349,9 +376,8 @@
             self.confirmed.notify_waiters();
         }
         for requests in &report.demand {
-            tables
-                .engines
-                .record_adapter_use(&requests.model.model, now);
+            let engines = &mut tables.engines;
+            engines.record_adapter_use(&requests.model.model, now);
         }
         for target in &report.unresponsive {
             tables.engines.mark_suspected(target);
@@ -371,31 +397,18 @@
     ) -> GatewayReply {
         let now = self.now();
         let mut tables = self.tables(lease);
-        let plan = self
-            .plans()
-            .update_since(report.plan_version, now)
-            .unwrap_or_else(|error| {
-                spdlog::error!(
-                    "plan: encoding an update for the gateway on {} failed, the reply has none: \
-                     {error}",
-                    report.gateway.vm
-                );
-                None
-            });
+        let plan = self.plan_update(report);
         if let (0, Some(PlanUpdate::Full { version, .. })) = (report.plan_version, &plan) {
             let confirmations = &mut tables.confirmations;
             confirmations.record_first_plan(&report.gateway, *version, now);
         }
         let targets = match tables.listed_at {
-            Some(_) => tables.target_changes(report),
+            Some(_) => self.target_changes(report),
             None => None,
         };
         let stream_answers = self.answer_streams(&report.stream_queries);
         let recorded_services = self.recorded_services();
         let age = tables.listed_at.map(|at| now.saturating_sub(at));
-        let own = self.voter.addresses().own().system;
-        let others = self.voter.addresses().others();
-        let others = others.into_iter().map(|address| address.system);
         GatewayReply {
             term: tables.term,
             plan,
@@ -411,7 +424,72 @@
             load_topology: tables.gateways.load_topology(&report.gateway),
             sync_interval_ms: u64::try_from(tables.gateways.sync_interval().as_millis())
                 .unwrap_or(u64::MAX),
-            coordinators: std::iter::once(own).chain(others).collect(),
+            coordinators: self.coordinators(),
+            proof_age_ms: 0,
+            leader: None,
+            delegates: tables.delegates.live(now),
+        }
+    }
+
+    /// Returns the update to the newest plan for a gateway.
+    pub(super) fn plan_update(&self, report: &GatewayReport) -> Option<PlanUpdate> {
+        let update = self.plans().update_since(report.plan_version, self.now());
+        update.unwrap_or_else(|error| {
+            spdlog::error!(
+                "plan: encoding an update for the gateway on {} failed, the reply has none: {error}",
+                report.gateway.vm
+            );
+            None
+        })
+    }
+
+    fn list(&self) -> MutexGuard<'_, ServedList> {
+        self.list.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the changes of the target list for a gateway.
+    pub(super) fn target_changes(&self, report: &GatewayReport) -> Option<TargetList> {
+        self.list().changes_for(report)
+    }
+
+    /// Returns the changes of the target list for a delegate.
+    pub(super) fn changes_since(&self, held: ListVersion) -> Option<TargetList> {
+        self.list().changes_since(held)
+    }
+
+    /// Applies an update of the leader's target list.
+    pub(super) fn mirror_list(&self, list: TargetList) {
+        self.list().mirror(list);
+    }
+
+    /// Returns the version of the leader's target list that this coordinator has.
+    pub(super) fn mirrored_version(&self) -> ListVersion {
+        self.list().source()
+    }
+
+    /// Returns the suspect parts for a gateway that has those of `version`, if this coordinator knows newer
+    /// ones.
+    pub(super) fn newer_parts(&self, version: u64) -> Option<PartSection> {
+        let section = self.voter.part_section(version);
+        section.filter(|section| section.version > version)
+    }
+
+    /// Returns the system addresses of all coordinators, this one first.
+    pub(super) fn coordinators(&self) -> Vec<SocketAddr> {
+        let others = self.voter.addresses().others();
+        let others = others.into_iter().map(|address| address.system);
+        std::iter::once(self.own_address()).chain(others).collect()
+    }
+
+    pub(super) fn own_address(&self) -> SocketAddr {
+        self.voter.addresses().own().system
+    }
+
+    /// Returns the identity of this process.
+    pub(super) fn own_key(&self) -> EntryKey {
+        EntryKey {
+            vm: self.voter.addresses().own().vm.clone(),
+            incarnation: self.incarnation,
         }
     }
 
--- a/src/coordinator/target_history.rs
+++ b/src/coordinator/target_history.rs
@@ -81,9 +81,7 @@
         if is_changed {
             self.number = next;
         }
-        while self.removals.len() > MAX_REMOVALS {
-            self.first_number = self.removals.remove(0).0;
-        }
+        self.forget_removals();
         is_changed
     }
 
@@ -102,6 +100,25 @@
         self.number == next
     }
 
+    /// Removes targets.
+    pub fn remove(&mut self, removed: &[TargetId]) {
+        let next = self.number + 1;
+        for target in removed {
+            if self.entries.remove(target).is_some() {
+                self.number = next;
+                self.ids.remove(&target_hash(target));
+                self.removals.push((next, target.clone()));
+            }
+        }
+        self.forget_removals();
+    }
+
+    fn forget_removals(&mut self) {
+        while self.removals.len() > MAX_REMOVALS {
+            self.first_number = self.removals.remove(0).0;
+        }
+    }
+
     /// Returns the version of the current list in a term.
     #[must_use]
     pub fn version(&self, term: Term) -> ListVersion {
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -27,6 +27,7 @@
 mod stream_origins;
 mod sync_client;
 mod sync_pacing;
+mod sync_peers;
 mod targets;
 mod view;
 
@@ -41,3 +42,4 @@
 pub use part_watch::{PartReport, PartWatch, RequestParts};
 pub use plan_lease::{DoubtfulTime, PlanLease, PlanStanding};
 pub use sync_pacing::SyncPacing;
+pub use sync_peers::{SyncPeer, SyncPeers};
--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -1,7 +1,10 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -27,6 +30,8 @@
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Delay after which used tokens are reported, so that the requests of a moment share a datagram.
 const USAGE_REPORT_DELAY: Duration = Duration::from_millis(200);
+/// Maximum number of shares in one request, which fits into one packet.
+const MAX_REPORTED_SHARES: usize = 14;
 /// Maximum size of a reply, which fits into one packet.
 const MAX_REPLY_BYTES: usize = 1_400;
 
@@ -36,6 +41,7 @@
     key: EntryKey,
     allowance: Arc<SharedAllowance>,
     sync_client: Arc<SyncClient>,
+    last_serial: AtomicU64,
     pending: Arc<Mutex<PendingRequests>>,
     pacing: Arc<Mutex<LeaderPacing>>,
     work: Arc<GrantWork>,
@@ -78,6 +84,7 @@
             key,
             allowance,
             sync_client,
+            last_serial: AtomicU64::new(0),
             pending: Arc::default(),
             pacing: Arc::default(),
             work: Arc::default(),
@@ -90,6 +97,7 @@
             self.run_requests(),
             self.run_replies(),
             self.run_usage(),
+            self.run_reports(),
             self.work.run()
         );
     }
@@ -118,15 +126,60 @@
         }
     }
 
+    /// Reports all shares to the leader while a delegate answers the syncs, which carry them otherwise.
+    async fn run_reports(&self) {
+        loop {
+            tokio::time::sleep(self.sync_client.sync_interval()).await;
+            if !self.sync_client.is_delegated() {
+                continue;
+            }
+            let (shares, reported_at) = self.allowance.make_reports();
+            for shares in shares.chunks(MAX_REPORTED_SHARES) {
+                let serial = self.add_pending(Vec::new(), reported_at);
+                let request = GrantRequest {
+                    gateway: self.key.clone(),
+                    serial,
+                    shares: shares.to_vec(),
+                    is_usage_only: false,
+                };
+                if let Err(error) = self.send(&request).await {
+                    debug!("gateway: cannot report tokens to the leader: {error}");
+                }
+                self.forget_later(serial);
+            }
+        }
+    }
+
+    fn add_pending(&self, teams: Vec<TeamId>, reported_at: Duration) -> u64 {
+        let serial = self.last_serial.fetch_add(1, Ordering::Relaxed) + 1;
+        let pending = PendingRequest {
+            teams,
+            reported_at,
+            is_answered: false,
+        };
+        self.pending().insert(serial, pending);
+        serial
+    }
+
+    /// Forgets a report for which no reply is awaited.
+    fn forget_later(&self, serial: u64) {
+        let pending = Arc::clone(&self.pending);
+        tokio::spawn(async move {
+            tokio::time::sleep(MAX_REPLY_DELAY).await;
+            let mut pending = pending.lock().unwrap_or_else(PoisonError::into_inner);
+            pending.remove(&serial);
+        });
+    }
+
     async fn run_requests(&self) {
-        let mut serial = 0;
         loop {
             self.allowance.wait_for_shortage().await;
             let Some((shares, reported_at)) = self.allowance.make_urgent_reports() else {
                 continue;
             };
             let teams: Vec<TeamId> = shares.iter().map(|share| share.team.clone()).collect();
-            serial += 1;
+            self.work.add_reports(teams.len());
+            let serial = self.add_pending(teams, reported_at);
             let request = GrantRequest {
                 gateway: self.key.clone(),
                 serial,
@@ -134,13 +187,6 @@
                 is_usage_only: false,
             };
             GrantWork::add(&self.work.requests);
-            self.work.add_reports(teams.len());
-            let pending = PendingRequest {
-                teams,
-                reported_at,
-                is_answered: false,
-            };
-            self.pending().insert(serial, pending);
             let sent = self.send(&request).await;
             if let Ok(leader) = &sent {
                 self.follow_leader(*leader);
@@ -201,6 +247,7 @@
         let pending = Arc::clone(&self.pending);
         let work = Arc::clone(&self.work);
         let pacing = Arc::clone(&self.pacing);
+        let sync_client = Arc::clone(&self.sync_client);
         let (leader, timeout) = {
             let pacing = self.pacing();
             (pacing.leader, pacing.pacing.timeout())
@@ -213,6 +260,8 @@
                 unanswered.map(|request| request.teams.clone())
             };
             if let Some(teams) = teams {
+                // Another coordinator may lead by now.
+                sync_client.look_for_leader();
                 GrantWork::add(&work.timeouts);
                 let mut pacing = pacing.lock().unwrap_or_else(PoisonError::into_inner);
                 if pacing.leader == leader && leader.is_some() {
--- a/src/gateway/sync_client.rs
+++ b/src/gateway/sync_client.rs
@@ -12,7 +12,6 @@
 use super::{
     absence_watch::AbsenceWatch,
     config::GatewayConfig,
-    coordinator_list::CoordinatorList,
     crash_watch::CrashWatch,
     list_fallback::ListFallback,
     loads::LoadExchange,
@@ -21,6 +20,7 @@
     proxy::random_duration,
     stream_origins::StreamOrigins,
     sync_pacing::SyncPacing,
+    sync_peers::{SyncPeer, SyncPeers},
     targets::TargetTable,
     view::{ModelDemand, PlanView},
 };
@@ -49,6 +49,8 @@
 const MAX_REDIRECT_BYTES: usize = 4_096;
 /// Interval between syncs while requests wait for a model.
 const MODEL_RETRY_INTERVAL: Duration = Duration::from_millis(150);
+/// Minimum time between syncs that only ask who leads.
+const LEADER_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval at which the age of the leader's list is checked.
 const LIST_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -75,14 +77,16 @@
 }
 
 struct SyncState {
-    coordinators: CoordinatorList,
+    peers: SyncPeers,
     /// When the leader's target list was read from the platform.
     listed_at: Option<Instant>,
     is_connected: bool,
     /// What voters have said of times without a leader.
     absence: AbsenceWatch,
     /// Coordinator that answered the last sync; `None` after a failed one.
-    synced_with: Option<SocketAddr>,
+    synced_with: Option<SyncPeer>,
+    /// When the last sync was sent.
+    synced_at: Duration,
     sync_interval: Duration,
     /// Plan that the leader's incremental updates apply to: version and document.
     document: (PlanVersion, Vec<u8>),
@@ -117,11 +121,12 @@
         secret: String,
     ) -> Self {
         let state = SyncState {
-            coordinators: CoordinatorList::new(config.coordinators.clone()),
+            peers: SyncPeers::new(config.vm.clone(), config.coordinators.clone()),
             listed_at: None,
             is_connected: false,
             absence: AbsenceWatch::new(),
             synced_with: None,
+            synced_at: Duration::ZERO,
             sync_interval: INITIAL_SYNC_INTERVAL,
             document: (0, Vec::new()),
             is_plan_pending: false,
@@ -172,10 +177,24 @@
     /// Returns the address of the leading coordinator; `None` while it does not answer.
     pub fn leader(&self) -> Option<SocketAddr> {
         let state = self.state();
-        let leader = state.coordinators.first();
+        let leader = state.peers.coordinators.first();
         leader.filter(|_| state.is_connected)
     }
 
+    /// Returns whether a delegate answers the syncs, so that tokens have to be reported to the leader by
+    /// themselves.
+    pub fn is_delegated(&self) -> bool {
+        matches!(self.state().synced_with, Some(SyncPeer::Delegate(_)))
+    }
+
+    /// Asks for the leader again, unless that was done a moment ago.
+    pub fn look_for_leader(&self) {
+        let synced_at = self.state().synced_at;
+        if self.started_at.elapsed().saturating_sub(synced_at) >= LEADER_CHECK_INTERVAL {
+            self.sync_now();
+        }
+    }
+
     /// Returns whether a quorum of voters has said that no leader can have acknowledged anything in a time.
     pub fn was_leaderless(&self, doubtful: DoubtfulTime) -> bool {
         let now = self.started_at.elapsed();
@@ -229,14 +248,18 @@
     async fn run_sync(&self) {
         loop {
             let started_at = Instant::now();
-            let Some(coordinator) = self.state().coordinators.first() else {
+            let report = self.make_report();
+            let now = self.started_at.elapsed();
+            let peer = self.state().peers.next(report.needs_leader(), now);
+            let Some(peer) = peer else {
+                self.put_back(report);
                 tokio::time::sleep(self.sync_interval()).await;
                 continue;
             };
-            let synced = self.sync_once(coordinator).await;
+            let synced = self.sync_once(peer, report).await;
             self.record_connection(synced.as_ref().err());
             if let Err(error) = &synced {
-                let delay = self.record_failure(coordinator, error, started_at.elapsed());
+                let delay = self.record_failure(peer, error, started_at.elapsed());
                 tokio::time::sleep(delay).await;
                 continue;
             }
@@ -258,18 +281,29 @@
     }
 
     /// Selects the coordinator for the next sync after a failed one, and returns the delay before it.
-    fn record_failure(&self, failed: SocketAddr, error: &Error, elapsed: Duration) -> Duration {
+    fn record_failure(&self, failed: SyncPeer, error: &Error, elapsed: Duration) -> Duration {
         let now = self.started_at.elapsed();
         let mut state = self.state();
         let interval = state.sync_interval;
         let mut rng = rand::rng();
-        if let Error::NotLeader { leader } = error {
-            let leader = leader.as_ref().and_then(|leader| leader.parse().ok());
-            if state.coordinators.record_redirect(failed, leader, now) {
-                return state.pacing.redirect_delay(&mut rng);
+        let leader = match error {
+            Error::NotLeader { leader } => Some(leader.as_ref().and_then(|name| name.parse().ok())),
+            _ => None,
+        };
+        let peers = &mut state.peers;
+        match (failed, leader) {
+            (SyncPeer::Leader(failed), Some(leader)) => {
+                if peers.coordinators.record_redirect(failed, leader, now) {
+                    return state.pacing.redirect_delay(&mut rng);
+                }
             }
-        } else {
-            state.coordinators.record_failure(failed, now);
+            // Another delegate is asked next: hundreds of gateways would bury a leader that takes over.
+            (SyncPeer::Delegate(failed), Some(leader)) => {
+                peers.coordinators.record_redirect(failed, leader, now);
+                peers.record_refusal(failed, now);
+            }
+            (SyncPeer::Leader(failed), None) => peers.coordinators.record_failure(failed, now),
+            (SyncPeer::Delegate(failed), None) => peers.record_silence(failed, now),
         }
         state.pacing.record_failure(elapsed, interval, &mut rng)
     }
@@ -286,13 +320,12 @@
         }
     }
 
-    async fn sync_once(&self, coordinator: SocketAddr) -> Result<()> {
-        let (shares, reported_at) = self.allowance.make_reports();
+    /// Returns a report without the target list and the shares of tokens, which depend on the receiver.
+    fn make_report(&self) -> GatewayReport {
         let wanted: BTreeSet<ServedModel> = self.wanted_models().keys().cloned().collect();
-        let (list_version, list_digest) = self.list_state(coordinator)?;
         let (parts_version, parts) = self.crash_watch.take_report();
         let (streams, stream_queries) = self.stream_origins.make_report();
-        let report = GatewayReport {
+        GatewayReport {
             streams,
             stream_queries,
             crashes: parts.crashes,
@@ -301,55 +334,72 @@
             gateway: self.key.clone(),
             data_centre: self.config.data_centre.clone(),
             plan_version: self.state().document.0,
-            list_version,
-            list_digest,
-            shares,
+            list_version: ListVersion::default(),
+            list_digest: Vec::new(),
+            shares: Vec::new(),
             load_address: self.config.load_listen,
             news_address: Some(self.news_address),
             demand: self.demand.take(),
             unresponsive: self.targets.silent_targets(),
-            missing_models: wanted.iter().cloned().collect(),
-        };
+            missing_models: wanted.into_iter().collect(),
+        }
+    }
+
+    async fn sync_once(&self, peer: SyncPeer, mut report: GatewayReport) -> Result<()> {
+        match self.list_state(peer) {
+            Ok(list) => (report.list_version, report.list_digest) = list,
+            Err(error) => {
+                self.put_back(report);
+                return Err(error);
+            }
+        }
+        let mut reported_at = self.allowance.now();
+        if matches!(peer, SyncPeer::Leader(_)) {
+            (report.shares, reported_at) = self.allowance.make_reports();
+        }
         let sent_at = BootInstant::now();
-        match self.send_report(coordinator, &report).await {
+        self.state().synced_at = self.started_at.elapsed();
+        match self.send_report(peer.address(), &report).await {
             Ok(reply) => {
                 if reply.are_streams_recorded {
                     self.stream_origins.confirm(&report.streams);
                 }
                 if !reply.are_parts_recorded {
-                    self.put_back_parts(report);
+                    self.put_back_parts(&report);
                 }
+                let wanted = &report.missing_models;
                 self.wanted_models()
                     .retain(|model, waiters| *waiters > 0 || !wanted.contains(model));
                 self.allowance.apply_grants(&reply.grants, reported_at);
-                self.apply_reply(reply, sent_at);
-                let mut state = self.state();
-                state.synced_with = Some(coordinator);
-                state.coordinators.record_answer();
-                state.pacing.record_success();
+                self.apply_reply(reply, peer, sent_at);
                 Ok(())
             }
             Err(error) => {
-                self.demand.put_back(&report.demand);
-                self.put_back_parts(report);
+                self.put_back(report);
                 self.state().synced_with = None;
                 Err(error)
             }
         }
     }
 
-    fn put_back_parts(&self, report: GatewayReport) {
+    /// Takes back what a report tells that was not answered.
+    fn put_back(&self, report: GatewayReport) {
+        self.demand.put_back(&report.demand);
+        self.put_back_parts(&report);
+    }
+
+    fn put_back_parts(&self, report: &GatewayReport) {
         self.crash_watch.put_back(PartReport {
-            crashes: report.crashes,
-            completed: report.completed_parts,
+            crashes: report.crashes.clone(),
+            completed: report.completed_parts.clone(),
         });
     }
 
-    /// Returns the version of the target list, with its digest if `coordinator` may not know this
-    /// version.
-    fn list_state(&self, coordinator: SocketAddr) -> Result<(ListVersion, Vec<TargetDigest>)> {
+    /// Returns the version of the target list, with its digest if `peer` may not know this version.
+    fn list_state(&self, peer: SyncPeer) -> Result<(ListVersion, Vec<TargetDigest>)> {
         let version = self.targets.list_version();
-        let has_synced = self.state().synced_with == Some(coordinator);
+        let synced_with = self.state().synced_with;
+        let has_synced = synced_with.is_some_and(|known| known.address() == peer.address());
         match version.term {
             1.. if has_synced => Ok((version, Vec::new())),
             _ => self.targets.list_digest(),
@@ -402,7 +452,7 @@
         }
     }
 
-    fn apply_reply(&self, reply: GatewayReply, sent_at: BootInstant) {
+    fn apply_reply(&self, reply: GatewayReply, peer: SyncPeer, sent_at: BootInstant) {
         let applied = reply
             .plan
             .as_ref()
@@ -416,7 +466,9 @@
             false
         });
         if is_newest {
-            self.view.record_proof(sent_at);
+            // A delegate's proof is as old as its last sync with the leader.
+            let age = Duration::from_millis(reply.proof_age_ms);
+            self.view.record_proof(sent_at.saturating_sub(age));
         }
         let plan = self.view.get();
         if let (Some(plan), Some(list)) = (plan, reply.targets) {
@@ -434,7 +486,24 @@
         if let Some(age) = reply.list_age_ms {
             state.listed_at = Instant::now().checked_sub(Duration::from_millis(age));
         }
-        state.coordinators.add(reply.coordinators);
+        let now = self.started_at.elapsed();
+        let peers = &mut state.peers;
+        peers.coordinators.add(reply.coordinators);
+        peers.set_delegates(reply.delegates);
+        // A coordinator that names a leader does not lead, whatever it was asked for.
+        let address = peer.address();
+        state.synced_with = Some(if let Some(leader) = reply.leader {
+            peers
+                .coordinators
+                .record_redirect(address, Some(leader), now);
+            SyncPeer::Delegate(address)
+        } else {
+            if matches!(peer, SyncPeer::Leader(_)) {
+                peers.coordinators.record_answer();
+            }
+            peer
+        });
+        state.pacing.record_success();
     }
 
     /// Applies an update, and returns whether its plan or a newer one is in force now.
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -2,6 +2,7 @@
 //! docs/design.md, section 7.
 
 mod claims;
+mod delegate;
 mod gateway;
 mod load;
 mod parts;
@@ -13,6 +14,9 @@
 mod streams;
 
 pub use claims::{CLAIMS_PATH, CRASHES_PATH, ClaimMessage, CommandReply, CrashMessage};
+pub use delegate::{
+    DELEGATE_SYNC_PATH, DelegateReply, DelegateReport, DelegatedGateway, GatewayRoster, RosterEntry,
+};
 pub use gateway::{
     GATEWAY_SYNC_PATH, GatewayReply, GatewayReport, GrantReply, GrantRequest, ListVersion,
     ModelRequests, PlanUpdate, PublishedPlan, ServedModel, TargetDigest, TargetList,
--- a/src/sync/gateway.rs
+++ b/src/sync/gateway.rs
@@ -162,6 +162,27 @@
     pub sync_interval_ms: u64,
     /// System addresses of the coordinators.
     pub coordinators: Vec<SocketAddr>,
+    /// Age of the proof that the plan is the newest one, in milliseconds; 0 in a reply of the leader.
+    #[serde(default)]
+    pub proof_age_ms: u64,
+    /// System address of the leader; `None` in its own reply, or if a delegate does not know it.
+    #[serde(default)]
+    pub leader: Option<SocketAddr>,
+    /// System addresses of the coordinators that answer syncs in the leader's place.
+    #[serde(default)]
+    pub delegates: Vec<SocketAddr>,
+}
+
+impl GatewayReport {
+    /// Returns whether the report has something that only the leader can record or answer.
+    #[must_use]
+    pub fn needs_leader(&self) -> bool {
+        !(self.crashes.is_empty()
+            && self.completed_parts.is_empty()
+            && self.streams.is_empty()
+            && self.stream_queries.is_empty()
+            && self.missing_models.is_empty())
+    }
 }
 
 /// Update of a gateway's plan to the newest one.
