Give the messages of the log a thread of their own

Cause: the log's messages shared one single-threaded runtime with syncs, polls, tokens and rounds, and waited behind each task that was ready. Class: a lease that depends on a queue shared with work that grows with the fleet. Change: LogRuntime, a thread with a runtime for the system port and for messages to peers. Syncs that arrive there are answered on the daemon's runtime. The kernel divides the processor among threads, and this one has little to do.

--- a/src/control/peer_sender.rs
+++ b/src/control/peer_sender.rs
@@ -53,13 +53,24 @@
     /// Outside a runtime.
     #[must_use]
     pub fn new(addresses: Arc<AddressBook>, secret: String, level: CommandLevel) -> Self {
+        Self::on(Handle::current(), addresses, secret, level)
+    }
+
+    /// Creates a sender whose tasks run on a runtime.
+    #[must_use]
+    pub fn on(
+        runtime: Handle,
+        addresses: Arc<AddressBook>,
+        secret: String,
+        level: CommandLevel,
+    ) -> Self {
         Self {
             context: Arc::new(SenderContext {
                 addresses,
                 secret,
                 level,
             }),
-            runtime: Handle::current(),
+            runtime,
             queues: HashMap::new(),
         }
     }
--- a/src/coordinator.rs
+++ b/src/coordinator.rs
@@ -18,6 +18,7 @@
 mod grant_server;
 mod leader_work;
 mod load_groups;
+mod log_runtime;
 mod membership_controller;
 mod model_copies;
 mod model_waits;
--- a/src/coordinator/api.rs
+++ b/src/coordinator/api.rs
@@ -6,6 +6,7 @@
     http::Status,
     post,
 };
+use tokio::runtime::Handle;
 
 use super::state::CoordinatorState;
 use crate::{
@@ -17,18 +18,35 @@
 /// Maximum size of a report.
 const MAX_REPORT_MIB: u64 = 4;
 
-/// Processes a gateway's report. A daemon that does not lead answers with the leader's address.
+/// Runtime that answers syncs. The server that receives them has a runtime for the messages of the log, which
+/// must not wait for syncs.
+pub struct WorkRuntime(pub Handle);
+
+/// Processes a gateway's report. A daemon that does not lead answers with the leader's address, unless it
+/// answers in the leader's place.
 #[post("/gateway/v1/sync", data = "<body>")]
 pub async fn sync_gateway(
     _peer: SystemPeer,
     body: Data<'_>,
     state: &State<Arc<CoordinatorState>>,
+    runtime: &State<WorkRuntime>,
 ) -> Result<Vec<u8>, (Status, Vec<u8>)> {
-    let failure = |status: Status| (status, Vec::new());
     let bytes = body.open(MAX_REPORT_MIB.mebibytes()).into_bytes().await;
     let bytes = bytes.map_err(|_| failure(Status::BadRequest))?;
+    let state = Arc::clone(state);
+    let answer = runtime
+        .0
+        .spawn(async move { answer_gateway(&bytes, &state).await });
+    let answer = answer.await;
+    answer.unwrap_or_else(|_| Err(failure(Status::InternalServerError)))
+}
+
+async fn answer_gateway(
+    bytes: &[u8],
+    state: &CoordinatorState,
+) -> Result<Vec<u8>, (Status, Vec<u8>)> {
     let report: GatewayReport =
-        sync::decode("gateway report", &bytes).map_err(|_| failure(Status::BadRequest))?;
+        sync::decode("gateway report", bytes).map_err(|_| failure(Status::BadRequest))?;
     match state.sync(report).await {
         Ok(reply) => sync::encode(&reply).map_err(|_| failure(Status::InternalServerError)),
         Err(Error::NotLeader { .. }) => {
@@ -40,17 +58,30 @@
     }
 }
 
+fn failure(status: Status) -> (Status, Vec<u8>) {
+    (status, Vec::new())
+}
+
 /// Processes a delegate's report.
 #[post("/delegate/v1/sync", data = "<body>")]
 pub async fn sync_delegate(
     _peer: SystemPeer,
     body: Data<'_>,
     state: &State<Arc<CoordinatorState>>,
+    runtime: &State<WorkRuntime>,
 ) -> Result<Vec<u8>, Status> {
     let bytes = body.open(MAX_REPORT_MIB.mebibytes()).into_bytes().await;
     let bytes = bytes.map_err(|_| Status::BadRequest)?;
+    let state = Arc::clone(state);
+    let answer = runtime
+        .0
+        .spawn(async move { answer_delegate(&bytes, &state) });
+    answer.await.unwrap_or(Err(Status::InternalServerError))
+}
+
+fn answer_delegate(bytes: &[u8], state: &CoordinatorState) -> Result<Vec<u8>, Status> {
     let report: DelegateReport =
-        sync::decode("delegate report", &bytes).map_err(|_| Status::BadRequest)?;
+        sync::decode("delegate report", bytes).map_err(|_| Status::BadRequest)?;
     let reply = state.sync_delegate(&report);
     let reply = reply.map_err(|_| Status::MisdirectedRequest)?;
     sync::encode_compact(&reply).map_err(|_| Status::InternalServerError)
--- a/src/coordinator/daemon.rs
+++ b/src/coordinator/daemon.rs
@@ -2,12 +2,19 @@
 
 use rocket::{Build, Rocket, Route, routes};
 use spdlog::prelude::*;
-use tokio::{sync::watch, task::JoinSet};
+use tokio::{runtime::Handle, sync::watch, task::JoinSet};
 
 use super::{
-    api, config::CoordinatorConfig, delegate_client::DelegateClient, grant_server::GrantServer,
-    membership_controller::MembershipController, order_dispatcher::OrderDispatcher,
-    plan_pusher::PlanPusher, plan_store::PlanStore, state::CoordinatorState,
+    api::{self, WorkRuntime},
+    config::CoordinatorConfig,
+    delegate_client::DelegateClient,
+    grant_server::GrantServer,
+    log_runtime::LogRuntime,
+    membership_controller::MembershipController,
+    order_dispatcher::OrderDispatcher,
+    plan_pusher::PlanPusher,
+    plan_store::PlanStore,
+    state::CoordinatorState,
 };
 use crate::{
     adapter::PlatformAdapter,
@@ -80,7 +87,13 @@
             ..VoterSettings::new(config.vm.clone())
         };
         let level = settings.supported_level;
-        let peers = HttpPeerSender::new(Arc::clone(&addresses), self.secret.clone(), level);
+        let log_runtime = LogRuntime::start()?;
+        let peers = HttpPeerSender::on(
+            log_runtime.handle().clone(),
+            Arc::clone(&addresses),
+            self.secret.clone(),
+            level,
+        );
         let mut stop = pin!(stop);
         let journal = tokio::select! {
             journal = open_journal(config, &settings) => journal?,
@@ -93,11 +106,14 @@
             self.adapter,
             config.plan_lease,
         ));
-        let grants = GrantServer::bind(control.system_listen.socket(), Arc::clone(&state)).await?;
-        let pusher = PlanPusher::open(control.system_listen.socket(), Arc::clone(&state)).await?;
+        let delegate = DelegateClient::new(Arc::clone(&state), client.clone(), self.secret.clone());
+        // The set is dropped with the daemon, which aborts the tasks and frees the port.
+        let _services =
+            spawn_services(control.system_listen.socket(), Arc::clone(&state), delegate).await?;
         let plans = Arc::new(PlanStore::new(Arc::clone(&state)));
         let system = build(&control.system_listen)
             .manage(SystemSecret(self.secret.clone()))
+            .manage(WorkRuntime(Handle::current()))
             .manage(voter.clone())
             .manage(Arc::clone(&state))
             .mount("/", raft_routes())
@@ -107,36 +123,25 @@
             .mount("/", self.operator_routes);
         let founder =
             FleetBootstrap::new(control, voter.clone(), client.clone(), self.secret.clone());
-        let membership = MembershipController::new(
-            voter.clone(),
-            client.clone(),
-            self.secret.clone(),
-            config.voter_count,
-        );
-        let delegate = DelegateClient::new(Arc::clone(&state), client, self.secret);
-        let part_recorder = Arc::clone(&state.part_recorder);
-        let [plan_follower, work] = [(); 2].map(|()| Arc::clone(&state));
+        let membership =
+            MembershipController::new(voter.clone(), client, self.secret, config.voter_count);
         let dispatcher = OrderDispatcher::new(state, config.vm.clone(), config.holder_lease);
-        // The set is dropped with the daemon, which aborts the task and frees the port.
-        let mut servers = JoinSet::new();
-        servers.spawn(grants.run());
-        servers.spawn(pusher.run());
-        servers.spawn(delegate.run());
-        servers.spawn(part_recorder.run());
-        servers.spawn(async move { work.work.run(|| work.tokens()).await });
-        servers.spawn(async move { plan_follower.follow_plans().await });
         tokio::spawn(founder.run());
         tokio::spawn(membership.run());
         tokio::spawn(Arc::new(dispatcher).run());
         let (close, closing) = watch::channel(false);
-        let mut serving = [system, operator].map(|rocket| {
+        let serve = |rocket: Rocket<Build>, runtime: &Handle| {
             let mut closing = closing.clone();
             let closed = async move {
                 // An error means that the daemon was dropped, which must stop the servers as well.
                 let _ = closing.wait_for(|closed| *closed).await;
             };
-            tokio::spawn(server::launch_until(rocket, closed))
-        });
+            runtime.spawn(server::launch_until(rocket, closed))
+        };
+        let mut serving = [
+            serve(system, log_runtime.handle()),
+            serve(operator, &Handle::current()),
+        ];
         info!(
             "coordinator: {} started, operators' API at {}",
             config.vm, config.operator_listen
@@ -169,6 +174,26 @@
     }
 }
 
+/// Starts the tasks that serve gateways: tokens, news of plans, and what other coordinators and the log bring.
+async fn spawn_services(
+    address: SocketAddr,
+    state: Arc<CoordinatorState>,
+    delegate: DelegateClient,
+) -> Result<JoinSet<()>> {
+    let grants = GrantServer::bind(address, Arc::clone(&state)).await?;
+    let pusher = PlanPusher::open(address, Arc::clone(&state)).await?;
+    let part_recorder = Arc::clone(&state.part_recorder);
+    let plan_follower = Arc::clone(&state);
+    let mut services = JoinSet::new();
+    services.spawn(grants.run());
+    services.spawn(pusher.run());
+    services.spawn(delegate.run());
+    services.spawn(part_recorder.run());
+    services.spawn(async move { state.work.run(|| state.tokens()).await });
+    services.spawn(async move { plan_follower.follow_plans().await });
+    Ok(services)
+}
+
 /// Opens the journal, and retries while the disk is full. Ending the process would not help, since
 /// it would only be started again.
 async fn open_journal(
