Let delegates poll engines for the leader

Change: in fleets with delegates the leader hands due polls to them with the replies to their syncs, at most 24 at once, and gets the results with their next ones. Orders stay with the leader.

--- a/src/adapter/engine_status.rs
+++ b/src/adapter/engine_status.rs
@@ -1,8 +1,10 @@
+use serde::{Deserialize, Serialize};
+
 use super::LoadedModel;
 use crate::ids::ModelId;
 
 /// Status that an engine reports about itself. It is up to some 100 ms old.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineStatus {
     /// Models in memory with their adapters.
     pub models: Vec<LoadedModel>,
--- a/src/coordinator/delegate_client.rs
+++ b/src/coordinator/delegate_client.rs
@@ -3,12 +3,13 @@
 use reqwest::Client;
 use spdlog::prelude::*;
 
-use super::state::CoordinatorState;
+use super::{leader_work::LeaderWork, order_dispatcher::with_timeout, state::CoordinatorState};
 use crate::{
+    adapter::TargetEntry,
     client,
     clock::BootInstant,
     error::{Error, Result},
-    sync::{self, DELEGATE_SYNC_PATH, DelegateReply, DelegateReport, SECRET_HEADER},
+    sync::{self, DELEGATE_SYNC_PATH, DelegateReply, DelegateReport, PolledEngine, SECRET_HEADER},
 };
 
 /// Interval of a delegate's syncs with the leader.
@@ -40,9 +41,10 @@
     /// Runs until the task is dropped.
     pub async fn run(self) {
         loop {
-            let interval = match self.state.delegate().is_needed() {
-                true => SYNC_INTERVAL,
-                false => IDLE_INTERVAL,
+            let interval = if self.state.delegate().is_needed() {
+                SYNC_INTERVAL
+            } else {
+                IDLE_INTERVAL
             };
             // An early report confirms a plan.
             let _ = tokio::time::timeout(interval, self.state.delegate_due.notified()).await;
@@ -59,7 +61,12 @@
         let report = self.state.make_delegate_report();
         let sent_at = BootInstant::now();
         match self.send(leader, &report).await {
-            Ok(reply) => self.state.apply_delegate_reply(reply, sent_at),
+            Ok(mut reply) => {
+                for engine in std::mem::take(&mut reply.polls) {
+                    tokio::spawn(poll_engine(Arc::clone(&self.state), engine));
+                }
+                self.state.apply_delegate_reply(reply, sent_at);
+            }
             Err(error) => {
                 debug!("coordinator: a sync with the leader failed and is repeated: {error}");
                 self.state.delegate().put_back(report);
@@ -87,3 +94,16 @@
         sync::decode("delegate reply", &body)
     }
 }
+
+/// Polls an engine for the leader. The result goes with the next sync.
+async fn poll_engine(state: Arc<CoordinatorState>, engine: TargetEntry) {
+    LeaderWork::add(&state.work.engine_calls, 1);
+    let status = with_timeout(state.adapter.engine_status(engine.address)).await;
+    if let Err(error) = &status {
+        debug!("place: polling the status of {} failed: {error}", engine.id);
+    }
+    state.delegate().record_poll(PolledEngine {
+        target: engine.id,
+        status: status.ok(),
+    });
+}
--- a/src/coordinator/delegate_view.rs
+++ b/src/coordinator/delegate_view.rs
@@ -11,7 +11,7 @@
     plan::PlanVersion,
     sync::{
         DelegateReply, DelegateReport, DelegatedGateway, GatewayReport, ModelRequests,
-        PlanConfirmation, RosterEntry, ServedModel,
+        PlanConfirmation, PolledEngine, RosterEntry, ServedModel,
     },
 };
 
@@ -47,6 +47,7 @@
     gateways: BTreeMap<EntryKey, DelegatedGateway>,
     demand: HashMap<ServedModel, (u32, u64)>,
     unresponsive: BTreeSet<TargetId>,
+    polled: Vec<PolledEngine>,
 }
 
 impl DelegateView {
@@ -170,6 +171,7 @@
                 })
                 .collect(),
             unresponsive: pending.unresponsive.into_iter().collect(),
+            polled: pending.polled,
         }
     }
 
@@ -181,6 +183,12 @@
         }
         self.pending.add_demand(&report.demand);
         self.pending.unresponsive.extend(report.unresponsive);
+        self.pending.polled.extend(report.polled);
+    }
+
+    /// Records the result of a poll for the leader.
+    pub fn record_poll(&mut self, polled: PolledEngine) {
+        self.pending.polled.push(polled);
     }
 
     /// Applies the leader's reply to a report that was sent at `sent_at`, except for the target list.
--- a/src/coordinator/delegation.rs
+++ b/src/coordinator/delegation.rs
@@ -15,6 +15,9 @@
     sync::{DelegateReply, DelegateReport, GatewayReply, GatewayReport, PlanUpdate, TargetList},
 };
 
+/// Maximum number of polls that a delegate picks up at once.
+const MAX_POLLS: usize = 24;
+
 impl CoordinatorState {
     pub(super) fn delegate(&self) -> MutexGuard<'_, DelegateView> {
         self.delegate.lock().unwrap_or_else(PoisonError::into_inner)
@@ -110,6 +113,21 @@
             for target in &report.unresponsive {
                 tables.engines.mark_suspected(target);
             }
+            for polled in &report.polled {
+                if tables.polls.finish(&polled.target) {
+                    let status = polled.status.clone();
+                    tables.engines.record_status(&polled.target, status, now);
+                }
+            }
+            self.publish_targets(tables);
+            let delegates = tables.delegates.live(now);
+            // Each delegate picks up its part; there is one at least, which asks now.
+            let part = tables.polls.waiting().div_ceil(delegates.len().max(1));
+            let polls = if is_needed {
+                tables.polls.pick_up(part.min(MAX_POLLS), now)
+            } else {
+                Vec::new()
+            };
             let roster = report
                 .roster_number
                 .and_then(|number| tables.gateways.roster_since(number));
@@ -122,7 +140,8 @@
                 list_age_ms: list.map(|at| millis(now.saturating_sub(at))),
                 recorded_services: self.recorded_services(),
                 roster: roster.filter(|_| is_needed),
-                delegates: tables.delegates.live(now),
+                delegates,
+                polls,
             }
         });
         if lease.is_valid() {
--- a/src/coordinator/gateway_table.rs
+++ b/src/coordinator/gateway_table.rs
@@ -111,19 +111,16 @@
     /// Records a gateway that has synced with a delegate.
     pub fn record_delegated(&mut self, entry: &RosterEntry, now: Duration) {
         let known = self.gateways.get_mut(&entry.gateway);
-        match known.filter(|known| known.load_address == entry.load_address) {
-            Some(known) => {
-                known.last_report_at = now;
-                let is_recent = |at: Duration| now.saturating_sub(at) < MAX_SYNC_INTERVAL;
-                if !known.synced_at.is_some_and(is_recent) {
-                    known.awaited_models.clear();
-                }
-            }
-            None => {
-                self.gateways
-                    .insert(entry.gateway.clone(), GatewayState::new(entry, now));
-                self.change_roster();
-            }
+        let Some(known) = known.filter(|known| known.load_address == entry.load_address) else {
+            self.gateways
+                .insert(entry.gateway.clone(), GatewayState::new(entry, now));
+            self.change_roster();
+            return;
+        };
+        known.last_report_at = now;
+        let is_recent = |at: Duration| now.saturating_sub(at) < MAX_SYNC_INTERVAL;
+        if !known.synced_at.is_some_and(is_recent) {
+            known.awaited_models.clear();
         }
     }
 
--- a/src/coordinator/leader_work.rs
+++ b/src/coordinator/leader_work.rs
@@ -78,16 +78,16 @@
                 &self.grant_datagrams,
             ]
             .map(take);
-            let (delegate_syncs, delegated_syncs) =
-                (take(&self.delegate_syncs), take(&self.delegated_syncs));
-            if syncs + grant_requests + delegated_syncs == 0 {
+            let delegate_syncs = take(&self.delegate_syncs);
+            let answered_syncs = take(&self.delegated_syncs);
+            if syncs + grant_requests + answered_syncs == 0 {
                 continue;
             }
             let (free_tokens, outstanding_tokens) = tokens();
             info!("coordinator: work", kv: {
                 syncs = syncs,
                 delegate_syncs = delegate_syncs,
-                delegated_syncs = delegated_syncs,
+                delegated_syncs = answered_syncs,
                 grant_datagrams = grant_datagrams,
                 grant_requests = grant_requests,
                 free_tokens = free_tokens,
--- a/src/coordinator/order_dispatcher.rs
+++ b/src/coordinator/order_dispatcher.rs
@@ -90,7 +90,16 @@
         let Some(plan) = tables.plan.clone() else {
             return;
         };
-        for entry in tables.engines.due_polls(now) {
+        let due = tables.engines.due_polls(now);
+        let own = if tables.delegates.live(now).is_empty() {
+            due
+        } else {
+            for entry in due {
+                tables.polls.add(entry, now);
+            }
+            tables.polls.take_overdue(now)
+        };
+        for entry in own {
             tokio::spawn(poll_status(Arc::clone(&self.state), lease, entry));
         }
         // Orders of a former leader may still be in flight until its lease has expired.
@@ -175,7 +184,8 @@
     state.round_trigger.notify_one();
 }
 
-async fn with_timeout<T>(call: impl Future<Output = Result<T>>) -> Result<T> {
+/// Returns the response of a call to an engine, or an error after a timeout.
+pub(super) async fn with_timeout<T>(call: impl Future<Output = Result<T>>) -> Result<T> {
     let response = tokio::time::timeout(CALL_TIMEOUT, call).await;
     response.unwrap_or_else(|_| {
         Err(crate::error::Error::Transport {
--- a/src/coordinator/state.rs
+++ b/src/coordinator/state.rs
@@ -10,6 +10,7 @@
 use super::{
     delegate_table::DelegateTable,
     delegate_view::DelegateView,
+    delegated_polls::DelegatedPolls,
     engine_table::{EngineTable, TargetChanges},
     gateway_table::GatewayTable,
     leader_work::LeaderWork,
@@ -81,6 +82,7 @@
     pub plan: Option<Arc<PlanIndex>>,
     pub listed_at: Option<Duration>,
     pub delegates: DelegateTable,
+    pub polls: DelegatedPolls,
 }
 
 impl LeaderTables {
@@ -98,6 +100,7 @@
             ledger: AllowanceLedger::new(term, now).with_takeover_reserve(),
             gateways,
             delegates: DelegateTable::default(),
+            polls: DelegatedPolls::default(),
             engines: EngineTable::default(),
             plan: None,
             listed_at: None,
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -15,7 +15,8 @@
 
 pub use claims::{CLAIMS_PATH, CRASHES_PATH, ClaimMessage, CommandReply, CrashMessage};
 pub use delegate::{
-    DELEGATE_SYNC_PATH, DelegateReply, DelegateReport, DelegatedGateway, GatewayRoster, RosterEntry,
+    DELEGATE_SYNC_PATH, DelegateReply, DelegateReport, DelegatedGateway, GatewayRoster,
+    PolledEngine, RosterEntry,
 };
 pub use gateway::{
     GATEWAY_SYNC_PATH, GatewayReply, GatewayReport, GrantReply, GrantRequest, ListVersion,
--- a/src/sync/delegate.rs
+++ b/src/sync/delegate.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    adapter::{EngineStatus, TargetEntry},
     ids::{DataCentreId, EntryKey, ServiceId, TargetId, Term},
     plan::PlanVersion,
     sync::{ListVersion, ModelRequests, TargetList},
@@ -35,6 +36,17 @@
     pub demand: Vec<ModelRequests>,
     /// Targets that they have found unresponsive.
     pub unresponsive: Vec<TargetId>,
+    /// Results of polls of engines.
+    pub polled: Vec<PolledEngine>,
+}
+
+/// Result of the poll of an engine.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PolledEngine {
+    /// The engine.
+    pub target: TargetId,
+    /// Status of the engine; `None` if it did not answer.
+    pub status: Option<EngineStatus>,
 }
 
 /// A gateway that syncs with a delegate.
@@ -88,4 +100,6 @@
     pub roster: Option<GatewayRoster>,
     /// System addresses of all coordinators that answer syncs in the leader's place.
     pub delegates: Vec<SocketAddr>,
+    /// Engines whose status the coordinator is to ask for.
+    pub polls: Vec<TargetEntry>,
 }
--- a/tests/delegate_view.rs
+++ b/tests/delegate_view.rs
@@ -54,6 +54,7 @@
         recorded_services: Vec::new(),
         roster: None,
         delegates: Vec::new(),
+        polls: Vec::new(),
     }
 }
 
--- a/tests/model_plans.rs
+++ b/tests/model_plans.rs
@@ -305,6 +305,91 @@
 }
 
 impl PlanModel {
+    /// Adds what a gateway does: its syncs and news may be late or lost at any point.
+    fn add_gateway_actions(
+        &self,
+        state: &State,
+        index: usize,
+        add: &mut impl FnMut(Action, &dyn Fn(&mut State)),
+    ) {
+        let gateway = state.gateways[index];
+        match gateway.sync {
+            Sync::None if self.has_voters => {}
+            Sync::None => add(Action::SendSync(index), &|state| {
+                let gateway = &mut state.gateways[index];
+                gateway.sync = Sync::Sent {
+                    at: state.now,
+                    held: gateway.version,
+                };
+            }),
+            Sync::Sent { at, held } if self.has_delegate => {
+                let proved_at = state.delegate.proved_at;
+                // The gateway counts the proof's age from the moment at which it asked.
+                let age = proved_at.map(|proved_at| state.now - proved_at);
+                let proof = match self.fault {
+                    Fault::DelegateProofIsFresh => age.map(|_| at),
+                    _ => age.and_then(|age| at.checked_sub(age)),
+                };
+                if let Some(at) = proof {
+                    add(Action::AnswerSync(index), &|state| {
+                        state.delegate.held = state.delegate.held.max(Some(held));
+                        let newest = state.delegate.version;
+                        state.gateways[index].sync = Sync::Answered { at, newest };
+                    });
+                }
+                add(Action::LoseSync(index), &|state| {
+                    state.gateways[index].sync = Sync::None;
+                });
+            }
+            Sync::Sent { at, held } => {
+                add(Action::AnswerSync(index), &|state| {
+                    let known = state.reports[index].map_or(held, |(version, _)| version.max(held));
+                    state.reports[index] = Some((known, state.now));
+                    let newest = state.newest;
+                    if held == 0 {
+                        state.reports[index] = None;
+                        state.first_plans[index] = Some((newest, state.now));
+                    }
+                    state.gateways[index].sync = Sync::Answered { at, newest };
+                });
+                add(Action::LoseSync(index), &|state| {
+                    state.gateways[index].sync = Sync::None;
+                });
+            }
+            Sync::Answered { at, newest } => add(Action::ReceiveReply(index), &|state| {
+                let now = state.now;
+                let gateway = &mut state.gateways[index];
+                let proved_at = match self.fault {
+                    Fault::LeaseFromArrival => now,
+                    _ => at,
+                };
+                gateway.version = gateway.version.max(newest);
+                gateway.proved_at = gateway.proved_at.max(Some(proved_at));
+                gateway.sync = Sync::None;
+            }),
+        }
+        // News are changes of a plan, and come from the coordinator that answers syncs.
+        let is_told = !self.has_delegate || state.delegate.version == state.newest;
+        if state.news[index] && gateway.version > 0 && is_told {
+            add(Action::ReceiveNews(index), &|state| {
+                let (newest, now) = (state.newest, state.now);
+                let gateway = &mut state.gateways[index];
+                gateway.version = newest;
+                if self.fault == Fault::NewsIsProof {
+                    gateway.proved_at = Some(now);
+                }
+                state.news[index] = false;
+                if self.has_delegate {
+                    state.delegate.held = Some(newest);
+                    return;
+                }
+                if let Some((version, _)) = &mut state.reports[index] {
+                    *version = (*version).max(newest);
+                }
+            });
+        }
+    }
+
     /// Adds what a delegate does: it receives the log at any time, and its syncs may be late or lost.
     fn add_delegate_actions(
         &self,
@@ -483,83 +568,8 @@
         if state.now < self.last_tick {
             add(Action::Tick, &|state| state.now += 1);
         }
-        for (index, gateway) in state.gateways[..self.gateways].iter().enumerate() {
-            match gateway.sync {
-                Sync::None if self.has_voters => {}
-                Sync::None => add(Action::SendSync(index), &|state| {
-                    let gateway = &mut state.gateways[index];
-                    gateway.sync = Sync::Sent {
-                        at: state.now,
-                        held: gateway.version,
-                    };
-                }),
-                Sync::Sent { at, held } if self.has_delegate => {
-                    let proved_at = state.delegate.proved_at;
-                    // The gateway counts the proof's age from the moment at which it asked.
-                    let age = proved_at.map(|proved_at| state.now - proved_at);
-                    let proof = match self.fault {
-                        Fault::DelegateProofIsFresh => age.map(|_| at),
-                        _ => age.and_then(|age| at.checked_sub(age)),
-                    };
-                    if let Some(at) = proof {
-                        add(Action::AnswerSync(index), &|state| {
-                            state.delegate.held = state.delegate.held.max(Some(held));
-                            let newest = state.delegate.version;
-                            state.gateways[index].sync = Sync::Answered { at, newest };
-                        });
-                    }
-                    add(Action::LoseSync(index), &|state| {
-                        state.gateways[index].sync = Sync::None;
-                    });
-                }
-                Sync::Sent { at, held } => {
-                    add(Action::AnswerSync(index), &|state| {
-                        let known =
-                            state.reports[index].map_or(held, |(version, _)| version.max(held));
-                        state.reports[index] = Some((known, state.now));
-                        let newest = state.newest;
-                        if held == 0 {
-                            state.reports[index] = None;
-                            state.first_plans[index] = Some((newest, state.now));
-                        }
-                        state.gateways[index].sync = Sync::Answered { at, newest };
-                    });
-                    add(Action::LoseSync(index), &|state| {
-                        state.gateways[index].sync = Sync::None;
-                    });
-                }
-                Sync::Answered { at, newest } => add(Action::ReceiveReply(index), &|state| {
-                    let now = state.now;
-                    let gateway = &mut state.gateways[index];
-                    let proved_at = match self.fault {
-                        Fault::LeaseFromArrival => now,
-                        _ => at,
-                    };
-                    gateway.version = gateway.version.max(newest);
-                    gateway.proved_at = gateway.proved_at.max(Some(proved_at));
-                    gateway.sync = Sync::None;
-                }),
-            }
-            // News are changes of a plan, and come from the coordinator that answers syncs.
-            let is_told = !self.has_delegate || state.delegate.version == state.newest;
-            if state.news[index] && gateway.version > 0 && is_told {
-                add(Action::ReceiveNews(index), &|state| {
-                    let (newest, now) = (state.newest, state.now);
-                    let gateway = &mut state.gateways[index];
-                    gateway.version = newest;
-                    if self.fault == Fault::NewsIsProof {
-                        gateway.proved_at = Some(now);
-                    }
-                    state.news[index] = false;
-                    if self.has_delegate {
-                        state.delegate.held = Some(newest);
-                        return;
-                    }
-                    if let Some((version, _)) = &mut state.reports[index] {
-                        *version = (*version).max(newest);
-                    }
-                });
-            }
+        for index in 0..self.gateways {
+            self.add_gateway_actions(state, index, &mut add);
         }
         if state.newest == 1 || (self.fault == Fault::NewsIsProof && state.newest == 2) {
             add(Action::Publish, &|state| {
