Name a service's only version only with a recent list

Here: while gateways hear no leader they read the platform's list by themselves, and streams begin on targets whose version is not in the log. A leader that takes over answered "only version" from its log before it had read the list, for up to 600 ms, or as long as it cannot read it. Callers that wait for that answer take their streams up in just this time. Class: a statement about the whole from a part that may be old. Change: the leader says "unknown" unless its list is less than 1.8 s old, the age from which gateways read it by themselves.

--- a/src/coordinator/state.rs
+++ b/src/coordinator/state.rs
@@ -409,9 +409,9 @@
             Some(_) => self.target_changes(report),
             None => None,
         };
-        let stream_answers = self.answer_streams(&report.stream_queries);
-        let recorded_services = self.recorded_services();
         let age = tables.listed_at.map(|at| now.saturating_sub(at));
+        let stream_answers = self.answer_streams(&report.stream_queries, age);
+        let recorded_services = self.recorded_services();
         GatewayReply {
             term: tables.term,
             plan,
--- a/src/coordinator/stream_versions.rs
+++ b/src/coordinator/stream_versions.rs
@@ -12,12 +12,14 @@
     adapter::TargetEntry,
     ids::{ServiceId, SoftwareVersion},
     state::Command,
-    sync::{StreamAnswer, StreamQuery, VersionObservation},
+    sync::{StreamAnswer, StreamOrigin, StreamQuery, VersionObservation},
     voter::{LeaderLease, unix_time_ms},
 };
 
 /// Minimum time for which it is known which version began a stream, and that a version served.
 const MIN_STREAM_RETENTION: Duration = Duration::from_secs(60);
+/// Age of the platform's list from which gateways read it by themselves.
+const MAX_LIST_AGE: Duration = Duration::from_millis(1_800);
 
 impl CoordinatorState {
     /// Commits which versions of the targets' software a list names, unless that is known. Gateways get a
@@ -55,16 +57,31 @@
         }
     }
 
-    /// Answers questions about streams.
-    pub(super) fn answer_streams(&self, queries: &[StreamQuery]) -> Vec<StreamAnswer> {
+    /// Answers questions about streams. `list_age` is the age of the platform's list that this leader has read.
+    ///
+    /// Gateways without a leader read the list by themselves, and streams begin on targets whose version the
+    /// log does not know yet. Only a leader with a recent list can tell that a service has one version.
+    pub(super) fn answer_streams(
+        &self,
+        queries: &[StreamQuery],
+        list_age: Option<Duration>,
+    ) -> Vec<StreamAnswer> {
         if queries.is_empty() {
             return Vec::new();
         }
+        let knows_versions = list_age.is_some_and(|age| age < MAX_LIST_AGE);
         self.voter.read_local(|state| {
             let now_ms = state.now_ms().max(unix_time_ms());
-            let answers = queries.iter().map(|query| StreamAnswer {
-                origin: state.streams().origin(&query.service, query.stream, now_ms),
-                query: query.clone(),
+            let answers = queries.iter().map(|query| {
+                let streams = state.streams();
+                let origin = match streams.origin(&query.service, query.stream, now_ms) {
+                    StreamOrigin::OnlyVersion(_) if !knows_versions => StreamOrigin::Unknown,
+                    origin => origin,
+                };
+                StreamAnswer {
+                    origin,
+                    query: query.clone(),
+                }
             });
             answers.collect()
         })
