Let a new leader have its delegates at once

Cause: coordinators that the leader needs not sync once a second, and a leader that has just started knows of no gateways; then their syncs waited behind 430 syncs of gateways in two seconds, and were lost after 500 ms. Class: those that would relieve a queue wait in it. Change: for 5 s after a change of leader coordinators sync each 100 ms. Their syncs are answered on a thread of their own (ThreadRuntime, which was LogRuntime).

--- a/src/coordinator.rs
+++ b/src/coordinator.rs
@@ -19,7 +19,6 @@
 mod grant_server;
 mod leader_work;
 mod load_groups;
-mod log_runtime;
 mod membership_controller;
 mod model_copies;
 mod model_waits;
@@ -34,6 +33,7 @@
 mod state;
 mod stream_versions;
 mod target_history;
+mod thread_runtime;
 
 pub use config::CoordinatorConfig;
 pub use daemon::CoordinatorDaemon;
--- a/src/coordinator/api.rs
+++ b/src/coordinator/api.rs
@@ -18,9 +18,23 @@
 /// Maximum size of a report.
 const MAX_REPORT_MIB: u64 = 4;
 
-/// Runtime that answers syncs. The server that receives them has a runtime for the messages of the log, which
-/// must not wait for syncs.
-pub struct WorkRuntime(pub Handle);
+/// Runtimes that answer syncs. The server that receives them has a runtime for the messages of the log, which
+/// must not wait for syncs. Those of delegates must not wait for those of gateways, which delegates take over.
+pub struct SyncRuntimes {
+    gateways: Handle,
+    delegates: Handle,
+}
+
+impl SyncRuntimes {
+    /// Creates the runtimes of syncs of gateways and of delegates.
+    #[must_use]
+    pub fn new(gateways: Handle, delegates: &Handle) -> Self {
+        Self {
+            gateways,
+            delegates: delegates.clone(),
+        }
+    }
+}
 
 /// Processes a gateway's report. A daemon that does not lead answers with the leader's address, unless it
 /// answers in the leader's place.
@@ -29,13 +43,13 @@
     _peer: SystemPeer,
     body: Data<'_>,
     state: &State<Arc<CoordinatorState>>,
-    runtime: &State<WorkRuntime>,
+    runtimes: &State<SyncRuntimes>,
 ) -> Result<Vec<u8>, (Status, Vec<u8>)> {
     let bytes = body.open(MAX_REPORT_MIB.mebibytes()).into_bytes().await;
     let bytes = bytes.map_err(|_| failure(Status::BadRequest))?;
     let state = Arc::clone(state);
-    let answer = runtime
-        .0
+    let answer = runtimes
+        .gateways
         .spawn(async move { answer_gateway(&bytes, &state).await });
     let answer = answer.await;
     answer.unwrap_or_else(|_| Err(failure(Status::InternalServerError)))
@@ -68,13 +82,13 @@
     _peer: SystemPeer,
     body: Data<'_>,
     state: &State<Arc<CoordinatorState>>,
-    runtime: &State<WorkRuntime>,
+    runtimes: &State<SyncRuntimes>,
 ) -> Result<Vec<u8>, Status> {
     let bytes = body.open(MAX_REPORT_MIB.mebibytes()).into_bytes().await;
     let bytes = bytes.map_err(|_| Status::BadRequest)?;
     let state = Arc::clone(state);
-    let answer = runtime
-        .0
+    let answer = runtimes
+        .delegates
         .spawn(async move { answer_delegate(&bytes, &state) });
     answer.await.unwrap_or(Err(Status::InternalServerError))
 }
--- a/src/coordinator/daemon.rs
+++ b/src/coordinator/daemon.rs
@@ -5,16 +5,16 @@
 use tokio::{runtime::Handle, sync::watch, task::JoinSet};
 
 use super::{
-    api::{self, WorkRuntime},
+    api::{self, SyncRuntimes},
     config::CoordinatorConfig,
     delegate_client::DelegateClient,
     grant_server::GrantServer,
-    log_runtime::LogRuntime,
     membership_controller::MembershipController,
     order_dispatcher::OrderDispatcher,
     plan_pusher::PlanPusher,
     plan_store::PlanStore,
     state::CoordinatorState,
+    thread_runtime::ThreadRuntime,
 };
 use crate::{
     adapter::PlatformAdapter,
@@ -87,7 +87,8 @@
             ..VoterSettings::new(config.vm.clone())
         };
         let level = settings.supported_level;
-        let log_runtime = LogRuntime::start()?;
+        let log_runtime = ThreadRuntime::start("log")?;
+        let delegate_runtime = ThreadRuntime::start("delegates")?;
         let peers = HttpPeerSender::on(
             log_runtime.handle().clone(),
             Arc::clone(&addresses),
@@ -113,7 +114,10 @@
         let plans = Arc::new(PlanStore::new(Arc::clone(&state)));
         let system = build(&control.system_listen)
             .manage(SystemSecret(self.secret.clone()))
-            .manage(WorkRuntime(Handle::current()))
+            .manage(SyncRuntimes::new(
+                Handle::current(),
+                delegate_runtime.handle(),
+            ))
             .manage(voter.clone())
             .manage(Arc::clone(&state))
             .mount("/", raft_routes())
--- a/src/coordinator/delegate_client.rs
+++ b/src/coordinator/delegate_client.rs
@@ -1,4 +1,8 @@
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use reqwest::Client;
 use spdlog::prelude::*;
@@ -16,6 +20,8 @@
 const SYNC_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval while the leader needs no delegates.
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time after a change of leader in which the leader may not know yet that it needs delegates.
+const TAKEOVER_TIME: Duration = Duration::from_secs(5);
 /// Minimum interval, also when gateways confirm plans.
 const MIN_INTERVAL: Duration = Duration::from_millis(20);
 /// Time after which a sync counts as lost.
@@ -40,8 +46,10 @@
 
     /// Runs until the task is dropped.
     pub async fn run(self) {
+        let mut followed = (None, Instant::now());
         loop {
-            let interval = if self.state.delegate().is_needed() {
+            let is_new = followed.1.elapsed() < TAKEOVER_TIME;
+            let interval = if self.state.delegate().is_needed() || is_new {
                 SYNC_INTERVAL
             } else {
                 IDLE_INTERVAL
@@ -49,6 +57,9 @@
             // An early report confirms a plan.
             let _ = tokio::time::timeout(interval, self.state.delegate_due.notified()).await;
             let leader = self.state.redirect().leader;
+            if leader != followed.0 {
+                followed = (leader, Instant::now());
+            }
             match leader.filter(|_| self.state.lease().is_err()) {
                 Some(leader) if leader != self.state.own_address() => self.sync(leader).await,
                 _ => {}
