--- a/src/coordinator/daemon.rs
+++ b/src/coordinator/daemon.rs
@@ -75,12 +75,7 @@
     pub async fn run_until(self, stop: impl Future<Output = ()>) -> Result<()> {
         let config = &self.config;
         let control = control_config(config);
-        let own = VoterAddress {
-            vm: config.vm.clone(),
-            data_centre: config.data_centre.clone(),
-            system: control.system_listen.socket(),
-            admin: config.operator_listen,
-        };
+        let own = own_address(config, &control);
         let addresses = Arc::new(AddressBook::new(own, read_addresses(&control)));
         let settings = VoterSettings {
             proposal_timeout: PROPOSAL_TIMEOUT,
@@ -236,6 +231,15 @@
     }
 }
 
+fn own_address(config: &CoordinatorConfig, control: &ControlConfig) -> VoterAddress {
+    VoterAddress {
+        vm: config.vm.clone(),
+        data_centre: config.data_centre.clone(),
+        system: control.system_listen.socket(),
+        admin: config.operator_listen,
+    }
+}
+
 fn control_config(config: &CoordinatorConfig) -> ControlConfig {
     ControlConfig {
         vm: config.vm.clone(),
