Count the oldest first plan that a gateway was sent

Callers could see (CONFIG): a request by an older plan, where a gateway without a plan was sent its first one by two coordinators. Cause: record_first_plan left the record of an earlier one as it was, so that its lease ended too early, also for a gateway that had lost its document; a late batch of another delegate with "no plan" removed a newer record; a delegate told the next leader of a plan that it had only sent as one in force. Class: messages of several senders taken for ordered. Change: the oldest plan sent counts until the last lease ends; batches of delegates remove nothing; a plan that was only sent is told as sent.

--- a/src/coordinator/delegate_view.rs
+++ b/src/coordinator/delegate_view.rs
@@ -198,11 +198,12 @@
             // The new leader has not heard of the gateways that the former one was told of.
             let synced: Vec<RosterEntry> = self.gateways.synced_gateways(now).collect();
             for entry in synced {
-                let plan_version = self.confirmations.version(&entry.gateway).unwrap_or(0);
+                let held = self.confirmations.version(&entry.gateway).unwrap_or(0);
+                let sent = self.confirmations.sent_plan(&entry.gateway);
                 self.pending.add_earlier_gateway(DelegatedGateway {
                     entry,
-                    plan_version,
-                    first_plan: 0,
+                    plan_version: sent.map_or(held, |_| 0),
+                    first_plan: sent.unwrap_or(0),
                 });
             }
         }
--- a/src/coordinator/delegation.rs
+++ b/src/coordinator/delegation.rs
@@ -92,7 +92,10 @@
             for gateway in &report.gateways {
                 let (key, version) = (&gateway.entry.gateway, gateway.plan_version);
                 tables.gateways.record_delegated(&gateway.entry, now);
-                is_confirmed |= tables.confirmations.record_report(key, version, now);
+                // Reports of several delegates come in any order: one without a plan may be old.
+                if version > 0 {
+                    is_confirmed |= tables.confirmations.record_report(key, version, now);
+                }
                 if gateway.first_plan > 0 {
                     let confirmations = &mut tables.confirmations;
                     confirmations.record_first_plan(key, gateway.first_plan, now);
--- a/src/coordinator/plan_confirmations.rs
+++ b/src/coordinator/plan_confirmations.rs
@@ -63,7 +63,8 @@
         before < version
     }
 
-    /// Records that a gateway without a plan is sent its first one, which it may have in force from now on.
+    /// Records that a gateway without a plan is sent its first one, which it may have in force from now on. Of
+    /// several plans that it was sent, by coordinators whose reports may be late, it may apply any.
     pub fn record_first_plan(&mut self, gateway: &EntryKey, version: PlanVersion, now: Duration) {
         let leased = LeasedPlan {
             version,
@@ -71,7 +72,18 @@
             is_reported: false,
         };
         // A gateway that has lost the document of its plan still runs by it.
-        self.gateways.entry(gateway.clone()).or_insert(leased);
+        let known = self.gateways.entry(gateway.clone()).or_insert(leased);
+        known.version = known.version.min(version);
+        known.until = known.until.max(leased.until);
+    }
+
+    /// Returns the first plan that a gateway was sent and has not reported.
+    #[must_use]
+    pub fn sent_plan(&self, gateway: &EntryKey) -> Option<PlanVersion> {
+        let known = self.gateways.get(gateway);
+        known
+            .filter(|known| !known.is_reported)
+            .map(|known| known.version)
     }
 
     /// Records a sync of a delegate whose newest plan is `version`. Until its lease ends, the delegate may give
--- a/tests/plan_fleet.rs
+++ b/tests/plan_fleet.rs
@@ -341,3 +341,20 @@
     confirmations.record_first_plan(&key(0), 9, last);
     assert_eq!(confirmations.count_behind(9, last), 120);
 }
+
+/// Guards against plans that are acknowledged although a gateway runs by an older one (CONFIG): delegates report what
+/// they sent to a gateway late and in any order, and a gateway may apply any of it.
+#[test]
+fn oldest_plan_that_a_gateway_was_sent_counts_until_its_last_lease_ends() {
+    let second = Duration::from_secs(1);
+    let mut confirmations = PlanConfirmations::new(BOUND, Duration::ZERO);
+    confirmations.record_first_plan(&key(0), 4, second);
+    confirmations.record_first_plan(&key(0), 3, 2 * second);
+    assert_eq!(confirmations.count_behind(4, 2 * second), 1);
+    assert_eq!(confirmations.count_behind(4, 4 * second), 1);
+    // A gateway that has lost the document of its plan applies the one that it is sent.
+    confirmations.record_report(&key(1), 8, Duration::ZERO);
+    confirmations.record_first_plan(&key(1), 9, 2 * second);
+    assert_eq!(confirmations.count_behind(9, 2 * second), 2);
+    assert_eq!(confirmations.count_behind(10, 4 * second), 2);
+}
