Complete a replacement within CatchUpS of the successor's start

Cause: the membership followed polls and timers of its own. The silence of a lost voter was counted anew by each leader, from its first poll; polls, checks each 0.7 s and 3 s of silence came one after the other; the join took 1.5 s; a voter that stopped as planned kept its seat. Members that were removed while they could not hear never came back. Change: the leader decides from the log's own messages, at each batch; silence is counted across elections; a voter that stops as planned has a learner take its seat; members without a leader ask for a seat again. Log lines say whom the leader holds for silent, since when, and what a change waits for.

--- a/src/control/bootstrap.rs
+++ b/src/control/bootstrap.rs
@@ -1,7 +1,9 @@
-use std::{fs, io::Write, net::SocketAddr, path::PathBuf, time::Duration};
+use std::{collections::HashSet, fs, io::Write, net::SocketAddr, path::PathBuf, time::Duration};
 
+use futures::{StreamExt, stream::FuturesUnordered};
 use reqwest::Client;
 use spdlog::prelude::*;
+use tokio::task::JoinSet;
 
 use super::raft_api::{JOIN_PATH, JoinRequest, MEMBER_PATH, MemberReply};
 use crate::{
@@ -18,7 +20,7 @@
 /// Interval of attempts to found or join the fleet.
 const RETRY_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval of announcements while no leader is known.
-const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(1);
+const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(400);
 /// Timeout of a request to another control daemon.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -34,6 +36,16 @@
     voter: VoterHandle,
     client: Client,
     secret: String,
+    member_return: MemberReturn,
+}
+
+/// Which members ask for a seat when no leader sends to them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MemberReturn {
+    /// Only those with an empty log: others may have been removed by an operator.
+    NewOnly,
+    /// All: the leader removes silent members by itself, and they come back.
+    Always,
 }
 
 impl FleetBootstrap {
@@ -43,12 +55,19 @@
             voter,
             client,
             secret,
+            member_return: MemberReturn::NewOnly,
         }
     }
 
+    /// Sets which members ask for a seat when no leader sends to them.
+    #[must_use]
+    pub fn with_return(mut self, member_return: MemberReturn) -> Self {
+        self.member_return = member_return;
+        self
+    }
+
     /// Runs until the task is dropped or the voter has stopped.
     pub async fn run(self) {
-        self.refresh_addresses().await;
         while self.voter.status().phase == VoterPhase::Uninitialized {
             if let Some(membership) = self.find_membership().await {
                 let result = self.voter.initialize(membership).await;
@@ -60,15 +79,15 @@
             }
         }
         let mut saved_addresses = read_addresses(&self.config);
+        let mut calls = MemberCalls::default();
         loop {
-            tokio::time::sleep(ANNOUNCE_INTERVAL).await;
             let status = self.voter.status();
             if status.phase == VoterPhase::Stopped {
                 return;
             }
-            if status.leader.is_none() {
-                self.refresh_addresses().await;
-                self.announce(&status).await;
+            if status.leader.is_none() || !status.membership.contains(&status.id) {
+                self.refresh_addresses(&mut calls);
+                self.announce(&status, &mut calls);
             }
             let known_addresses = self.voter.addresses().others();
             if saved_addresses != known_addresses
@@ -76,6 +95,7 @@
             {
                 saved_addresses = known_addresses;
             }
+            tokio::time::sleep(ANNOUNCE_INTERVAL).await;
         }
     }
 
@@ -135,10 +155,11 @@
         let own = self.config.system_listen.socket();
         let seeds = &self.config.seeds;
         let others = seeds.iter().copied().filter(|seed| *seed != own);
-        let requests = others.map(|seed| self.fetch_member(seed));
-        let replies = futures::future::join_all(requests).await;
+        let mut replies: FuturesUnordered<_> = others.map(|seed| self.fetch_member(seed)).collect();
         let mut membership = Membership::of_voters([id.clone()]);
-        for reply in replies.into_iter().flatten() {
+        // One reply may be enough, and a seed that does not answer must not delay it.
+        while let Some(reply) = replies.next().await {
+            let Ok(reply) = reply else { continue };
             self.voter.addresses().update(&reply.address);
             match reply.founding {
                 Some(founding) if founding.voters.contains(&id) => {
@@ -172,43 +193,72 @@
 
     /// Fetches the members at the seed addresses. A power failure may also destroy the saved
     /// addresses, and members that do not know each other's addresses cannot elect a leader.
-    async fn refresh_addresses(&self) {
+    fn refresh_addresses(&self, calls: &mut MemberCalls) {
         let own = self.config.system_listen.socket();
-        let others = self.config.seeds.iter().filter(|seed| **seed != own);
-        let requests = others.map(|seed| self.fetch_member(*seed));
-        for reply in futures::future::join_all(requests)
-            .await
-            .into_iter()
-            .flatten()
-        {
-            self.voter.addresses().update(&reply.address);
+        for seed in self.config.seeds.iter().filter(|seed| **seed != own) {
+            let (client, secret, seed) = (self.client.clone(), self.secret.clone(), *seed);
+            let voter = self.voter.clone();
+            calls.start((MEMBER_PATH, seed), async move {
+                // A seed that does not answer is asked again.
+                if let Ok(reply) = fetch_member(&client, &secret, seed).await {
+                    voter.addresses().update(&reply.address);
+                }
+            });
         }
     }
 
-    /// Announces this member's address to the known members. A member with an empty log requests to
-    /// be added as a learner; one with entries was a member before and may have been removed on
-    /// purpose.
-    async fn announce(&self, status: &VoterStatus) {
-        let learner = status.last == 0 && !status.membership.contains(&status.id);
+    /// Announces this member's address to the known members, and requests to be added as a learner if it is no
+    /// member of theirs.
+    fn announce(&self, status: &VoterStatus, calls: &mut MemberCalls) {
+        let is_new = status.last == 0 && !status.membership.contains(&status.id);
         let request = JoinRequest {
             id: status.id.clone(),
             address: self.voter.addresses().own().clone(),
-            learner,
+            learner: is_new || self.member_return == MemberReturn::Always,
         };
         let Ok(body) = sync::encode(&request) else {
             return;
         };
-        let announcements = self.voter.addresses().others().into_iter().map(|member| {
-            self.client
+        for member in self.voter.addresses().others() {
+            let call = self
+                .client
                 .post(format!("http://{}{JOIN_PATH}", member.system))
                 .header(SECRET_HEADER, &self.secret)
                 .timeout(REQUEST_TIMEOUT)
                 .body(body.clone())
-                .send()
-        });
-        // Members that do not lead refuse to add a learner; failed requests are repeated after
-        // ANNOUNCE_INTERVAL.
-        futures::future::join_all(announcements).await;
+                .send();
+            // Members that do not lead refuse to add a learner; all are asked again.
+            calls.start((JOIN_PATH, member.system), async move { drop(call.await) });
+        }
+    }
+}
+
+/// Calls in progress to other members, one of each kind to each, so that one that does not answer delays no other.
+#[derive(Default)]
+struct MemberCalls {
+    running: JoinSet<MemberCall>,
+    started: HashSet<MemberCall>,
+}
+
+/// Path and address of a call.
+type MemberCall = (&'static str, SocketAddr);
+
+impl MemberCalls {
+    fn start(&mut self, call: MemberCall, run: impl Future<Output = ()> + Send + 'static) {
+        while let Some(ended) = self.running.try_join_next() {
+            match ended {
+                Ok(ended) => {
+                    self.started.remove(&ended);
+                }
+                Err(error) => error!("raft: a call to a member failed: {error}"),
+            }
+        }
+        if self.started.insert(call) {
+            self.running.spawn(async move {
+                run.await;
+                call
+            });
+        }
     }
 }
 
--- a/src/control/raft_api.rs
+++ b/src/control/raft_api.rs
@@ -1,3 +1,5 @@
+use std::time::{Duration, Instant};
+
 use rocket::{
     Route, State,
     data::{Data, ToByteUnit},
@@ -6,13 +8,15 @@
     post, routes,
 };
 use serde::{Deserialize, Serialize};
+use spdlog::prelude::*;
 
 use super::system::SystemPeer;
 use crate::{
     config::VoterAddress,
+    error::Error,
     raft::{MemberChange, Membership, VoterId},
     sync,
-    voter::{PeerMessages, VoterHandle, VoterPhase},
+    voter::{PeerMessages, VoterHandle, VoterPhase, member_name},
 };
 
 /// Path of Raft messages between members.
@@ -21,6 +25,14 @@
 pub const MEMBER_PATH: &str = "/raft/v1/member";
 /// Path of the announcements of members.
 pub const JOIN_PATH: &str = "/raft/v1/join";
+/// Path at which a voter that stops as planned gives up its seat.
+pub const LEAVE_PATH: &str = "/raft/v1/leave";
+/// Maximum time for which a new member waits until the leader has committed an earlier change.
+const JOIN_LIMIT: Duration = Duration::from_millis(800);
+/// Interval of attempts to add a new member.
+const JOIN_INTERVAL: Duration = Duration::from_millis(20);
+/// Maximum time for which the leader looks for a learner that takes a seat.
+const LEAVE_LIMIT: Duration = Duration::from_secs(1);
 /// Maximum size of a batch of messages in MiB: one command of maximum size with its framing.
 const MAX_BATCH_MIB: u64 = 16;
 
@@ -48,6 +60,13 @@
     pub learner: bool,
 }
 
+/// Request of a voter that stops as planned.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct LeaveRequest {
+    /// Identity of its data folder.
+    pub id: VoterId,
+}
+
 /// Accepts messages for this member. The reply confirms only that they were received.
 #[post("/raft/v1/message", data = "<body>")]
 pub async fn receive_messages(
@@ -85,16 +104,51 @@
     if !request.learner || voter.status().membership.contains(&request.id) {
         return Ok(());
     }
-    let change = MemberChange::AddLearner(request.id);
-    voter
-        .change_membership(change)
-        .await
-        .map_err(|_| Status::MisdirectedRequest)
+    let deadline = Instant::now() + JOIN_LIMIT;
+    loop {
+        let change = MemberChange::AddLearner(request.id.clone());
+        match voter.change_membership(change).await {
+            Ok(()) => return Ok(()),
+            // Another change is in progress; the membership may contain the member by now.
+            Err(Error::Refused { .. }) if Instant::now() < deadline => {
+                tokio::time::sleep(JOIN_INTERVAL).await;
+            }
+            Err(error) => {
+                debug!("raft: cannot add {}: {error}", request.id.vm);
+                return Err(Status::MisdirectedRequest);
+            }
+        }
+        if voter.status().membership.contains(&request.id) {
+            return Ok(());
+        }
+    }
+}
+
+/// Gives the seat of a voter that stops as planned to a learner. The answer comes once the voter is removed.
+#[post("/raft/v1/leave", data = "<body>")]
+pub async fn accept_leave(
+    _peer: SystemPeer,
+    body: Data<'_>,
+    voter: &State<VoterHandle>,
+) -> Result<(), Status> {
+    let request: LeaveRequest = read_body(body).await?;
+    let name = member_name(&request.id);
+    match voter.release_seat(request.id, LEAVE_LIMIT).await {
+        Ok(()) => Ok(()),
+        Err(Error::Refused { reason }) => {
+            info!("raft: {name} keeps its seat while it is stopped: {reason}");
+            Err(Status::Conflict)
+        }
+        Err(error) => {
+            info!("raft: cannot give the seat of {name} away: {error}");
+            Err(Status::MisdirectedRequest)
+        }
+    }
 }
 
 /// Returns the routes for messages between members.
 pub fn raft_routes() -> Vec<Route> {
-    routes![receive_messages, get_member, accept_join]
+    routes![receive_messages, get_member, accept_join, accept_leave]
 }
 
 async fn read_body<M: serde::de::DeserializeOwned>(body: Data<'_>) -> Result<M, Status> {
--- a/src/coordinator.rs
+++ b/src/coordinator.rs
@@ -19,7 +19,6 @@
 mod grant_server;
 mod leader_work;
 mod load_groups;
-mod membership_controller;
 mod model_copies;
 mod model_waits;
 mod order_dispatcher;
--- a/src/coordinator/config.rs
+++ b/src/coordinator/config.rs
@@ -28,6 +28,8 @@
     /// Intended number of voters of the replicated log, which determines how many of them may be
     /// lost.
     pub voter_count: usize,
+    /// Time after the start of a new or repaired VM by which another one may be lost.
+    pub catch_up: Duration,
     /// Time after a change of leader during which orders of the former leader may still be carried
     /// out.
     pub holder_lease: Duration,
--- a/src/coordinator/daemon.rs
+++ b/src/coordinator/daemon.rs
@@ -9,7 +9,6 @@
     config::CoordinatorConfig,
     delegate_client::DelegateClient,
     grant_server::GrantServer,
-    membership_controller::MembershipController,
     order_dispatcher::OrderDispatcher,
     plan_pusher::PlanPusher,
     plan_store::PlanStore,
@@ -20,15 +19,21 @@
     adapter::PlatformAdapter,
     client,
     config::{ControlConfig, ListenAddress, VoterAddress},
-    control::{FleetBootstrap, HttpPeerSender, SystemSecret, raft_routes, read_addresses},
+    control::{
+        FleetBootstrap, HttpPeerSender, MemberReturn, SystemSecret, hand_over_seat, raft_routes,
+        read_addresses,
+    },
     error::{Error, Result},
     journal::{DataFolder, OpenedJournal},
+    raft::ReplacementPolicy,
     server,
     voter::{AddressBook, VoterHandle, VoterPhase, VoterSettings},
 };
 
 /// Maximum time for transferring leadership at shutdown.
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Maximum time for giving a voter's seat to a learner at shutdown.
+const HANDOVER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time after which a change that is not committed is reported as unconfirmed. Operators try
 /// another daemon after one second.
 const PROPOSAL_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -79,6 +84,7 @@
         let addresses = Arc::new(AddressBook::new(own, read_addresses(&control)));
         let settings = VoterSettings {
             proposal_timeout: PROPOSAL_TIMEOUT,
+            replacement: Some(ReplacementPolicy::new(config.voter_count, config.catch_up)),
             ..VoterSettings::new(config.vm.clone())
         };
         let level = settings.supported_level;
@@ -121,12 +127,10 @@
             .manage(plans)
             .mount("/", self.operator_routes);
         let founder =
-            FleetBootstrap::new(control, voter.clone(), client.clone(), self.secret.clone());
-        let membership =
-            MembershipController::new(voter.clone(), client, self.secret, config.voter_count);
+            FleetBootstrap::new(control, voter.clone(), client.clone(), self.secret.clone())
+                .with_return(MemberReturn::Always);
         let dispatcher = OrderDispatcher::new(state, config.vm.clone(), config.holder_lease);
         tokio::spawn(founder.run());
-        tokio::spawn(membership.run());
         tokio::spawn(Arc::new(dispatcher).run());
         let (close, closing) = watch::channel(false);
         let serve = |rocket: Rocket<Build>, runtime: &Handle| {
@@ -162,6 +166,7 @@
         info!("coordinator: shutting down");
         if voter.status().membership.voters.len() > 1 {
             voter.transfer_leadership(TRANSFER_TIMEOUT).await;
+            hand_over_seat(&voter, &client, &self.secret, HANDOVER_TIMEOUT).await;
         }
         close.send_replace(true);
         for serving in serving {
--- a/src/raft.rs
+++ b/src/raft.rs
@@ -20,6 +20,7 @@
 //! - The core keeps the log since the last compaction in memory. The driver bounds its size with
 //!   [`RaftInput::Compacted`] once a snapshot is durable.
 
+mod contacts;
 mod core;
 mod effect;
 mod election;
@@ -33,12 +34,14 @@
 mod member;
 mod message;
 mod progress;
+mod replacement;
 mod restored;
 mod role;
 mod rounds;
 mod timer;
 mod timing;
 
+pub use contacts::MemberContacts;
 pub use core::RaftCore;
 pub use effect::{RaftEffect, RefusalReason};
 pub use entry::{EntryPayload, LogEntry};
@@ -46,6 +49,7 @@
 pub use limits::RaftLimits;
 pub use member::{MemberChange, Membership, VoterId};
 pub use message::{AppendOutcome, MessageBody, RaftMessage, VoteKind};
+pub use replacement::{ReplacementCause, ReplacementObstacle, ReplacementPolicy, ReplacementStep};
 pub use restored::{RestoredState, SnapshotMeta};
 pub use role::RaftRole;
 pub use timing::RaftTiming;
--- a/src/raft/core.rs
+++ b/src/raft/core.rs
@@ -100,10 +100,10 @@
     fn tick(&mut self, now: Duration, out: &mut Vec<RaftEffect>) {
         match self.role {
             RoleState::Leader(_) => self.tick_leader(now, out),
-            _ if self.timer.is_expired(now) && self.log.membership().voters.contains(&self.id) => {
-                self.start_pre_vote(now, out);
-            }
-            _ => {}
+            _ if !self.timer.is_expired(now) => {}
+            _ if self.log.membership().voters.contains(&self.id) => self.start_pre_vote(now, out),
+            // A member does not hear of its own removal.
+            _ => self.leader = None,
         }
     }
 
@@ -288,6 +288,12 @@
         self.log.membership()
     }
 
+    /// Returns whether the membership in force is committed.
+    #[must_use]
+    pub fn is_membership_committed(&self) -> bool {
+        self.log.membership_index() <= self.commit
+    }
+
     /// Returns the index of the last entry that this member knows to be committed.
     #[must_use]
     pub fn commit_index(&self) -> LogIndex {
--- a/src/raft/leader.rs
+++ b/src/raft/leader.rs
@@ -1,6 +1,7 @@
 //! Leader: replication, commit, lease, reads, membership changes and leadership transfer.
 
 mod lease;
+mod replacement;
 mod replicate;
 mod transfer;
 
@@ -107,27 +108,21 @@
             .ok_or(RefusalReason::ChangeInvalid)?;
         match change {
             MemberChange::AddLearner(_) => Ok(next),
-            MemberChange::Promote(learner) => {
-                let caught_up = self.match_index(learner).is_some_and(|match_index| {
-                    match_index + self.limits.promote_lag >= self.commit
-                });
-                Some(next)
-                    .filter(|_| caught_up && self.is_active(leader, learner, now))
-                    .ok_or(RefusalReason::NotCaughtUp)
-            }
-            MemberChange::Remove(_) => {
-                let active = next
-                    .voters
-                    .iter()
-                    .filter(|voter| self.is_active(leader, voter, now))
-                    .count();
-                Some(next)
-                    .filter(|next| active >= next.quorum())
-                    .ok_or(RefusalReason::QuorumAtRisk)
-            }
+            MemberChange::Promote(learner) => Some(next)
+                .filter(|_| self.has_caught_up(learner) && self.is_active(leader, learner, now))
+                .ok_or(RefusalReason::NotCaughtUp),
+            MemberChange::Remove(_) => Some(next)
+                .filter(|next| self.count_active(leader, next, now) >= next.quorum())
+                .ok_or(RefusalReason::QuorumAtRisk),
         }
     }
 
+    /// Returns whether a learner has every committed entry, up to the permitted lag.
+    fn has_caught_up(&self, learner: &VoterId) -> bool {
+        self.match_index(learner)
+            .is_some_and(|match_index| match_index + self.limits.promote_lag >= self.commit)
+    }
+
     /// Returns whether a member has answered a round that started within the minimum election
     /// timeout.
     fn is_active(&self, leader: &LeaderState, member: &VoterId, now: Duration) -> bool {
--- a/src/voter.rs
+++ b/src/voter.rs
@@ -8,6 +8,7 @@
 mod applier;
 mod driver;
 mod driver_effects;
+mod driver_replacement;
 mod driver_snapshot;
 mod entry_codec;
 mod handle;
--- a/src/voter/driver.rs
+++ b/src/voter/driver.rs
@@ -8,6 +8,7 @@
 use super::{
     AddressBook, LeaderLease, PeerMessages, PeerSender, VoterAbsence, VoterPhase, VoterSettings,
     applier::StateApplier,
+    driver_replacement::VoterDeparture,
     level_reports::LevelReports,
     pending::{PendingStage, PendingTable, send_answer},
     request::{AnswerSender, VoterRequest},
@@ -20,8 +21,8 @@
     ids::{CommandLevel, LogIndex, Term},
     journal::{Journal, Snapshot},
     raft::{
-        Membership, MessageBody, RaftCore, RaftEffect, RaftInput, RaftRole, RefusalReason,
-        RestoredState, SnapshotMeta, VoterId,
+        MemberContacts, Membership, MessageBody, RaftCore, RaftEffect, RaftInput, RaftRole,
+        RefusalReason, ReplacementStep, RestoredState, SnapshotMeta, VoterId,
     },
     state::{Command, StampedCommand},
     sync,
@@ -58,6 +59,10 @@
     /// Index and term of the last appended entry that is not yet reported to the core as durable.
     pub appended: Option<(LogIndex, Term)>,
     pub effects: Vec<RaftEffect>,
+    pub contacts: MemberContacts,
+    /// The last step of a replacement, to log each once.
+    pub replacement: ReplacementStep,
+    pub departures: Vec<VoterDeparture>,
     /// Term and level of the last proposal to raise the command level.
     pub raised_level: Option<(Term, CommandLevel)>,
 }
@@ -79,6 +84,10 @@
             self.tick()?;
         }
         self.execute_effects()?;
+        if self.advance_replacement() {
+            self.execute_effects()?;
+        }
+        self.answer_departures();
         self.publish();
         Ok(())
     }
@@ -112,6 +121,11 @@
                 let token = self.pending.add(answer, deadline, stage);
                 self.step(RaftInput::Change { token, change });
             }
+            VoterRequest::Release {
+                id,
+                deadline,
+                answer,
+            } => self.release_seat(id, deadline, answer),
             VoterRequest::Messages(batch) => self.receive(*batch),
             VoterRequest::Initialize { membership, answer } => {
                 let result = self.initialize(membership);
@@ -161,6 +175,7 @@
             {
                 self.leader_commit.get_or_insert(*commit);
             }
+            self.contacts.record(&message, self.started.elapsed());
             self.step(RaftInput::Message(message));
         }
     }
@@ -203,6 +218,7 @@
         let now = Instant::now();
         self.pending.expire(now);
         self.snapshots.expire();
+        self.contacts.observe(&self.core, self.started.elapsed());
         self.step(RaftInput::Tick);
         if let Some((index, state)) = self.snapshots.encoded()? {
             self.save_snapshot(index, state)?;
@@ -244,7 +260,7 @@
         self.effects.extend(self.core.step(now, input));
     }
 
-    fn refuse(&self, sender: AnswerSender) {
+    pub fn refuse(&self, sender: AnswerSender) {
         let leader = self.leader_address(self.core.leader());
         send_answer(sender, Err(Error::NotLeader { leader }));
     }
--- a/src/voter/handle.rs
+++ b/src/voter/handle.rs
@@ -17,7 +17,7 @@
     error::{Error, Result},
     ids::LogIndex,
     journal::OpenedJournal,
-    raft::{MemberChange, Membership, RaftRole},
+    raft::{MemberChange, Membership, RaftRole, VoterId},
     state::{Command, ControlState, Outcome},
     sync::{AbsenceReport, PartSection},
 };
@@ -107,6 +107,20 @@
         self.send_request(self.timeout, request).await.map(|_| ())
     }
 
+    /// Gives the seat of a voter that stops as planned to a learner, and waits until the voter is removed.
+    ///
+    /// # Errors
+    /// [`Error::NotLeader`] when this voter does not lead, [`Error::Refused`] when no learner took the seat within
+    /// `limit`, [`Error::Unconfirmed`] when the voter stopped.
+    pub async fn release_seat(&self, id: VoterId, limit: Duration) -> Result<()> {
+        let request = |deadline, answer| VoterRequest::Release {
+            id,
+            deadline,
+            answer,
+        };
+        self.send_request(limit, request).await.map(|_| ())
+    }
+
     /// Performs a linearizable read: the state includes every entry committed before the call.
     ///
     /// # Errors
--- a/src/voter/request.rs
+++ b/src/voter/request.rs
@@ -50,6 +50,12 @@
         deadline: Instant,
         answer: AnswerSender,
     },
+    /// Give the seat of a voter that stops as planned to a learner. Answer once the voter is removed.
+    Release {
+        id: VoterId,
+        deadline: Instant,
+        answer: AnswerSender,
+    },
     /// Handle messages of a peer.
     Messages(Box<PeerMessages>),
     /// Start to participate, with the founding membership or, when joining, an empty one.
--- a/src/voter/settings.rs
+++ b/src/voter/settings.rs
@@ -3,7 +3,7 @@
 use crate::{
     ids::{CommandLevel, VmId},
     journal::JournalLimits,
-    raft::{RaftLimits, RaftTiming},
+    raft::{RaftLimits, RaftTiming, ReplacementPolicy},
 };
 
 /// Highest command level that this release supports.
@@ -27,6 +27,8 @@
     pub supported_level: CommandLevel,
     /// Default timeout of proposals, changes and reads.
     pub proposal_timeout: Duration,
+    /// When this voter, as the leader, replaces members by itself; `None` where operators do.
+    pub replacement: Option<ReplacementPolicy>,
 }
 
 impl VoterSettings {
@@ -41,6 +43,7 @@
             snapshot_bytes: 8 << 20,
             supported_level: SUPPORTED_LEVEL,
             proposal_timeout: Duration::from_secs(5),
+            replacement: None,
         }
     }
 }
--- a/src/voter/thread.rs
+++ b/src/voter/thread.rs
@@ -14,7 +14,10 @@
     clock::BootInstant,
     error::Result,
     journal::{DataFolder, OpenedJournal, RecoveredLog},
-    raft::{Membership, RaftCore, RaftRole, RestoredState, SnapshotMeta, VoterId},
+    raft::{
+        MemberContacts, Membership, RaftCore, RaftRole, ReplacementStep, RestoredState,
+        SnapshotMeta, VoterId,
+    },
     state::ControlState,
     sync,
 };
@@ -114,6 +117,9 @@
             leader_commit: None,
             appended: None,
             effects: Vec::new(),
+            contacts: MemberContacts::default(),
+            replacement: ReplacementStep::Settled,
+            departures: Vec::new(),
             raised_level: None,
         };
         let thread = Self {
--- /dev/null
+++ b/tests/raft_replacement.rs
@@ -0,0 +1,285 @@
+//! Losses in turn, each as soon as the one before it no longer counts, for a leader that replaces members by itself.
+
+mod raft_sim;
+
+use std::time::Duration;
+
+use raft_sim::{Fleet, MS, ReplacementRule};
+use rand::Rng;
+use rstest::rstest;
+use waxwinglatch::raft::{RaftInput, ReplacementPolicy};
+
+/// Time after the start of a successor by which another machine may be lost, in the fleets checked here.
+const CATCH_UPS: [Duration; 2] = [Duration::from_secs(4), Duration::from_secs(6)];
+/// Maximum time without a leader; a longer one counts as the end of the fleet.
+const MAX_OUTAGE: Duration = Duration::from_secs(30);
+/// Number of losses in one chain.
+const LOSSES: usize = 6;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Loss {
+    /// The machine is gone for good; another one starts with an empty disk.
+    Replaced,
+    /// The machine comes back with an empty disk.
+    LostDisk,
+    /// The machine loses its disk, and the one that comes back is replaced as well.
+    LostDiskThenReplaced,
+    /// The successor is up before the machine stops as planned, for good.
+    Planned,
+    /// The machine stops as planned and comes back with its disk.
+    Restarted,
+    /// The machine is frozen and goes on.
+    Frozen,
+}
+
+const LOSSES_OF_ALL_KINDS: [Loss; 6] = [
+    Loss::Replaced,
+    Loss::LostDisk,
+    Loss::LostDiskThenReplaced,
+    Loss::Planned,
+    Loss::Restarted,
+    Loss::Frozen,
+];
+
+/// A fault that the check must find.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fault {
+    None,
+    /// The rule before issue 43: checks each 0.7 s, 3 s of silence, counted anew by each leader, announcements each
+    /// second.
+    FormerRule,
+    /// A new leader forgets what it has heard before.
+    CountsAnew,
+    /// Voters that stop as planned keep their seats.
+    NoHandover,
+}
+
+fn rule(voters: usize, catch_up: Duration, fault: Fault) -> ReplacementRule {
+    let policy = ReplacementPolicy::new(voters, catch_up);
+    match fault {
+        Fault::FormerRule => ReplacementRule {
+            policy: ReplacementPolicy {
+                voter_silence: Duration::from_secs(3),
+                ..policy
+            },
+            check_interval: 700 * MS,
+            announce_interval: 1_000 * MS,
+            counts_anew: true,
+        },
+        _ => ReplacementRule {
+            policy,
+            check_interval: 20 * MS,
+            announce_interval: 400 * MS,
+            counts_anew: fault == Fault::CountsAnew,
+        },
+    }
+}
+
+/// A fleet under a chain of losses.
+struct Chain {
+    fleet: Fleet,
+    catch_up: Duration,
+    fault: Fault,
+    token: u64,
+    history: Vec<String>,
+}
+
+impl Chain {
+    fn new(voters: usize, spares: usize, catch_up: Duration, fault: Fault, seed: u64) -> Self {
+        let mut fleet = Fleet::new(voters, seed);
+        fleet.replacement = Some(rule(voters, catch_up, fault));
+        let mut chain = Self {
+            fleet,
+            catch_up,
+            fault,
+            token: 0,
+            history: Vec::new(),
+        };
+        for _ in 0..spares {
+            chain.start_new();
+        }
+        chain.fleet.run_to_leader();
+        chain.fleet.run(catch_up);
+        chain
+    }
+
+    fn start_new(&mut self) -> usize {
+        let new = self.fleet.add_node();
+        self.fleet.start(new);
+        new
+    }
+
+    /// Runs until an entry of this call is committed. Returns whether it was.
+    fn commit(&mut self) -> bool {
+        let end = self.fleet.now + MAX_OUTAGE;
+        while self.fleet.now < end {
+            self.token += 1;
+            if let Some(leader) = self.fleet.leader() {
+                self.fleet.propose(leader, self.token);
+            }
+            self.fleet.run(100 * MS);
+            let proposed = self.fleet.proposed.get(&self.token);
+            let committed = proposed.and_then(|(_, index)| self.fleet.committed.get(index));
+            if committed.is_some_and(|entry| Some(&(entry.term, entry.index)) == proposed) {
+                return true;
+            }
+        }
+        false
+    }
+
+    fn running(&self) -> Vec<usize> {
+        let nodes = self.fleet.nodes.iter().enumerate();
+        let running = nodes.filter(|(_, node)| node.core.is_some());
+        running.map(|(vm, _)| vm).collect()
+    }
+
+    /// Draws a running node, half of the time the leader, that is none of `others`.
+    fn victim(&mut self, others: &[usize]) -> usize {
+        let leader = self.fleet.leader().filter(|vm| !others.contains(vm));
+        let mut running = self.running();
+        running.retain(|vm| !others.contains(vm));
+        let any = running[self.fleet.rng.random_range(0..running.len())];
+        match leader {
+            Some(leader) if self.fleet.rng.random_bool(0.5) => leader,
+            _ => any,
+        }
+    }
+
+    fn delay(&mut self, most: u32) -> Duration {
+        self.fleet.rng.random_range(0..=most) * MS
+    }
+
+    /// Stops a node as planned.
+    fn stop(&mut self, vm: usize) {
+        self.fleet.input(vm, RaftInput::Transfer);
+        let end = self.fleet.now + 3_000 * MS;
+        while self.fleet.leader() == Some(vm) && self.fleet.now < end {
+            self.fleet.run(10 * MS);
+        }
+        let id = self.fleet.nodes[vm].id.clone();
+        let end = self.fleet.now + 1_500 * MS;
+        while self.fault != Fault::NoHandover && self.fleet.now < end {
+            match self.fleet.leader().filter(|leader| *leader != vm) {
+                Some(leader) if !self.fleet.core(leader).membership().contains(&id) => break,
+                Some(leader) => self.fleet.nodes[leader].contacts.add_leaving(id.clone()),
+                None => {}
+            }
+            self.fleet.run(10 * MS);
+        }
+        for node in &mut self.fleet.nodes {
+            node.contacts.remove_leaving(&id);
+        }
+        self.fleet.crash(vm);
+    }
+
+    /// Loses a node. Returns when it no longer counts as lost.
+    fn lose(&mut self, loss: Loss, vm: usize, delay: Duration) -> Duration {
+        self.history
+            .push(format!("{:?}: {loss:?} of {vm}, {delay:?}", self.fleet.now));
+        match loss {
+            Loss::Replaced => {
+                self.fleet.crash(vm);
+                self.fleet.run(delay);
+                self.start_new();
+            }
+            Loss::LostDisk => {
+                self.fleet.lose_disk(vm);
+                self.fleet.run(delay);
+                self.fleet.start(vm);
+            }
+            Loss::LostDiskThenReplaced => {
+                self.fleet.lose_disk(vm);
+                self.fleet.run(delay);
+                self.fleet.start(vm);
+                self.fleet.run(delay);
+                self.fleet.crash(vm);
+                self.fleet.run(delay);
+                self.start_new();
+            }
+            Loss::Planned => {
+                self.start_new();
+                self.fleet.run(self.catch_up);
+                self.stop(vm);
+                return self.fleet.now;
+            }
+            Loss::Restarted => {
+                self.stop(vm);
+                self.fleet.run(delay);
+                self.fleet.start(vm);
+            }
+            Loss::Frozen => {
+                self.fleet.nodes[vm].frozen_until = self.fleet.now + 3 * delay;
+                self.fleet.run(3 * delay);
+            }
+        }
+        self.fleet.now + self.catch_up
+    }
+
+    /// Loses nodes in turn, `at_once` of them at a time, and returns whether the fleet still commits.
+    fn run(&mut self, kinds: &[Loss], at_once: usize) -> bool {
+        for _ in 0..LOSSES {
+            let mut lost = Vec::new();
+            let mut until = self.fleet.now;
+            for _ in 0..at_once {
+                let vm = self.victim(&lost);
+                lost.push(vm);
+                let kind = kinds[self.fleet.rng.random_range(0..kinds.len())];
+                let delay = self.delay(2_000);
+                until = until.max(self.lose(kind, vm, delay));
+            }
+            let rest = until.saturating_sub(self.fleet.now);
+            self.fleet.run(rest);
+        }
+        self.commit()
+    }
+}
+
+fn first_failure(
+    (voters, spares): (usize, usize),
+    kinds: &[Loss],
+    at_once: usize,
+    fault: Fault,
+    seeds: u64,
+) -> Option<(u64, Vec<String>)> {
+    (0..seeds).find_map(|seed| {
+        let catch_up = CATCH_UPS[usize::from(seed % 2 == 1)];
+        let mut chain = Chain::new(voters, spares, catch_up, fault, seed);
+        (!chain.run(kinds, at_once)).then_some((seed, chain.history))
+    })
+}
+
+/// Guards against a quorum that is lost for good by losses in turn, each `CatchUpS` after the former machine was
+/// back or replaced, as in review/1 and its kin.
+#[rstest]
+#[case::replaced(&[Loss::Replaced])]
+#[case::lost_disk(&[Loss::LostDisk])]
+#[case::lost_disk_and_replaced(&[Loss::Replaced, Loss::LostDisk, Loss::LostDiskThenReplaced])]
+#[case::planned(&[Loss::Planned, Loss::LostDisk])]
+#[case::returning(&[Loss::Frozen, Loss::Restarted, Loss::LostDisk])]
+#[case::all(&LOSSES_OF_ALL_KINDS)]
+fn losses_in_turn_keep_a_quorum(#[case] kinds: &[Loss]) {
+    for size in [(3, 0), (3, 2)] {
+        let failure = first_failure(size, kinds, 1, Fault::None, 40);
+        assert_eq!(failure, None, "{size:?} voters and learners");
+    }
+}
+
+/// Guards against the same with five voters, of which two are lost at once.
+#[rstest]
+#[case::replaced(&[Loss::Replaced])]
+#[case::all(&LOSSES_OF_ALL_KINDS)]
+fn two_losses_at_once_in_turn_keep_a_quorum(#[case] kinds: &[Loss]) {
+    for size in [(5, 0), (5, 4)] {
+        let failure = first_failure(size, kinds, 2, Fault::None, 20);
+        assert_eq!(failure, None, "{size:?} voters and learners");
+    }
+}
+
+/// Guards against a check that cannot fail: the former rules lose the quorum.
+#[rstest]
+#[case::former_rule(Fault::FormerRule, &[Loss::Replaced])]
+#[case::counts_anew(Fault::CountsAnew, &[Loss::Replaced])]
+#[case::no_handover(Fault::NoHandover, &[Loss::Planned, Loss::LostDisk])]
+fn a_former_rule_loses_the_quorum(#[case] fault: Fault, #[case] kinds: &[Loss]) {
+    assert!(first_failure((3, 0), kinds, 1, fault, 40).is_some());
+}
--- a/tests/raft_sim/mod.rs
+++ b/tests/raft_sim/mod.rs
@@ -13,9 +13,10 @@
 use waxwinglatch::{
     ids::{LogIndex, Term},
     raft::{
-        AppendOutcome, EntryPayload, LogEntry, MemberChange, Membership, MessageBody, RaftCore,
-        RaftEffect, RaftInput, RaftLimits, RaftMessage, RaftRole, RaftTiming, RefusalReason,
-        RestoredState, SnapshotMeta, VoterId,
+        AppendOutcome, EntryPayload, LogEntry, MemberChange, MemberContacts, Membership,
+        MessageBody, RaftCore, RaftEffect, RaftInput, RaftLimits, RaftMessage, RaftRole,
+        RaftTiming, RefusalReason, ReplacementPolicy, ReplacementStep, RestoredState, SnapshotMeta,
+        VoterId,
     },
 };
 
@@ -29,9 +30,11 @@
     partial: Vec<u8>,
 }
 
+#[derive(Clone)]
 pub struct Node {
     pub id: VoterId,
     pub core: Option<RaftCore>,
+    pub contacts: MemberContacts,
     pub disk: Disk,
     /// Rate of the node's clock relative to the simulated time.
     rate: f64,
@@ -45,6 +48,21 @@
 }
 
 impl Node {
+    fn new(vm: usize, disk: Disk) -> Self {
+        Self {
+            id: voter(vm, 1),
+            core: None,
+            contacts: MemberContacts::default(),
+            disk,
+            rate: 1.0,
+            clock_at: (Duration::ZERO, Duration::ZERO),
+            frozen_until: Duration::ZERO,
+            lease: None,
+            applied: Vec::new(),
+            applied_index: 0,
+        }
+    }
+
     fn clock(&self, now: Duration) -> Duration {
         let (since, value) = self.clock_at;
         value + now.saturating_sub(since).mul_f64(self.rate)
@@ -59,8 +77,22 @@
     pub delay: f64,
 }
 
+/// How the leader replaces members by itself.
+#[derive(Clone, Copy)]
+pub struct ReplacementRule {
+    pub policy: ReplacementPolicy,
+    /// Interval of the leader's checks.
+    pub check_interval: Duration,
+    /// Interval at which a node that is no member asks to be added.
+    pub announce_interval: Duration,
+    /// Seeded fault: a new leader forgets what it has heard before.
+    pub counts_anew: bool,
+}
+
+#[derive(Clone)]
 pub struct Fleet {
     pub now: Duration,
+    pub replacement: Option<ReplacementRule>,
     pub nodes: Vec<Node>,
     pub network: Network,
     pub blocked_links: BTreeSet<(usize, usize)>,
@@ -93,25 +125,20 @@
 impl Fleet {
     pub fn new(voters: usize, seed: u64) -> Self {
         let founding = Membership::of_voters((0..voters).map(|vm| voter(vm, 1)));
-        let nodes = (0..voters).map(|vm| Node {
-            id: voter(vm, 1),
-            core: None,
-            disk: Disk {
-                restored: RestoredState {
-                    snapshot: SnapshotMeta::founding(founding.clone()),
-                    ..RestoredState::default()
-                },
+        let nodes = (0..voters).map(|vm| {
+            let restored = RestoredState {
+                snapshot: SnapshotMeta::founding(founding.clone()),
+                ..RestoredState::default()
+            };
+            let disk = Disk {
+                restored,
                 ..Disk::default()
-            },
-            rate: 1.0,
-            clock_at: (Duration::ZERO, Duration::ZERO),
-            frozen_until: Duration::ZERO,
-            lease: None,
-            applied: Vec::new(),
-            applied_index: 0,
+            };
+            Node::new(vm, disk)
         });
         let mut fleet = Self {
             now: Duration::from_secs(1),
+            replacement: None,
             nodes: nodes.collect(),
             network: Network::default(),
             blocked_links: BTreeSet::new(),
@@ -151,6 +178,14 @@
         let timing = RaftTiming::default();
         let core = RaftCore::new(node.id.clone(), restored, timing, self.limits, seed, now);
         node.core = Some(core);
+        node.contacts = MemberContacts::default();
+    }
+
+    /// Adds a node with an empty disk, which does not run yet, and returns its number.
+    pub fn add_node(&mut self) -> usize {
+        self.nodes
+            .push(Node::new(self.nodes.len(), Disk::default()));
+        self.nodes.len() - 1
     }
 
     /// Changes the rate of a node's clock.
@@ -195,9 +230,15 @@
     /// Passes an input to a node and executes the effects.
     pub fn input(&mut self, vm: usize, input: RaftInput) {
         let now = self.nodes[vm].clock(self.now);
-        let Some(core) = &mut self.nodes[vm].core else {
+        let Node { core, contacts, .. } = &mut self.nodes[vm];
+        let Some(core) = core else {
             return;
         };
+        match &input {
+            RaftInput::Message(message) => contacts.record(message, now),
+            RaftInput::Tick => contacts.observe(core, now),
+            _ => {}
+        }
         let mut effects = core.step(now, input);
         let crashes = self.crash_probability > 0.0 && self.rng.random_bool(self.crash_probability);
         if crashes {
@@ -306,6 +347,9 @@
                 term,
                 ..
             } => {
+                if self.replacement.is_some_and(|rule| rule.counts_anew) {
+                    self.nodes[vm].contacts = MemberContacts::default();
+                }
                 let id = self.nodes[vm].id.clone();
                 let known = self.leaders.entry(term).or_insert_with(|| id.clone());
                 assert_eq!(*known, id, "two leaders in term {term}");
@@ -414,6 +458,40 @@
                     }
                 }
             }
+            self.advance_replacement();
+        }
+    }
+
+    /// Lets nodes join and the leader replace members, where a rule for it is set.
+    fn advance_replacement(&mut self) {
+        let (Some(rule), Some(leader)) = (self.replacement, self.leader()) else {
+            return;
+        };
+        let now = self.now;
+        let is_due = |interval: Duration| now.as_millis().is_multiple_of(interval.as_millis());
+        let token = u64::MAX;
+        if is_due(rule.announce_interval) {
+            let membership = self.core(leader).membership();
+            let joining = self.nodes.iter().filter(|node| {
+                node.core.is_some()
+                    && node.frozen_until <= self.now
+                    && !membership.contains(&node.id)
+            });
+            let joining: Vec<VoterId> = joining.map(|node| node.id.clone()).collect();
+            for id in joining {
+                let change = MemberChange::AddLearner(id);
+                self.input(leader, RaftInput::Change { token, change });
+            }
+        }
+        if !is_due(rule.check_interval) || self.nodes[leader].frozen_until > self.now {
+            return;
+        }
+        let node = &self.nodes[leader];
+        let Some(core) = &node.core else { return };
+        let clock = node.clock(self.now);
+        let step = core.next_replacement(clock, &rule.policy, &node.contacts);
+        if let ReplacementStep::Due { change, .. } = step {
+            self.input(leader, RaftInput::Change { token, change });
         }
     }
 
