Leave the outcome open of a command whose entry was replaced

Seen: with five voters, a command could be answered with 'not the leader', a refusal, and be committed later. Cause: PendingTable took an entry that was replaced in the leader's own log for one that nobody will commit. Another voter may still have it and win the votes of those that have neither. Ruled out: the case with three voters, where the two logs with later terms are a quorum; a commit of another entry at the index, which does settle it. Change: such a command ends as unconfirmed.

--- a/src/voter/pending.rs
+++ b/src/voter/pending.rs
@@ -56,12 +56,12 @@
     pub fn append(&mut self, token: u64, term: Term, index: LogIndex) {
         if let Some(pending) = self.answers.get_mut(&token) {
             pending.stage = PendingStage::Appended(index);
-            let replaced = self.appended.insert(index, (term, token));
-            if let Some((_, token)) = replaced {
-                // This voter was elected again and its log does not contain the older entry, so
-                // that entry is not and will not be committed.
-                self.refuse(token, Error::NotLeader { leader: None });
+            if let Some((_, token)) = self.appended.remove(&index) {
+                // This voter was elected again without the older entry. Another voter may still have it and
+                // lead later, as long as no entry of a later term is committed.
+                self.fail(token, || unconfirmed("another entry has taken its place"));
             }
+            self.appended.insert(index, (term, token));
         }
     }
 
