Accept a repeated drain after its target was removed

Seen: a drain whose answer was lost was refused when it was sent again, if a change had removed its target in between. Cause: the target was looked up in the newest configuration before the request id. Ruled out: keys and configurations, which look up the request id first. Change: a request id that is known is not checked again.

--- a/src/control/admin/drains.rs
+++ b/src/control/admin/drains.rs
@@ -9,7 +9,10 @@
     code::ResultCode,
     fleet::{ConfigIssue, check_capacity, check_identifier},
     operator::{AdminAnswer, DrainView, DrainsView},
-    state::{Command, ControlState, DrainOutcome, DrainRequest, DrainState, DrainSubject, Outcome},
+    state::{
+        Command, ControlState, DrainOutcome, DrainRequest, DrainState, DrainSubject, Outcome,
+        RequestLookup,
+    },
     voter::VoterHandle,
 };
 
@@ -36,8 +39,14 @@
     let (DrainSubject::Vm(id) | DrainSubject::Target(id)) = &request.subject;
     let invalid = |reason: String| AdminError::invalid(vec![ConfigIssue::new("subject", reason)]);
     check_identifier(id).map_err(invalid)?;
+    // A request that was accepted before the target was removed is not refused when it is sent again.
+    let digest = request.digest();
+    let is_known = |state: &ControlState| {
+        let lookup = state.requests().find(&request.request_id, &digest);
+        state.configs().has_target(id) || lookup != RequestLookup::New
+    };
     if let (DrainSubject::Target(id), DrainState::Draining) = (&request.subject, request.state)
-        && !voter.read(|state| state.configs().has_target(id)).await?
+        && !voter.read(is_known).await?
     {
         return Err(invalid(format!("there is no target '{id}'")));
     }
--- a/src/state/drain_request.rs
+++ b/src/state/drain_request.rs
@@ -1,5 +1,6 @@
 use serde::{Deserialize, Serialize};
 
+use super::request_table::{ChangeDigest, change_digest};
 use crate::ids::{RequestId, TargetId, VmId};
 
 /// A VM or target that an operator takes out of service.
@@ -34,6 +35,14 @@
     pub state: DrainState,
 }
 
+impl DrainRequest {
+    /// Returns the digest by which a resend is recognised.
+    #[must_use]
+    pub fn digest(&self) -> ChangeDigest {
+        change_digest(&(&self.subject, self.state))
+    }
+}
+
 /// Result of a drain request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum DrainOutcome {
--- a/src/state/machine.rs
+++ b/src/state/machine.rs
@@ -5,7 +5,7 @@
 use super::{
     ApplyOutcome, ApplyRequest, ClaimTable, Command, ConfigHistory, CrashTable, DrainOutcome,
     DrainRequest, DrainTable, MemoryTable, Outcome, RequestTable, StampedCommand, StreamTable,
-    request_table::{RequestLookup, change_digest},
+    request_table::RequestLookup,
 };
 use crate::{
     border::FleetConfig,
@@ -147,7 +147,7 @@
     }
 
     fn drain(&mut self, request: &DrainRequest) -> Outcome {
-        let digest = change_digest(&(&request.subject, request.state));
+        let digest = request.digest();
         match self.requests.find(&request.request_id, &digest) {
             RequestLookup::New => {}
             RequestLookup::Repeated(outcome) => return outcome,
--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -342,6 +342,22 @@
     assert_eq!(control.get("/drains").await.1["drains"], json!([]));
 }
 
+/// Guards against the refusal of a drain that was accepted and is sent again, after a change that removed its target.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_repeated_drain_is_accepted_after_its_target_was_removed() {
+    let control = ControlFixture::start().await;
+    control.put(&change("one", 0, &["a"])).await;
+    let drain = json!({ "request_id": "d1", "subject": { "target": "e" }, "state": "draining" });
+    assert_eq!(control.post("/drains", &drain).await.0, 200);
+    let mut without = change("two", 1, &["a"]);
+    without["config"]["targets"] = json!([]);
+    without["config"]["models"] = json!([]);
+    let (status, answer) = control.put(&without).await;
+    assert_eq!(status, 200, "{answer}");
+    let (status, answer) = control.post("/drains", &drain).await;
+    assert_eq!(status, 200, "{answer}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_revision_is_in_force_when_every_live_entry_has_it() {
     let control = ControlFixture::start().await;
