Acknowledge repeated additions and promotions of members

Seen: a promotion whose answer was lost was refused when it was sent again. Cause: a change that the membership already shows does not apply to it any more. Ruled out: removals; the membership does not show that a member was ever there. Change: additions and promotions that the committed membership shows are acknowledged.

--- a/src/control/members.rs
+++ b/src/control/members.rs
@@ -175,24 +175,40 @@
     let (MemberChange::AddLearner(id) | MemberChange::Promote(id) | MemberChange::Remove(id)) =
         &change;
     let message = member_name(id);
-    match voter.change_membership(change).await {
-        Ok(()) => {
-            let answer = MemberAnswer {
-                code: 0,
-                name: "committed".to_owned(),
-                message,
-                leader: None,
-            };
-            (Status::Ok, Json(answer))
-        }
+    match voter.change_membership(change.clone()).await {
+        Ok(()) => committed(message),
         Err(error) => match &error {
             Error::NotLeader { leader } => refuse(ResultCode::NotLeader, &error, leader.clone()),
+            // A change whose answer was lost is sent again.
+            Error::Refused { .. } if is_made(voter, &change) => committed(message),
             Error::Refused { .. } => refuse(ResultCode::ChangeRefused, &error, None),
             _ => refuse(ResultCode::Unconfirmed, &error, None),
         },
     }
 }
 
+/// Returns whether the committed membership shows that a change was made. The absence of a member does not show that
+/// it was ever there.
+fn is_made(voter: &VoterHandle, change: &MemberChange) -> bool {
+    let status = voter.status();
+    status.is_membership_committed
+        && match change {
+            MemberChange::AddLearner(id) => status.membership.contains(id),
+            MemberChange::Promote(id) => status.membership.voters.contains(id),
+            MemberChange::Remove(_) => false,
+        }
+}
+
+fn committed(message: String) -> Answer {
+    let answer = MemberAnswer {
+        code: 0,
+        name: "committed".to_owned(),
+        message,
+        leader: None,
+    };
+    (Status::Ok, Json(answer))
+}
+
 fn refuse(code: ResultCode, message: &dyn std::fmt::Display, leader: Option<String>) -> Answer {
     let answer = MemberAnswer {
         code: code.number(),
--- a/src/voter/driver.rs
+++ b/src/voter/driver.rs
@@ -261,7 +261,8 @@
     }
 
     pub fn refuse(&self, sender: AnswerSender) {
-        let leader = self.leader_address(self.core.leader());
+        let leader = self.core.leader().filter(|leader| **leader != self.id);
+        let leader = self.leader_address(leader);
         send_answer(sender, Err(Error::NotLeader { leader }));
     }
 
@@ -323,6 +324,7 @@
             if status.leader.as_ref() != self.core.leader() {
                 status.leader = self.core.leader().cloned();
             }
+            status.is_membership_committed = self.core.is_membership_committed();
             status.commit = self.core.commit_index();
             status.last = self.core.last_index();
         });
--- a/src/voter/status.rs
+++ b/src/voter/status.rs
@@ -33,6 +33,8 @@
     pub leader: Option<VoterId>,
     /// Membership in force.
     pub membership: Membership,
+    /// Whether the membership in force is committed.
+    pub is_membership_committed: bool,
     /// Membership with which the fleet was founded; `None` when this voter joined later, or after
     /// the first snapshot.
     pub founding: Option<Membership>,
--- a/src/voter/thread.rs
+++ b/src/voter/thread.rs
@@ -195,6 +195,7 @@
         term: 0,
         leader: None,
         membership: Membership::default(),
+        is_membership_committed: false,
         founding: founding.filter(|membership| meta.index == 0 && !membership.voters.is_empty()),
         commit: 0,
         last: 0,
