Never send operators on once the log may contain their change

Cause: after the commit, the wait for gateways asked for the lease. A leader that transfers its leadership, or was frozen, has none, and the error sent the operator to a system port, which has no operators' API. Ruled out: the redirects of followers; validation, which depends on the document alone; a commit known after the step down.

--- a/src/coordinator/acknowledgement.rs
+++ b/src/coordinator/acknowledgement.rs
@@ -20,18 +20,20 @@
 
 /// Acknowledgement of plans by the leader; see docs/design.md, section 18.
 impl CoordinatorState {
-    /// Waits until each gateway has a plan or a newer one in force, or has no lease on an older one.
+    /// Waits until each gateway has a plan of the log or a newer one in force, or has no lease on an older one.
     ///
     /// # Errors
-    /// [`Error::NotLeader`] when this daemon does not lead, [`Error::Unconfirmed`] when gateways renew
-    /// their leases without the plan.
+    /// [`Error::Unconfirmed`] when this daemon does not lead or gateways renew their leases without the plan. The
+    /// plan is in the log, so the operator must never be sent on as if nothing had happened.
     pub(super) async fn await_confirmation(&self, version: PlanVersion) -> Result<()> {
         let began_at = self.now();
         let deadline = began_at + self.plan_lease + CONFIRMATION_MARGIN;
         loop {
             let confirmed = self.confirmed.notified();
             let now = self.now();
-            let lease = self.lease()?;
+            let lease = self.lease().map_err(|_| Error::Unconfirmed {
+                reason: format!("leadership ended before gateways confirmed plan {version}"),
+            })?;
             let behind = {
                 let mut tables = self.tables(lease);
                 tables.confirmations.expire(now);
--- a/src/coordinator/plan_store.rs
+++ b/src/coordinator/plan_store.rs
@@ -37,9 +37,9 @@
     ///
     /// # Errors
     /// [`crate::error::Error::Decode`] when the document is not a valid plan,
-    /// [`crate::error::Error::NotLeader`] when another daemon leads,
+    /// [`crate::error::Error::NotLeader`] when another daemon leads and the log does not contain the plan,
     /// [`crate::error::Error::Unconfirmed`] when the plan is not committed or not confirmed yet and may
-    /// come into force later.
+    /// come into force later. Once the log may contain the plan, all errors are of this kind.
     pub async fn publish(&self, document: &[u8]) -> Result<()> {
         let version = self.adapter.decode_plan(document)?.version;
         let in_force = self.voter.read(ControlState::plan_version).await?;
--- a/src/coordinator/state.rs
+++ b/src/coordinator/state.rs
@@ -192,17 +192,10 @@
     /// Returns the lease of this daemon if it leads.
     ///
     /// # Errors
-    /// [`Error::NotLeader`] with the system address of the leader, when it is known.
+    /// [`Error::NotLeader`] without an address. Gateways get it from [`Self::redirect`]; operators call other ports.
     pub(super) fn lease(&self) -> Result<LeaderLease> {
         let lease = self.voter.lease().filter(LeaderLease::is_valid);
-        lease.ok_or_else(|| {
-            let leader = self.voter.status().leader;
-            let address =
-                leader.and_then(|leader| self.voter.addresses().system_address(&leader.vm));
-            Error::NotLeader {
-                leader: address.map(|address| address.to_string()),
-            }
-        })
+        lease.ok_or(Error::NotLeader { leader: None })
     }
 
     /// Returns what gateways are told while this daemon does not lead.
