--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -36,6 +36,17 @@
         Self::start_with_output(program, arguments, Stdio::null(), Stdio::inherit())
     }
 
+    /// Returns the largest amount of memory that the process has had so far, in kilobytes.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.0.id()));
+        let status = status.expect("the process runs");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let peak = peak.and_then(|text| text.trim().strip_suffix(" kB"));
+        peak.expect("the kernel states the peak")
+            .parse()
+            .expect("the peak is a number")
+    }
+
     /// Starts a program of this package that writes everything it prints to a file.
     pub fn start_logged(program: &str, arguments: &[&str], path: &Path) -> Self {
         let file = fs::File::create(path).expect("the file is writable");
