--- a/tests/raft_sim/mod.rs
+++ b/tests/raft_sim/mod.rs
@@ -347,26 +347,31 @@
                 term,
                 ..
             } => {
-                if self.replacement.is_some_and(|rule| rule.counts_anew) {
-                    self.nodes[vm].contacts = MemberContacts::default();
-                }
-                let id = self.nodes[vm].id.clone();
-                let known = self.leaders.entry(term).or_insert_with(|| id.clone());
-                assert_eq!(*known, id, "two leaders in term {term}");
-                let log = &self.nodes[vm].disk.restored;
-                for (index, entry) in self.committed.range(log.snapshot.index + 1..) {
-                    let own = log.entries.iter().find(|own| own.index == *index);
-                    // An entry that was committed in this term or a later one may be missing.
-                    if self.committed_in[index] >= term {
-                        break;
-                    }
-                    assert_eq!(own, Some(entry), "the leader of term {term} lacks an entry");
-                }
+                self.check_leader(vm, term);
             }
             RaftEffect::RoleChanged { .. } => {}
         }
     }
 
+    /// Checks that a new leader is the only one of its term and has every committed entry.
+    fn check_leader(&mut self, vm: usize, term: Term) {
+        if self.replacement.is_some_and(|rule| rule.counts_anew) {
+            self.nodes[vm].contacts = MemberContacts::default();
+        }
+        let id = self.nodes[vm].id.clone();
+        let known = self.leaders.entry(term).or_insert_with(|| id.clone());
+        assert_eq!(*known, id, "two leaders in term {term}");
+        let log = &self.nodes[vm].disk.restored;
+        for (index, entry) in self.committed.range(log.snapshot.index + 1..) {
+            let own = log.entries.iter().find(|own| own.index == *index);
+            // An entry that was committed in this term or a later one may be missing.
+            if self.committed_in[index] >= term {
+                break;
+            }
+            assert_eq!(own, Some(entry), "the leader of term {term} lacks an entry");
+        }
+    }
+
     fn apply(&mut self, vm: usize, up_to: LogIndex) {
         let node = &mut self.nodes[vm];
         let log = &node.disk.restored;
