Split liveness and room at targets from the target table

Change: detection of silent targets stands in gateway/liveness.rs, room at targets in gateway/room.rs, delays of returns in gateway/retry_delay.rs. Code is moved, not changed.

--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -6,8 +6,9 @@
 use spdlog::prelude::*;
 
 use super::{
-    proxy::{GatewayProxy, random_duration, unavailable},
+    proxy::{GatewayProxy, unavailable},
     request::GatewayRequest,
+    retry_delay::random_duration,
     routing::split_model,
     targets::ChosenTarget,
 };
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -26,6 +26,7 @@
     plan_lease::{PlanLease, PlanStanding},
     relay::{RelayBody, RelayedAnswer},
     request::GatewayRequest,
+    retry_delay::add_retry_after,
     routing::{model_pool, prefix_blocks},
     stream_origins::StreamOrigins,
     sync_client::SyncClient,
@@ -47,11 +48,6 @@
 
 /// Maximum number of attempts of one request that targets refuse without running it.
 const MAX_REFUSED_ATTEMPTS: u32 = 3;
-/// Minimum and maximum retry delay that a refusal states, as a share of the time that the caller
-/// has left. Capacity becomes free within seconds, and a caller that still has three quarters of
-/// its time can be served then. The random spread keeps callers that were refused together from
-/// retrying together.
-const RETRY_AFTER_SHARE: [f64; 2] = [0.1, 0.25];
 /// Assumed time-out of a caller that states no deadline.
 const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -486,18 +482,3 @@
 pub(super) fn unavailable(reason: &'static str) -> RefusalNotice {
     RefusalNotice::new(RefusalKind::Unavailable, reason)
 }
-
-/// Adds a retry delay to the refusal of a request that has not run, unless it states one already.
-fn add_retry_after(notice: RefusalNotice, time_left: Duration) -> RefusalNotice {
-    match notice.kind {
-        RefusalKind::OverLimit | RefusalKind::Unavailable if notice.retry_after.is_none() => {
-            let [min, max] = RETRY_AFTER_SHARE.map(|share| time_left.mul_f64(share));
-            notice.with_retry_after(random_duration(min, max))
-        }
-        _ => notice,
-    }
-}
-
-pub(super) fn random_duration(min: Duration, max: Duration) -> Duration {
-    rand::rng().random_range(min..=max)
-}
--- /dev/null
+++ b/src/gateway/room.rs
@@ -0,0 +1,59 @@
+//! Room for further requests at targets.
+
+use std::time::Duration;
+
+use super::targets::{ChosenTarget, TableState, TargetTable};
+
+/// Share of the maximum gap between events that prefill may occupy.
+const PREFILL_GAP_SHARE: f32 = 0.7;
+/// Maximum number of requests per slot of a plain service. Its requests are short, so it may queue
+/// some.
+const PLAIN_REQUESTS_PER_SLOT: f32 = 2.0;
+/// Share of an engine's slots that a gateway fills. The rest is headroom for requests that several
+/// gateways send at the same moment, which would otherwise queue at the engine behind all others.
+const ADMITTED_SLOT_SHARE: f32 = 0.85;
+/// Weight of a new sample in the moving average of the time per prompt token.
+const PREFILL_SAMPLE_WEIGHT: f32 = 0.05;
+/// Minimum number of prompt tokens from which on prefill dominates the time to the first byte.
+const MIN_PREFILL_SAMPLE_TOKENS: u32 = 1_000;
+
+impl TargetTable {
+    /// Returns whether a target has room for another request: a free slot, and so few prompt tokens
+    /// to process that running streams pause no longer than `max_gap`.
+    #[allow(clippy::cast_precision_loss)] // Counts are far below 2^24.
+    pub fn has_room(&self, chosen: &ChosenTarget, max_gap: Option<Duration>) -> bool {
+        let state = self.state();
+        let choice = &chosen.choice;
+        let slots = state
+            .entries
+            .get(&choice.target)
+            .map_or(1, |entry| entry.slots);
+        let Some(max_gap) = max_gap else {
+            return choice.load < slots as f32 * PLAIN_REQUESTS_PER_SLOT;
+        };
+        let pending_tokens = state.replicas.pending_prefill_tokens(&choice.target);
+        let prefill_ms =
+            (pending_tokens + choice.prefill_tokens) as f32 * state.prefill_ms_per_token;
+        let has_prefill_room =
+            pending_tokens == 0 || prefill_ms <= max_gap.as_secs_f32() * 1000.0 * PREFILL_GAP_SHARE;
+        has_prefill_room && choice.load < slots as f32 * ADMITTED_SLOT_SHARE
+    }
+}
+
+impl TableState {
+    /// Updates the estimated time per prompt token from a request with enough prompt tokens for
+    /// prefill to dominate the time to its first byte.
+    #[allow(clippy::cast_precision_loss)] // Counts are far below 2^24.
+    pub(super) fn record_prefill_sample(&mut self, chosen: &ChosenTarget, first_byte: Duration) {
+        let tokens = chosen.prior_prefill_tokens + chosen.choice.prefill_tokens;
+        if tokens >= MIN_PREFILL_SAMPLE_TOKENS {
+            let sample = first_byte.as_secs_f32() * 1000.0 / tokens as f32;
+            let sample = sample.clamp(
+                self.prefill_ms_per_token / 4.0,
+                self.prefill_ms_per_token * 4.0,
+            );
+            self.prefill_ms_per_token +=
+                (sample - self.prefill_ms_per_token) * PREFILL_SAMPLE_WEIGHT;
+        }
+    }
+}
--- a/src/gateway/sync_client.rs
+++ b/src/gateway/sync_client.rs
@@ -17,7 +17,7 @@
     loads::LoadExchange,
     part_watch::PartReport,
     plan_lease::DoubtfulTime,
-    proxy::random_duration,
+    retry_delay::random_duration,
     stream_origins::StreamOrigins,
     sync_pacing::SyncPacing,
     sync_peers::{SyncPeer, SyncPeers},
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -9,7 +9,7 @@
 use tokio::sync::Notify;
 
 use super::{
-    connections::ConnectFailure,
+    liveness::TargetLiveness,
     routing::{replica_spec, split_model},
 };
 use crate::{
@@ -37,16 +37,6 @@
 /// Temperature of the weighted random choice: targets whose expected times differ by less get
 /// similar weights, so that gateways that decide at the same moment do not all pick the same one.
 const TEMPERATURE_MS: f32 = 6.0;
-/// Weight of a new sample in the moving average of the time per prompt token.
-const PREFILL_SAMPLE_WEIGHT: f32 = 0.05;
-/// Minimum number of prompt tokens from which on prefill dominates the time to the first byte.
-const MIN_PREFILL_SAMPLE_TOKENS: u32 = 1_000;
-/// Share of the maximum gap between events that prefill may occupy.
-const PREFILL_GAP_SHARE: f32 = 0.7;
-/// Maximum number of requests per slot of a plain service. Its requests are short, so it may queue
-/// some.
-const PLAIN_REQUESTS_PER_SLOT: f32 = 2.0;
-
 /// A target chosen for a request, with its address.
 #[derive(Clone, Debug)]
 pub struct ChosenTarget {
@@ -68,31 +58,15 @@
     capacity_freed: Notify,
 }
 
-/// Time after which a target that runs requests of this gateway and sends no byte gets no new
-/// requests. Engines send several events within this time, and plain services answer sooner.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(700);
-/// Time after which a silent target that runs no more requests of this gateway is tried again.
-const SILENCE_RETRY_DELAY: Duration = Duration::from_millis(1_500);
-/// Share of an engine's slots that a gateway fills. The rest is headroom for requests that several
-/// gateways send at the same moment, which would otherwise queue at the engine behind all others.
-const ADMITTED_SLOT_SHARE: f32 = 0.85;
-
-/// Liveness of a target, from the traffic of this gateway's own requests.
-#[derive(Clone, Copy, Debug)]
-struct TargetLiveness {
-    last_activity_at: Duration,
-    is_silent: bool,
-}
-
-struct TableState {
+pub(super) struct TableState {
     pending_prefill_tokens: BTreeMap<TargetId, u32>,
-    prefill_ms_per_token: f32,
-    liveness: HashMap<TargetId, TargetLiveness>,
+    pub(super) prefill_ms_per_token: f32,
+    pub(super) liveness: HashMap<TargetId, TargetLiveness>,
     /// Consecutive failed connection attempts by target.
-    connect_failures: HashMap<TargetId, u32>,
-    replicas: ReplicaTable,
-    entries: HashMap<TargetId, TargetEntry>,
-    running_requests: BTreeMap<TargetId, u32>,
+    pub(super) connect_failures: HashMap<TargetId, u32>,
+    pub(super) replicas: ReplicaTable,
+    pub(super) entries: HashMap<TargetId, TargetEntry>,
+    pub(super) running_requests: BTreeMap<TargetId, u32>,
     list_version: ListVersion,
     /// Number of changes of the list that the leader did not make.
     local_changes: u64,
@@ -131,11 +105,11 @@
         }
     }
 
-    fn state(&self) -> MutexGuard<'_, TableState> {
+    pub(super) fn state(&self) -> MutexGuard<'_, TableState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn now(&self) -> Duration {
+    pub(super) fn now(&self) -> Duration {
         self.started_at.elapsed()
     }
 
@@ -322,117 +296,6 @@
         (ids(same), ids(others))
     }
 
-    /// Returns whether a target has room for another request: a free slot, and so few prompt tokens
-    /// to process that running streams pause no longer than `max_gap`.
-    #[allow(clippy::cast_precision_loss)] // Counts are far below 2^24.
-    pub fn has_room(&self, chosen: &ChosenTarget, max_gap: Option<Duration>) -> bool {
-        let state = self.state();
-        let choice = &chosen.choice;
-        let slots = state
-            .entries
-            .get(&choice.target)
-            .map_or(1, |entry| entry.slots);
-        let Some(max_gap) = max_gap else {
-            return choice.load < slots as f32 * PLAIN_REQUESTS_PER_SLOT;
-        };
-        let pending_tokens = state.replicas.pending_prefill_tokens(&choice.target);
-        let prefill_ms =
-            (pending_tokens + choice.prefill_tokens) as f32 * state.prefill_ms_per_token;
-        let has_prefill_room =
-            pending_tokens == 0 || prefill_ms <= max_gap.as_secs_f32() * 1000.0 * PREFILL_GAP_SHARE;
-        has_prefill_room && choice.load < slots as f32 * ADMITTED_SLOT_SHARE
-    }
-
-    /// Records that a target sent data, and makes a silent target available again.
-    pub fn record_activity(&self, target: &TargetId) {
-        let now = self.now();
-        let mut state = self.state();
-        if let Some(liveness) = state.liveness.get_mut(target) {
-            liveness.last_activity_at = now;
-            if liveness.is_silent {
-                liveness.is_silent = false;
-                state.mark_available(target);
-                info!("route: a target is heard again", kv: { target = target.as_str() });
-            }
-        }
-    }
-
-    /// Resets the count of failed connection attempts of a target.
-    pub fn record_connected(&self, target: &TargetId) {
-        self.state().connect_failures.remove(target);
-    }
-
-    /// Records a failed connection attempt and marks the target as down. A single unanswered
-    /// attempt may be a lost packet and has no effect.
-    pub fn record_connect_failure(&self, target: &TargetId, failure: ConnectFailure) {
-        let now = self.now();
-        let mut state = self.state();
-        let failures = state.connect_failures.entry(target.clone()).or_default();
-        *failures += 1;
-        let is_lost_packet = failure == ConnectFailure::Unanswered && *failures < 2;
-        if is_lost_packet || !state.entries.contains_key(target) {
-            return;
-        }
-        let liveness = TargetLiveness {
-            last_activity_at: now,
-            is_silent: true,
-        };
-        let previous = state.liveness.insert(target.clone(), liveness);
-        state.replicas.set_availability(target, Availability::Down);
-        if !previous.is_some_and(|previous| previous.is_silent) {
-            warn!("route: a target accepts no connection", kv: { target = target.as_str() });
-        }
-    }
-
-    /// Returns the targets that get no new requests because they sent no data or accepted no
-    /// connection.
-    pub fn silent_targets(&self) -> Vec<TargetId> {
-        let state = self.state();
-        let silent = state
-            .liveness
-            .iter()
-            .filter(|(_, liveness)| liveness.is_silent);
-        silent.map(|(target, _)| target.clone()).collect()
-    }
-
-    /// Marks targets that have become silent as down, and makes those available again whose retry
-    /// delay has passed.
-    pub fn check_liveness(&self) {
-        let now = self.now();
-        let mut state = self.state();
-        let state = &mut *state;
-        let mut expired = Vec::new();
-        for (target, liveness) in &mut state.liveness {
-            let age = now.saturating_sub(liveness.last_activity_at);
-            let running = state.running_requests.get(target).copied().unwrap_or(0);
-            let is_running = running > 0;
-            let is_engine = state
-                .entries
-                .get(target)
-                .is_some_and(|entry| !entry.models.is_empty());
-            // A plain target sends nothing while it processes a single slow request.
-            let is_expected = is_engine || running > 1;
-            match liveness.is_silent {
-                false if is_expected && is_running && age >= SILENCE_TIMEOUT => {
-                    liveness.is_silent = true;
-                    let down = Availability::Down;
-                    state.replicas.set_availability(target, down);
-                    warn!("route: a target is silent", kv: {
-                        target = target.as_str(),
-                        silent_ms = age.as_millis(),
-                    });
-                }
-                true if !is_running && age >= SILENCE_RETRY_DELAY => expired.push(target.clone()),
-                false if !is_running => expired.push(target.clone()),
-                _ => {}
-            }
-        }
-        for target in expired {
-            state.liveness.remove(&target);
-            state.mark_available(&target);
-        }
-    }
-
     /// Records that a request is being sent to the chosen target.
     pub fn record_send(&self, chosen: &mut ChosenTarget, prefix: &[PrefixBlock]) {
         let now = self.now();
@@ -537,30 +400,6 @@
 }
 
 impl TableState {
-    /// Updates the estimated time per prompt token from a request with enough prompt tokens for
-    /// prefill to dominate the time to its first byte.
-    #[allow(clippy::cast_precision_loss)] // Counts are far below 2^24.
-    fn record_prefill_sample(&mut self, chosen: &ChosenTarget, first_byte: Duration) {
-        let tokens = chosen.prior_prefill_tokens + chosen.choice.prefill_tokens;
-        if tokens >= MIN_PREFILL_SAMPLE_TOKENS {
-            let sample = first_byte.as_secs_f32() * 1000.0 / tokens as f32;
-            let sample = sample.clamp(
-                self.prefill_ms_per_token / 4.0,
-                self.prefill_ms_per_token * 4.0,
-            );
-            self.prefill_ms_per_token +=
-                (sample - self.prefill_ms_per_token) * PREFILL_SAMPLE_WEIGHT;
-        }
-    }
-
-    /// Makes a target available for requests again unless it is leaving.
-    fn mark_available(&mut self, target: &TargetId) {
-        let entry = self.entries.get(target);
-        if entry.is_some_and(|entry| !entry.is_draining) {
-            self.replicas.set_availability(target, Availability::Up);
-        }
-    }
-
     fn replace_entries(&mut self, plan: &PlanIndex, targets: Vec<TargetEntry>) {
         let known: HashSet<TargetId> = targets.iter().map(|entry| entry.id.clone()).collect();
         let gone = self.entries.keys().filter(|id| !known.contains(*id));
