Log the longest pause of each stream and follow stated paces

Cause: late streams are late because of their pauses, and no line showed them. Targets state how long work takes at the moment, and the decoder discarded the figure.

Weighed: the pause could be taken between chunks, but chunks may hold parts of an event, so complete events are counted. Paces could be learned against one fleet-wide time, but gaps depend on the model of a target, so each target is its own reference while its stated figure is new.

Change: one line `gateway: a stream ended` with the longest pause and what the target did then; the fourth figure is decoded into a pace; src/pace/ decays it to a learned one and then to the usual one; the expected time of a target that states a pace is multiplied by it in place of its slowdown. Targets without the figure keep the slowdown.

--- a/src/adapter/metadata.rs
+++ b/src/adapter/metadata.rs
@@ -3,7 +3,10 @@
 use compact_str::CompactString;
 use smallvec::SmallVec;
 
-use crate::ids::{ModelId, RequestId, TargetId, TeamId};
+use crate::{
+    ids::{ModelId, RequestId, TargetId, TeamId},
+    pace::WorkPace,
+};
 
 /// Part of a prompt that other requests may have in common.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,7 +58,7 @@
 }
 
 /// Metadata from the status and headers of a target's response.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseMetadata {
     /// Id of the request that the response belongs to.
     pub request_id: Option<RequestId>,
@@ -67,6 +70,8 @@
     pub is_signed: bool,
     /// Number of running requests, of queued requests and of slots at the target.
     pub load: Option<(u32, u32, u32)>,
+    /// How long work takes at the target at the moment, relative to the usual time.
+    pub pace: Option<WorkPace>,
     /// Time for which the target keeps an idle connection open.
     pub keep_alive: Option<Duration>,
 }
--- a/src/answer/end_check.rs
+++ b/src/answer/end_check.rs
@@ -44,6 +44,15 @@
         }
     }
 
+    /// Returns the number of complete events so far; 0 for a body that is no stream of events.
+    #[must_use]
+    pub fn events(&self) -> u64 {
+        match self {
+            Self::Events(boundary) => boundary.events(),
+            _ => 0,
+        }
+    }
+
     /// Returns why a body that ends here has been broken off; `None` if it is complete as far as can
     /// be told.
     #[must_use]
--- a/src/answer/event_boundary.rs
+++ b/src/answer/event_boundary.rs
@@ -6,6 +6,8 @@
     has_field: bool,
     /// Whether the last byte was a carriage return, which a line feed may follow.
     is_after_return: bool,
+    /// Number of complete events.
+    events: u64,
 }
 
 /// What the current line holds so far.
@@ -38,13 +40,22 @@
 
     fn end_line(&mut self) {
         match self.line {
-            LineContent::Empty => self.has_field = false,
+            LineContent::Empty => {
+                self.events += u64::from(self.has_field);
+                self.has_field = false;
+            }
             LineContent::Comment => {}
             LineContent::Field => self.has_field = true,
         }
         self.line = LineContent::Empty;
     }
 
+    /// Returns the number of complete events.
+    #[must_use]
+    pub fn events(&self) -> u64 {
+        self.events
+    }
+
     /// Returns whether an event has begun and its blank line has not come yet.
     #[must_use]
     pub fn is_inside_event(&self) -> bool {
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -32,6 +32,7 @@
 mod sync_client;
 mod sync_pacing;
 mod sync_peers;
+mod target_activity;
 mod targets;
 mod view;
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -162,6 +162,10 @@
     if let Some((running, queued, _)) = metadata.load {
         guard.targets.record_load(&target, running, queued);
     }
+    // A misdirected request may have been answered by another target at the same address.
+    if let Some(pace) = metadata.pace.filter(|_| !metadata.is_misdirected) {
+        guard.targets.record_pace(&target, pace);
+    }
     connection.set_keep_alive(metadata.keep_alive);
     match () {
         () if metadata.is_misdirected => ExchangeStart::Misdirected,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -7,6 +7,7 @@
 };
 
 use bytes::Bytes;
+use compact_str::{CompactString, format_compact};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use spdlog::prelude::*;
 use tokio::time::{Sleep, sleep_until};
@@ -20,6 +21,7 @@
     adapter::PromptPart,
     answer::{AnswerFraming, EndCheck},
     ids::RequestId,
+    pace::StreamPauses,
 };
 
 /// Time from the head of an answer in which a crash of its target may be due to the request.
@@ -44,6 +46,7 @@
 pub struct RelayBody {
     answer: RelayedAnswer,
     relayed_bytes: usize,
+    pauses: StreamPauses,
     late_bytes: usize,
     started_at: Instant,
     deadline: Instant,
@@ -53,6 +56,8 @@
     timeout: Pin<Box<Sleep>>,
     request: RequestId,
     is_finished: bool,
+    /// Whether the answer was relayed in full.
+    is_complete: bool,
     /// Why the answer was cut, until the caller's connection is aborted.
     failure: Option<io::Error>,
 }
@@ -70,6 +75,7 @@
         Self {
             answer,
             relayed_bytes: 0,
+            pauses: StreamPauses::default(),
             late_bytes: 0,
             started_at: Instant::now(),
             deadline,
@@ -79,12 +85,14 @@
             timeout: Box::pin(sleep_until(deadline.into())),
             request,
             is_finished: false,
+            is_complete: false,
             failure: None,
         }
     }
 
     fn complete(&mut self) {
         self.is_finished = true;
+        self.is_complete = true;
         if let Some(run) = &mut self.answer.run {
             run.complete();
         }
@@ -114,6 +122,50 @@
         matches!(self.answer.end_check, EndCheck::Events(_))
     }
 
+    /// Records the events that have become complete.
+    fn record_events(&mut self) {
+        let events = self.answer.end_check.events() - self.pauses.events();
+        if events > 0 {
+            let now = self.guard.sent_at.elapsed();
+            let gap = self.pauses.undisturbed_gap(now);
+            let gap = gap.map(|gap| gap / u32::try_from(events).unwrap_or(u32::MAX));
+            let target = &self.guard.chosen.choice.target;
+            let activity = self.guard.targets.record_event(target, gap);
+            self.pauses.record(events, activity, now);
+        }
+    }
+
+    /// Logs the longest pause of a stream that ends. A pause lasts until the gateway reads the next event,
+    /// so that a caller that does not read makes it longer.
+    fn log_stream_end(&mut self, is_complete: bool) {
+        let target = &self.guard.chosen.choice.target;
+        let age = self.guard.sent_at.elapsed();
+        if !is_complete {
+            let activity = self.guard.targets.record_event(target, None);
+            self.pauses.record_break(activity, age);
+        }
+        let pause = self.pauses.longest().unwrap_or_default();
+        let first_event_at = self.pauses.first_event_at();
+        let pace = pause.activity.pace;
+        let pace = pace.map_or_else(
+            || CompactString::from("-"),
+            |pace| format_compact!("{pace:.2}"),
+        );
+        info!("gateway: a stream ended", kv: {
+            request = self.request.as_str(),
+            target = target.as_str(),
+            is_complete = is_complete,
+            events = self.pauses.events(),
+            age_ms = age.as_millis(),
+            first_event_ms = first_event_at.map_or(-1, as_ms),
+            longest_pause_ms = as_ms(pause.length),
+            pause_at_ms = as_ms(pause.began_at),
+            running = pause.activity.running,
+            prompt_tokens = pause.activity.prompt_tokens,
+            pace = pace.as_str(),
+        });
+    }
+
     /// Returns whether the answer has hardly begun. A request that crashes its target does so when the
     /// target begins to answer it.
     fn is_starting(&self) -> bool {
@@ -156,6 +208,10 @@
     }
 }
 
+fn as_ms(time: Duration) -> i64 {
+    i64::try_from(time.as_millis()).unwrap_or(i64::MAX)
+}
+
 /// Returns the names of parts of a prompt for log lines.
 fn part_names(parts: &[PromptPart]) -> String {
     let names: Vec<_> = parts
@@ -189,6 +245,7 @@
                     }
                     this.relayed_bytes += bytes.len();
                     this.answer.end_check.push(bytes);
+                    this.record_events();
                 }
                 if let Some(connection) = &this.connection {
                     connection.record_content();
@@ -232,5 +289,8 @@
         if !self.is_finished && self.is_end_stream() {
             self.complete();
         }
+        if self.is_stream() {
+            self.log_stream_end(self.is_complete);
+        }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod logger;
 pub mod operator;
 pub mod order;
+pub mod pace;
 pub mod placement;
 pub mod plan;
 pub mod raft;
--- a/src/route.rs
+++ b/src/route.rs
@@ -4,6 +4,7 @@
 mod health;
 mod load;
 mod outlier;
+mod pace;
 mod pool;
 mod prefix_index;
 mod prefix_popularity;
--- a/src/route/replica.rs
+++ b/src/route/replica.rs
@@ -3,7 +3,10 @@
 use smallvec::SmallVec;
 
 use super::{LoadEstimate, PoolId, health::TargetHealth};
-use crate::ids::{DataCentreId, TargetId, VersionId};
+use crate::{
+    ids::{DataCentreId, TargetId, VersionId},
+    pace::TargetPace,
+};
 
 /// Whether a target accepts new requests, apart from its health.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -42,7 +45,18 @@
     pub cache_horizon: Option<Duration>,
     pub load: LoadEstimate,
     pub health: TargetHealth,
+    /// Pace of the target; `None` until it states one.
+    pub pace: Option<TargetPace>,
     pub pools: SmallVec<[(PoolId, Option<VersionId>); 2]>,
     /// Distinguishes this target from earlier ones at the same index of the table.
     pub generation: u32,
 }
+
+impl Replica {
+    /// Returns the factor on the expected time to the first byte. A stated pace may be below 1, unlike the
+    /// slowdown, which only tells slow targets from the rest of the pool.
+    pub fn time_factor(&self, now: Duration) -> f32 {
+        let pace = self.pace.as_ref();
+        pace.map_or(self.health.slowdown, |pace| pace.factor(now))
+    }
+}
--- a/src/route/selection.rs
+++ b/src/route/selection.rs
@@ -190,7 +190,7 @@
             let baseline_ms = self.baseline_ms(replica, load, candidate.cached_tokens, request);
             candidate.load = load;
             candidate.baseline_ms = baseline_ms;
-            candidate.cost_ms = replica.distance_ms + replica.health.slowdown * baseline_ms;
+            candidate.cost_ms = replica.distance_ms + replica.time_factor(now) * baseline_ms;
         }
     }
 
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -95,6 +95,7 @@
                     cache_horizon: None,
                     load: LoadEstimate::default(),
                     health: TargetHealth::new(),
+                    pace: None,
                     pools: spec.pools.iter().cloned().collect(),
                     generation: self.last_generation,
                 });
@@ -148,8 +149,7 @@
     /// entries.
     #[must_use]
     pub fn pending_prefill_tokens(&self, target: &TargetId) -> u32 {
-        let replica = self.indices.get(target);
-        let replica = replica.and_then(|index| self.replicas[*index as usize].as_ref());
+        let replica = self.replica(target);
         replica.map_or(0, |replica| replica.load.pending_prefill_tokens())
     }
 
@@ -178,6 +178,11 @@
             replica
                 .health
                 .record_outcome(outcome, choice.baseline_ms, now);
+            if let (Some(pace), ExchangeOutcome::Answered { first_byte }) =
+                (&mut replica.pace, outcome)
+            {
+                pace.record_first_byte(first_byte, choice.baseline_ms, now);
+            }
         }
         self.eject_outlier(index, now);
     }
@@ -265,7 +270,12 @@
         }
     }
 
-    fn replica_mut(&mut self, target: &TargetId) -> Option<&mut Replica> {
+    pub(super) fn replica(&self, target: &TargetId) -> Option<&Replica> {
+        let index = self.indices.get(target)?;
+        self.replicas[*index as usize].as_ref()
+    }
+
+    pub(super) fn replica_mut(&mut self, target: &TargetId) -> Option<&mut Replica> {
         let index = self.indices.get(target)?;
         self.replicas[*index as usize].as_mut()
     }
