Judge silence and room for prompts by the pace of a target

Cause: slow engines are mistaken for silent ones after 700 ms without a byte, and their streams pause longer than the room for prompts assumes.

Weighed: a longer limit for all targets would also delay the detection of lost ones. Letting the only prompt of a slow target in always, as elsewhere, would cause the pauses that the limit is to prevent.

The room for prompts multiplies the time of prompts by the pace, and samples of the time per token are divided by it. Targets without a pace take the former branch.

--- a/src/gateway/liveness.rs
+++ b/src/gateway/liveness.rs
@@ -8,7 +8,11 @@
     connections::ConnectFailure,
     targets::{TableState, TargetTable},
 };
-use crate::{ids::TargetId, route::Availability};
+use crate::{
+    ids::TargetId,
+    pace::TargetWork,
+    route::{Availability, ReplicaTable},
+};
 
 /// Time after which a target that runs requests of this gateway and sends no byte gets no new
 /// requests. Engines send several events within this time, and plain services answer sooner.
@@ -93,14 +97,23 @@
                 .is_some_and(|entry| !entry.models.is_empty());
             // A plain target sends nothing while it processes a single slow request.
             let is_expected = is_engine || running > 1;
+            let is_watched = !liveness.is_silent && is_expected && is_running;
+            let slots = state.entries.get(target).map_or(1, |entry| entry.slots);
+            let ms_per_token = state.prefill_ms_per_token;
+            let limit = if is_watched && age >= SILENCE_TIMEOUT {
+                silence_limit(&state.replicas, target, slots, ms_per_token, now)
+            } else {
+                SILENCE_TIMEOUT
+            };
             match liveness.is_silent {
-                false if is_expected && is_running && age >= SILENCE_TIMEOUT => {
+                false if is_watched && age >= limit => {
                     liveness.is_silent = true;
                     let down = Availability::Down;
                     state.replicas.set_availability(target, down);
                     warn!("route: a target is silent", kv: {
                         target = target.as_str(),
                         silent_ms = age.as_millis(),
+                        limit_ms = limit.as_millis(),
                     });
                 }
                 true if !is_running && age >= SILENCE_RETRY_DELAY => expired.push(target.clone()),
@@ -124,3 +137,24 @@
         }
     }
 }
+
+/// Returns the time without a byte after which a target is silent. Slow targets send several events within
+/// [`SILENCE_TIMEOUT`] only at the usual pace, so it is longer for those that state their pace.
+#[allow(clippy::cast_precision_loss)] // Counts are far below 2^24.
+fn silence_limit(
+    replicas: &ReplicaTable,
+    target: &TargetId,
+    slots: u32,
+    ms_per_token: f32,
+    now: Duration,
+) -> Duration {
+    let Some(pace) = replicas.pace(target) else {
+        return SILENCE_TIMEOUT;
+    };
+    let work = TargetWork {
+        factor: pace.silence_factor(now),
+        occupancy: replicas.expected_requests(target) / slots.max(1) as f32,
+        prefill_ms: replicas.pending_prefill_tokens(target) as f32 * ms_per_token,
+    };
+    work.silence_limit()
+}
--- a/src/gateway/room.rs
+++ b/src/gateway/room.rs
@@ -3,9 +3,8 @@
 use std::time::Duration;
 
 use super::targets::{ChosenTarget, TableState, TargetTable};
+use crate::pace::PromptWork;
 
-/// Share of the maximum gap between events that prefill may occupy.
-const PREFILL_GAP_SHARE: f32 = 0.7;
 /// Maximum number of requests per slot of a plain service. Its requests are short, so it may queue
 /// some.
 const PLAIN_REQUESTS_PER_SLOT: f32 = 2.0;
@@ -22,6 +21,7 @@
     /// to process that running streams pause no longer than `max_gap`.
     #[allow(clippy::cast_precision_loss)] // Counts are far below 2^24.
     pub fn has_room(&self, chosen: &ChosenTarget, max_gap: Option<Duration>) -> bool {
+        let now = self.now();
         let state = self.state();
         let choice = &chosen.choice;
         let slots = state
@@ -32,11 +32,15 @@
             return choice.load < slots as f32 * PLAIN_REQUESTS_PER_SLOT;
         };
         let pending_tokens = state.replicas.pending_prefill_tokens(&choice.target);
-        let prefill_ms =
-            (pending_tokens + choice.prefill_tokens) as f32 * state.prefill_ms_per_token;
-        let has_prefill_room =
-            pending_tokens == 0 || prefill_ms <= max_gap.as_secs_f32() * 1000.0 * PREFILL_GAP_SHARE;
-        has_prefill_room && choice.load < slots as f32 * ADMITTED_SLOT_SHARE
+        let pace = state.replicas.pace(&choice.target);
+        let work = PromptWork {
+            pending_tokens,
+            new_tokens: choice.prefill_tokens,
+            ms_per_token: state.prefill_ms_per_token,
+            factor: pace.map(|pace| pace.factor(now)),
+            is_idle: choice.load < 1.0,
+        };
+        work.has_room(max_gap) && choice.load < slots as f32 * ADMITTED_SLOT_SHARE
     }
 }
 
@@ -44,10 +48,17 @@
     /// Updates the estimated time per prompt token from a request with enough prompt tokens for
     /// prefill to dominate the time to its first byte.
     #[allow(clippy::cast_precision_loss)] // Counts are far below 2^24.
-    pub(super) fn record_prefill_sample(&mut self, chosen: &ChosenTarget, first_byte: Duration) {
+    pub(super) fn record_prefill_sample(
+        &mut self,
+        chosen: &ChosenTarget,
+        first_byte: Duration,
+        now: Duration,
+    ) {
         let tokens = chosen.prior_prefill_tokens + chosen.choice.prefill_tokens;
         if tokens >= MIN_PREFILL_SAMPLE_TOKENS {
-            let sample = first_byte.as_secs_f32() * 1000.0 / tokens as f32;
+            let pace = self.replicas.pace(&chosen.choice.target);
+            let factor = pace.map_or(1.0, |pace| pace.factor(now));
+            let sample = first_byte.as_secs_f32() * 1000.0 / tokens as f32 / factor;
             let sample = sample.clamp(
                 self.prefill_ms_per_token / 4.0,
                 self.prefill_ms_per_token * 4.0,
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -336,7 +336,7 @@
             *pending_tokens = pending_tokens.saturating_sub(chosen.choice.prefill_tokens);
         }
         if let ExchangeOutcome::Answered { first_byte } = outcome {
-            state.record_prefill_sample(chosen, first_byte);
+            state.record_prefill_sample(chosen, first_byte, now);
         }
         self.own_load_changed.notify_one();
         self.capacity_freed.notify_waiters();
