Limit requests to cold targets by the leader's ledger

Cause: a target that has just started can handle only a few requests, while each gateway sees an idle target and sends what it has. Weighed: a limit per gateway (the bound is for all gateways together, and a share of 6.9 requests a second for each of hundreds is none); releasing a token for an answer of 421 (it would have to stay reserved until the head of the answer, and reserved tokens are not refilled). Checked in src/allowance: an id that the ledger does not know gets an empty grant with a new epoch, so a target without a limit at the leader grants nothing. Change: src/warmup computes the limit, the leader's limited targets and a gateway's view of warmth; the plan's services have a warm-up plan, list entries is_cold, settings the two bounds; selection has a required warmth; each send to a cold target uses a reservation of 1,000 thousandths that is at most 100 ms old. Reports of many ids are sent in several datagrams, since one with more than 14 was longer than the leader's buffer. No test was run yet.

--- a/benches/route.rs
+++ b/benches/route.rs
@@ -70,6 +70,7 @@
         prefix: &blocks,
         tried: &[],
         priority: 4,
+        warmth: None,
     };
     for size in sizes {
         let mut table = make_table(size);
--- a/examples/route_compare/policy.rs
+++ b/examples/route_compare/policy.rs
@@ -133,6 +133,7 @@
                     prefix: &blocks,
                     tried: &[],
                     priority: 4,
+                    warmth: None,
                 };
                 let chosen = self.table.choose(&request, now, rng).unwrap();
                 let index = self
--- a/src/adapter/target_entry.rs
+++ b/src/adapter/target_entry.rs
@@ -35,6 +35,10 @@
     /// Version of the target's software; empty when it is not listed.
     #[serde(default)]
     pub software: SoftwareVersion,
+    /// Whether the target has not warmed up yet. The time left is not kept, since it would change the entry with
+    /// each read of the list.
+    #[serde(default)]
+    pub is_cold: bool,
     /// Models that the target has in memory.
     pub models: Vec<LoadedModel>,
 }
--- a/src/coordinator.rs
+++ b/src/coordinator.rs
@@ -33,6 +33,7 @@
 mod stream_versions;
 mod target_history;
 mod thread_runtime;
+mod warmup_limits;
 
 pub use config::CoordinatorConfig;
 pub use daemon::CoordinatorDaemon;
--- a/src/coordinator/config.rs
+++ b/src/coordinator/config.rs
@@ -4,7 +4,10 @@
     time::Duration,
 };
 
-use crate::ids::{DataCentreId, VmId};
+use crate::{
+    ids::{DataCentreId, VmId},
+    warmup::WarmupBounds,
+};
 
 /// Settings of a coordinator, a control daemon that serves gateways.
 #[derive(Clone, Debug)]
@@ -35,4 +38,6 @@
     pub holder_lease: Duration,
     /// Time for which a sync gives a gateway a lease on its plan; the gateways have the same setting.
     pub plan_lease: Duration,
+    /// Bounds on requests to cold targets; `None` if there is no limit.
+    pub warmup_bounds: Option<WarmupBounds>,
 }
--- a/src/coordinator/engine_table.rs
+++ b/src/coordinator/engine_table.rs
@@ -142,6 +142,12 @@
         engines.chain(self.other_targets.iter().cloned()).collect()
     }
 
+    /// Returns the targets as listed by the platform.
+    pub(super) fn listed_entries(&self) -> impl Iterator<Item = &TargetEntry> {
+        let engines = self.engines.values().map(|view| &view.entry);
+        engines.chain(&self.other_targets)
+    }
+
     /// Returns the view of an engine.
     #[must_use]
     pub fn get(&self, target: &TargetId) -> Option<&EngineView> {
--- a/src/coordinator/state.rs
+++ b/src/coordinator/state.rs
@@ -31,6 +31,7 @@
         ModelRequests, PartSection, PlanUpdate, TargetList,
     },
     voter::{LeaderLease, PartRecorder, VoterHandle},
+    warmup::{LimitedTargets, WarmupBounds},
 };
 
 /// Maximum time for which the reply to a sync is delayed while requests wait for a model. It covers
@@ -51,6 +52,8 @@
     pub(super) work: LeaderWork,
     pub(super) part_recorder: Arc<PartRecorder>,
     pub(super) plan_lease: Duration,
+    /// Bounds on requests to cold targets; `None` if there is no limit.
+    pub(super) warmup_bounds: Option<WarmupBounds>,
     /// Wakes publications that wait for gateways.
     pub(super) confirmed: Notify,
     tables: Mutex<LeaderTables>,
@@ -83,6 +86,7 @@
     pub listed_at: Option<Duration>,
     pub delegates: DelegateTable,
     pub polls: DelegatedPolls,
+    pub limited_targets: LimitedTargets,
 }
 
 impl LeaderTables {
@@ -101,6 +105,7 @@
             gateways,
             delegates: DelegateTable::default(),
             polls: DelegatedPolls::default(),
+            limited_targets: LimitedTargets::new(),
             engines: EngineTable::default(),
             plan: None,
             listed_at: None,
@@ -133,6 +138,7 @@
             part_recorder: Arc::new(PartRecorder::new(voter.clone())),
             voter,
             plan_lease,
+            warmup_bounds: None,
             confirmed: Notify::new(),
             tables: Mutex::new(LeaderTables::new(
                 0,
@@ -150,6 +156,13 @@
         }
     }
 
+    /// Limits the requests to cold targets.
+    #[must_use]
+    pub fn with_warmup_bounds(mut self, bounds: Option<WarmupBounds>) -> Self {
+        self.warmup_bounds = bounds;
+        self
+    }
+
     /// Returns the time since this state was created, which all tables use as their clock.
     pub(super) fn now(&self) -> Duration {
         self.started_at.elapsed()
@@ -251,6 +264,7 @@
                     }
                 }
                 tables.plan = Some(Arc::new(PlanIndex::new(plan)));
+                self.update_warmup_limits(tables);
             }
             Err(error) => {
                 spdlog::error!(
@@ -502,6 +516,7 @@
         };
         tables.listed_at = Some(requested_at);
         tables.engines.apply_list(&plan, list);
+        self.update_warmup_limits(&mut tables);
         self.publish_targets(&mut tables);
     }
 }
--- a/src/entry/scheduler.rs
+++ b/src/entry/scheduler.rs
@@ -247,6 +247,7 @@
             prefix: &[],
             tried: &[],
             priority: 0,
+            warmth: None,
         };
         (0..MAX_CAPACITY_DRAWS).any(|_| {
             let Some(choice) = self.replicas.choose(&request, now, &mut rand::rng()) else {
@@ -271,6 +272,7 @@
             prefix: &request.prefix,
             tried: &request.tried,
             priority: request.priority,
+            warmth: None,
         };
         let mut rng = rand::rng();
         let version = request.version.as_ref();
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -4,6 +4,7 @@
 mod absence_watch;
 mod admission;
 mod caller_server;
+mod cold_choice;
 mod config;
 mod connections;
 mod coordinator_list;
@@ -34,6 +35,8 @@
 mod sync_peers;
 mod targets;
 mod view;
+mod warmth;
+mod warmup_permit;
 
 pub use absence_watch::AbsenceWatch;
 pub use config::GatewayConfig;
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -6,16 +6,16 @@
 use spdlog::prelude::*;
 
 use super::{
+    cold_choice::{AdmittedTarget, RefusedTargets},
     proxy::{GatewayProxy, unavailable},
     request::GatewayRequest,
     retry_delay::random_duration,
     routing::split_model,
-    targets::ChosenTarget,
 };
 use crate::{
     adapter::{RefusalKind, RefusalNotice},
     entry::{ReservedTokens, TokenPatience, TokenRefusal},
-    route::PoolId,
+    route::{PoolId, Warmth},
     sync::ServedModel,
 };
 
@@ -47,7 +47,7 @@
         model: &ServedModel,
         pool: &PoolId,
     ) -> Result<(), RefusalNotice> {
-        if self.choose(request, pool, &[]).is_some() {
+        if self.choose(request, pool, &[], None).is_some() {
             return Ok(());
         }
         let (base, adapter) = split_model(&model.model);
@@ -69,7 +69,7 @@
         }
         let deadline = tokio::time::Instant::now() + max_wait;
         let _waiter = self.sync_client.add_waiter(model);
-        while self.choose(request, pool, &[]).is_none() {
+        while self.choose(request, pool, &[], None).is_none() {
             let mut is_refusing = self.is_refusing.clone();
             let stopped = async {
                 // An error means that the daemon has ended.
@@ -92,18 +92,38 @@
         &self,
         request: &GatewayRequest,
         pool: &PoolId,
-    ) -> Result<ChosenTarget, RefusalNotice> {
+    ) -> Result<AdmittedTarget, RefusalNotice> {
         let max_wait = request.route.first_byte_target.mul_f64(CAPACITY_WAIT_SHARE);
         let deadline = Instant::now() + max_wait.min(request.time_left() / 4);
+        let mut refused = RefusedTargets::new();
         loop {
             let capacity_freed = self.targets.capacity_freed();
-            let chosen = self.choose(request, pool, &[]);
+            let chosen = self.choose(request, pool, &[], Some(Warmth::Warm));
             let max_gap = request.route.event_gap_target;
+            let has_warm = chosen.is_some();
             match chosen {
-                Some(chosen) if self.targets.has_room(&chosen, max_gap) => return Ok(chosen),
-                Some(_) if Instant::now() < deadline => {}
-                Some(_) => return Err(unavailable("all targets are full")),
-                None => return Err(unavailable("no target can take the request")),
+                Some(chosen) if self.targets.has_room(&chosen, max_gap) => {
+                    return Ok(AdmittedTarget::warm(chosen));
+                }
+                _ => {}
+            }
+            let has_cold = self.targets.has_cold()
+                && self
+                    .choose(request, pool, &[], Some(Warmth::Cold))
+                    .is_some();
+            if has_cold && let Some(admitted) = self.reserve_cold(request, pool, &mut refused).await
+            {
+                return Ok(admitted);
+            }
+            match (has_warm, has_cold) {
+                (false, false) => return Err(unavailable("no target can take the request")),
+                _ if Instant::now() < deadline => {}
+                (true, false) => return Err(unavailable("all targets are full")),
+                (_, true) => {
+                    return Err(unavailable(
+                        "all warm targets are full, and cold ones are at their warm-up limit",
+                    ));
+                }
             }
             // Not every change of capacity sends a notification, so poll as well.
             let _ = tokio::time::timeout(CAPACITY_POLL_INTERVAL, capacity_freed).await;
--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -1,7 +1,10 @@
 use std::{net::SocketAddr, time::Duration};
 
 use super::plan_lease::PlanLease;
-use crate::ids::{DataCentreId, VmId};
+use crate::{
+    ids::{DataCentreId, VmId},
+    warmup::WarmupBounds,
+};
 
 /// Settings of a gateway.
 #[derive(Clone, Debug)]
@@ -22,6 +25,8 @@
     pub list_calls_per_second: f64,
     /// How long the gateway goes on by its plan without a proof that it is the newest one.
     pub plan_lease: PlanLease,
+    /// Bounds on requests to cold targets; `None` if there is no limit.
+    pub warmup_bounds: Option<WarmupBounds>,
     /// Time between SIGTERM and the kill of the process.
     pub grace_period: Duration,
 }
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -76,7 +76,9 @@
         let listener = listen(config.caller_listen).await?;
         let ready_listener = listen(config.ready_listen).await?;
         let view = Arc::new(PlanView::default());
-        let targets = Arc::new(TargetTable::new(&config.data_centre));
+        let targets =
+            TargetTable::new(&config.data_centre).with_warmup_bounds(config.warmup_bounds);
+        let targets = Arc::new(targets);
         let allowance = Arc::new(SharedAllowance::new());
         let demand = Arc::new(ModelDemand::default());
         let incarnation = rand::random();
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -13,10 +13,12 @@
     part_watch::RequestParts,
     request::GatewayRequest,
     targets::{ChosenTarget, TargetTable},
+    warmup_permit::WarmupPermit,
 };
 use crate::{
     adapter::{ForwardMetadata, PlatformAdapter, PromptPart, ResponseMetadata},
     route::ExchangeOutcome,
+    warmup::ColdSource,
 };
 
 /// Outcome of the start of an exchange.
@@ -74,6 +76,12 @@
         }
     }
 
+    /// Records that the connection to the target broke while it ran the request, since a restart may be why.
+    pub fn record_restart_sign(&self) {
+        let target = &self.chosen.choice.target;
+        self.targets.record_restart_sign(target, ColdSource::Break);
+    }
+
     /// Records that the connection to the target broke before the answer had got past its start. The
     /// target may have crashed because of the request.
     pub fn record_break(&self) {
@@ -112,6 +120,7 @@
     connections: &TargetConnections,
     request: &GatewayRequest,
     mut guard: LoadGuard,
+    permit: Option<WarmupPermit>,
 ) -> ExchangeStart {
     let target = guard.chosen.choice.target.clone();
     let connection = tokio::time::timeout(
@@ -133,6 +142,11 @@
     if time_left.is_zero() {
         return ExchangeStart::NotRun("the time is over");
     }
+    // The target may have turned cold since it was chosen.
+    if guard.targets.is_cold(&target) && !permit.is_some_and(WarmupPermit::try_use) {
+        connections.put_back(&target, connection);
+        return ExchangeStart::NotRun("the target is cold");
+    }
     let outgoing = build_request(adapter, request, &guard.chosen, time_left);
     let response = connection.sender.try_send_request(outgoing);
     let response = match tokio::time::timeout(time_left, response).await {
@@ -143,6 +157,7 @@
                 return ExchangeStart::NotRun("the connection was closed");
             }
             guard.record_outcome(ExchangeOutcome::Failed);
+            guard.record_restart_sign();
             guard.record_break();
             return ExchangeStart::MayHaveRun("the connection broke");
         }
--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -13,6 +13,7 @@
 
 use super::{grant_pacing::GrantPacing, grant_work::GrantWork, sync_client::SyncClient};
 use crate::{
+    allowance::ShareReport,
     entry::SharedAllowance,
     error::{Error, Result},
     ids::{EntryKey, TeamId},
@@ -110,18 +111,17 @@
             self.allowance.wait_for_usage().await;
             tokio::time::sleep(USAGE_REPORT_DELAY).await;
             let shares = self.allowance.make_usage_reports();
-            if shares.is_empty() {
-                continue;
-            }
-            let request = GrantRequest {
-                gateway: self.key.clone(),
-                serial: 0,
-                shares,
-                is_usage_only: true,
-            };
-            // The next sync repeats the cumulative counters.
-            if let Err(error) = self.send(&request).await {
-                debug!("gateway: cannot report used tokens to the leader: {error}");
+            for shares in shares.chunks(MAX_REPORTED_SHARES) {
+                let request = GrantRequest {
+                    gateway: self.key.clone(),
+                    serial: 0,
+                    shares: shares.to_vec(),
+                    is_usage_only: true,
+                };
+                // The next sync repeats the cumulative counters.
+                if let Err(error) = self.send(&request).await {
+                    debug!("gateway: cannot report used tokens to the leader: {error}");
+                }
             }
         }
     }
@@ -177,26 +177,10 @@
             let Some((shares, reported_at)) = self.allowance.make_urgent_reports() else {
                 continue;
             };
-            let teams: Vec<TeamId> = shares.iter().map(|share| share.team.clone()).collect();
-            self.work.add_reports(teams.len());
-            let serial = self.add_pending(teams, reported_at);
-            let request = GrantRequest {
-                gateway: self.key.clone(),
-                serial,
-                shares,
-                is_usage_only: false,
-            };
-            GrantWork::add(&self.work.requests);
-            let sent = self.send(&request).await;
-            if let Ok(leader) = &sent {
-                self.follow_leader(*leader);
-            }
-            if let Err(error) = sent {
-                GrantWork::add(&self.work.failures);
-                debug!("gateway: cannot request tokens: {error}");
-                self.sync_client.sync_now();
+            // A data centre that returns cold has tens of targets with a limit of their own.
+            for shares in shares.chunks(MAX_REPORTED_SHARES) {
+                self.request_tokens(shares, reported_at).await;
             }
-            self.end_after_timeout(serial);
             let min_interval = self.sync_client.sync_interval() / REQUESTS_PER_SYNC_INTERVAL;
             let interval = self
                 .pacing()
@@ -206,6 +190,30 @@
         }
     }
 
+    /// Requests tokens for some waiting requests.
+    async fn request_tokens(&self, shares: &[ShareReport], reported_at: Duration) {
+        let teams: Vec<TeamId> = shares.iter().map(|share| share.team.clone()).collect();
+        self.work.add_reports(teams.len());
+        let serial = self.add_pending(teams, reported_at);
+        let request = GrantRequest {
+            gateway: self.key.clone(),
+            serial,
+            shares: shares.to_vec(),
+            is_usage_only: false,
+        };
+        GrantWork::add(&self.work.requests);
+        let sent = self.send(&request).await;
+        if let Ok(leader) = &sent {
+            self.follow_leader(*leader);
+        }
+        if let Err(error) = sent {
+            GrantWork::add(&self.work.failures);
+            debug!("gateway: cannot request tokens: {error}");
+            self.sync_client.sync_now();
+        }
+        self.end_after_timeout(serial);
+    }
+
     /// Applies replies, also late ones: a leader that takes long to answer has granted the tokens.
     async fn run_replies(&self) {
         let mut buffer = [0; MAX_REPLY_BYTES];
--- a/src/gateway/liveness.rs
+++ b/src/gateway/liveness.rs
@@ -8,7 +8,7 @@
     connections::ConnectFailure,
     targets::{TableState, TargetTable},
 };
-use crate::{ids::TargetId, route::Availability};
+use crate::{ids::TargetId, route::Availability, warmup::ColdSource};
 
 /// Time after which a target that runs requests of this gateway and sends no byte gets no new
 /// requests. Engines send several events within this time, and plain services answer sooner.
@@ -58,6 +58,7 @@
             last_activity_at: now,
             is_silent: true,
         };
+        state.record_restart_sign(target, ColdSource::Refusal, now);
         let previous = state.liveness.insert(target.clone(), liveness);
         state.replicas.set_availability(target, Availability::Down);
         if !previous.is_some_and(|previous| previous.is_silent) {
@@ -82,7 +83,7 @@
         let now = self.now();
         let mut state = self.state();
         let state = &mut *state;
-        let mut expired = Vec::new();
+        let (mut expired, mut signs) = (Vec::new(), Vec::new());
         for (target, liveness) in &mut state.liveness {
             let age = now.saturating_sub(liveness.last_activity_at);
             let running = state.running_requests.get(target).copied().unwrap_or(0);
@@ -98,6 +99,7 @@
                     liveness.is_silent = true;
                     let down = Availability::Down;
                     state.replicas.set_availability(target, down);
+                    signs.push(target.clone());
                     warn!("route: a target is silent", kv: {
                         target = target.as_str(),
                         silent_ms = age.as_millis(),
@@ -109,9 +111,17 @@
             }
         }
         for target in expired {
-            state.liveness.remove(&target);
+            let liveness = state.liveness.remove(&target);
             state.mark_available(&target);
+            // It may have restarted at any time since it was tried last.
+            if liveness.is_some_and(|liveness| liveness.is_silent) {
+                signs.push(target);
+            }
+        }
+        for target in signs {
+            state.record_restart_sign(&target, ColdSource::Silence, now);
         }
+        state.refresh_warmth(now);
     }
 }
 
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -19,6 +19,7 @@
 use tokio::sync::watch;
 
 use super::{
+    cold_choice::AdmittedTarget,
     connections::TargetConnections,
     crash_watch::CrashWatch,
     exchange::{self, ExchangeStart, LoadGuard, StartedExchange},
@@ -39,7 +40,7 @@
     entry::{SharedAllowance, body},
     ids::{RequestId, TargetId, TeamId},
     plan::TeamMatch,
-    route::{ExchangeOutcome, PoolId, RetryBudget, RouteRequest},
+    route::{ExchangeOutcome, PoolId, RetryBudget, RouteRequest, Warmth},
     sync::ServedModel,
 };
 
@@ -242,13 +243,13 @@
         }
         let mut tokens = self.reserve_tokens(request).await?;
         let response = match self.await_capacity(request, &pool).await {
-            Ok(chosen) => {
+            Ok(admitted) => {
                 // Reserved tokens are not refilled, so they count as used from here on. If all
                 // targets refuse the request, the team loses them.
                 if let Some(tokens) = &mut tokens {
                     tokens.consume(request.token_cost());
                 }
-                self.dispatch(request, model.as_ref(), &pool, &crash_parts, chosen)
+                self.dispatch(request, model.as_ref(), &pool, &crash_parts, admitted)
                     .await
             }
             Err(notice) => Err(notice),
@@ -279,6 +280,7 @@
         request: &GatewayRequest,
         pool: &PoolId,
         tried: &[TargetId],
+        warmth: Option<Warmth>,
     ) -> Option<ChosenTarget> {
         // A stream goes on only at the version that began it.
         let others = request.origin.as_ref().map(|(service, version)| {
@@ -295,6 +297,7 @@
             prefix: &request.prefix_blocks,
             tried,
             priority: 9 - request.rank(),
+            warmth,
         })
     }
 
@@ -305,19 +308,20 @@
         model: Option<&ServedModel>,
         pool: &PoolId,
         crash_parts: &RequestParts,
-        chosen: ChosenTarget,
+        admitted: AdmittedTarget,
     ) -> Result<Response<CallerBody>, RefusalNotice> {
         let team = request.team_id().cloned().unwrap_or_default();
         self.with_retry_budget(|budget, now| budget.record_request(&team, now));
         let mut tried: SmallVec<[TargetId; 4]> = SmallVec::new();
-        let mut first_choice = Some(chosen);
+        let mut first_choice = Some(admitted);
         let mut possible_runs = 0;
         let mut refusals = 0;
         loop {
-            let chosen = first_choice
-                .take()
-                .or_else(|| self.choose(request, pool, &tried));
-            let Some(chosen) = chosen else {
+            let admitted = match first_choice.take() {
+                Some(admitted) => Some(admitted),
+                None => self.choose_again(request, pool, &tried).await,
+            };
+            let Some(AdmittedTarget { chosen, permit }) = admitted else {
                 return Err(Self::no_target_refusal(
                     possible_runs,
                     "no target can take the request",
@@ -329,7 +333,7 @@
             let crash_watch = &self.crash_watch;
             let guard = LoadGuard::new(&self.targets, &chosen, request, crash_watch, crash_parts);
             let adapter = self.adapter.as_ref();
-            let started = exchange::start(adapter, &self.connections, request, guard).await;
+            let started = exchange::start(adapter, &self.connections, request, guard, permit).await;
             let reason = match started {
                 ExchangeStart::Answered(started)
                     if started.response.status().is_server_error()
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -126,6 +126,7 @@
         reason: &str,
         context: &Context<'_>,
     ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        self.guard.record_restart_sign();
         if self.is_starting() {
             self.guard.record_break();
         }
--- a/src/gateway/sync_client.rs
+++ b/src/gateway/sync_client.rs
@@ -470,9 +470,16 @@
             let age = Duration::from_millis(reply.proof_age_ms);
             self.view.record_proof(sent_at.saturating_sub(age));
         }
-        let plan = self.view.get();
-        if let (Some(plan), Some(list)) = (plan, reply.targets) {
-            self.targets.apply_list(&plan, list);
+        let is_list_current = match (self.view.get(), reply.targets) {
+            (Some(plan), Some(list)) => self.targets.apply_list(&plan, list),
+            (None, Some(_)) => false,
+            (_, None) => true,
+        };
+        if let Some(age) = reply.list_age_ms.filter(|_| is_list_current) {
+            // The leader states the age after the sync was sent, so the list is not older than this.
+            let age = sent_at.elapsed().saturating_add(Duration::from_millis(age));
+            let interval = Duration::from_millis(reply.sync_interval_ms);
+            self.targets.record_list_read(age, interval);
         }
         if let Some(section) = &reply.parts {
             self.crash_watch.apply_section(section);
@@ -602,12 +609,15 @@
             if !is_due {
                 continue;
             }
+            let asked_at = Instant::now();
             let listed = self.adapter.list_targets().await;
             self.state().list_fallback.record(listed.is_ok());
             match listed {
                 Ok(targets) => {
                     info!("gateway: the leader's target list is outdated; using the platform's list instead", kv: { targets = targets.len() });
                     self.targets.apply_platform_list(&plan, targets);
+                    let age = asked_at.elapsed();
+                    self.targets.record_list_read(age, Duration::ZERO);
                 }
                 Err(error) => warn!(
                     "gateway: cannot read the target list from the platform; \
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -25,6 +25,7 @@
         ListVersion, LoadSum, ServedModel, TargetCrash, TargetDigest, TargetHash, TargetList,
         target_hash,
     },
+    warmup::{WarmthTable, WarmupBounds},
 };
 
 /// Initial estimate of the time to process one prompt token; engines process tens of tokens per
@@ -70,6 +71,9 @@
     list_version: ListVersion,
     /// Number of changes of the list that the leader did not make.
     local_changes: u64,
+    pub(super) warmth: WarmthTable,
+    /// Bounds on requests to cold targets; `None` if there is no limit.
+    pub(super) warmup_bounds: Option<WarmupBounds>,
     /// Versions of the software of each service that leaders have listed. The log knows them.
     announced_software: HashSet<(ServiceId, SoftwareVersion)>,
 }
@@ -97,6 +101,8 @@
                 running_requests: BTreeMap::new(),
                 list_version: ListVersion::default(),
                 local_changes: 0,
+                warmth: WarmthTable::new(),
+                warmup_bounds: None,
                 announced_software: HashSet::new(),
             }),
             list_changed: Notify::new(),
@@ -156,34 +162,38 @@
         self.list_changed.notified().await;
     }
 
-    /// Applies a full or incremental target list from the leader.
-    pub fn apply_list(&self, plan: &PlanIndex, list: TargetList) {
+    /// Applies a full or incremental target list from the leader, and returns whether it could be applied.
+    pub fn apply_list(&self, plan: &PlanIndex, list: TargetList) -> bool {
+        let now = self.now();
         let mut state = self.state();
         let software = list.targets.iter();
         let software = software.map(|entry| (entry.service.clone(), entry.software.clone()));
         state.announced_software.extend(software);
         match list.base {
-            None => state.replace_entries(plan, list.targets),
+            None => state.replace_entries(plan, list.targets, now),
             Some(base) if base == state.list_version => {
                 for target in &list.removed {
                     state.remove(target);
                 }
                 state.remove_hashes(&list.unknown);
                 for entry in list.targets {
-                    state.upsert(plan, entry);
+                    state.upsert(plan, entry, now);
                 }
             }
             // The increment does not fit the list in use. The next sync reports the version in use,
             // and the leader replies with an increment from that version or with a full list.
-            Some(_) => return,
+            Some(_) => return false,
         }
         state.list_version = list.version;
+        state.refresh_warmth(now);
         drop(state);
         self.list_changed.notify_waiters();
+        true
     }
 
     /// Replaces the targets by a list that this gateway read from the platform itself.
     pub fn apply_platform_list(&self, plan: &PlanIndex, targets: Vec<TargetEntry>) {
+        let now = self.now();
         let mut state = self.state();
         state.record_local_change();
         // Streams that a version unknown to the log began could be continued by another one.
@@ -200,16 +210,19 @@
                 targets = unknown.len(),
             });
         }
-        state.replace_entries(plan, usable);
+        state.replace_entries(plan, usable, now);
+        state.refresh_warmth(now);
         drop(state);
         self.list_changed.notify_waiters();
     }
 
     /// Rebuilds the routing table from the current targets after a change of plan.
     pub fn apply_plan(&self, plan: &PlanIndex) {
+        let now = self.now();
         let mut state = self.state();
         let targets = state.entries.values().cloned().collect();
-        state.replace_entries(plan, targets);
+        state.replace_entries(plan, targets, now);
+        state.refresh_warmth(now);
     }
 
     /// Applies the load that other gateways cause at each target.
@@ -400,14 +413,14 @@
 }
 
 impl TableState {
-    fn replace_entries(&mut self, plan: &PlanIndex, targets: Vec<TargetEntry>) {
+    fn replace_entries(&mut self, plan: &PlanIndex, targets: Vec<TargetEntry>, now: Duration) {
         let known: HashSet<TargetId> = targets.iter().map(|entry| entry.id.clone()).collect();
         let gone = self.entries.keys().filter(|id| !known.contains(*id));
         for id in gone.cloned().collect::<Vec<_>>() {
             self.remove(&id);
         }
         for entry in targets {
-            self.upsert(plan, entry);
+            self.upsert(plan, entry, now);
         }
     }
 
@@ -435,16 +448,19 @@
     fn remove(&mut self, target: &TargetId) {
         self.replicas.remove(target);
         self.connect_failures.remove(target);
+        self.warmth.remove(target);
         self.entries.remove(target);
     }
 
-    fn upsert(&mut self, plan: &PlanIndex, entry: TargetEntry) {
+    fn upsert(&mut self, plan: &PlanIndex, entry: TargetEntry, now: Duration) {
         let old = self.entries.get(&entry.id);
+        let has_started = old.is_none_or(|old| old.started_ms != entry.started_ms);
         // A target that restarted under the same name has an empty cache and no load.
         if old.is_some_and(|old| old.started_ms != entry.started_ms) {
             self.replicas.remove(&entry.id);
         }
         self.replicas.upsert(&replica_spec(plan, &entry));
+        self.apply_warmth(plan, &entry, has_started, now);
         let liveness = self.liveness.get(&entry.id);
         let availability = match liveness {
             _ if entry.is_draining => Availability::Draining,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -36,3 +36,4 @@
 pub mod state;
 pub mod sync;
 pub mod voter;
+pub mod warmup;
--- a/src/plan.rs
+++ b/src/plan.rs
@@ -12,6 +12,7 @@
 mod service_plan;
 mod serving_plan;
 mod team_plan;
+mod warmup_plan;
 
 pub use caller_limits::CallerLimits;
 pub use document_delta::DocumentDelta;
@@ -21,6 +22,7 @@
 pub use service_plan::ServicePlan;
 pub use serving_plan::ServingPlan;
 pub use team_plan::TeamPlan;
+pub use warmup_plan::WarmupPlan;
 
 /// Version of a plan, chosen by operators; the plan with the highest version is in force.
 pub type PlanVersion = u64;
--- a/src/plan/service_plan.rs
+++ b/src/plan/service_plan.rs
@@ -1,6 +1,6 @@
 use compact_str::CompactString;
 
-use super::EnginePlan;
+use super::{EnginePlan, WarmupPlan};
 use crate::ids::ServiceId;
 
 /// One service and the parameters of connections to its targets.
@@ -14,4 +14,6 @@
     pub max_connections: u32,
     /// Configuration of the service's model engines; `None` for a service without engines.
     pub engine: Option<EnginePlan>,
+    /// What cold targets of the service can handle; `None` if they have no limit.
+    pub warmup: Option<WarmupPlan>,
 }
--- a/src/route.rs
+++ b/src/route.rs
@@ -20,7 +20,7 @@
 pub use load::{LoadEstimate, LoadReport};
 pub use pool::PoolId;
 pub use prefix_index::{PrefixHolder, PrefixIndex};
-pub use replica::{Availability, ReplicaSpec};
+pub use replica::{Availability, ReplicaSpec, Warmth};
 pub use request::{ExchangeOutcome, PrefixBlock, RouteRequest};
 pub use retry::RetryBudget;
 pub use table::ReplicaTable;
--- a/src/route/replica.rs
+++ b/src/route/replica.rs
@@ -17,6 +17,16 @@
     Down,
 }
 
+/// Whether a target has warmed up since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Warmth {
+    /// The target handles as many requests as its slots allow.
+    #[default]
+    Warm,
+    /// The target can handle only a few requests.
+    Cold,
+}
+
 /// Description of a target from the configuration and the residency table.
 #[derive(Clone, Debug)]
 pub struct ReplicaSpec {
@@ -37,6 +47,7 @@
     pub slots: f32,
     pub distance_ms: f32,
     pub availability: Availability,
+    pub warmth: Warmth,
     /// Latest use of a prefix that is known to be evicted from the cache. Prefixes last used before
     /// this time have been evicted too.
     pub cache_horizon: Option<Duration>,
--- a/src/route/request.rs
+++ b/src/route/request.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use super::PoolId;
+use super::{PoolId, Warmth};
 use crate::ids::{TargetId, VersionId};
 
 /// A prefix of a prompt, identified by a hash over all its tokens.
@@ -27,6 +27,8 @@
     pub tried: &'r [TargetId],
     /// Priority from 0 to 9; engines serve higher priorities first.
     pub priority: u8,
+    /// Warmth that the target must have; `None` allows any.
+    pub warmth: Option<Warmth>,
 }
 
 /// Outcome of an exchange with a target.
--- a/src/route/selection.rs
+++ b/src/route/selection.rs
@@ -316,7 +316,9 @@
                     .version
                     .is_none_or(|required| version.as_ref() == Some(required))
         };
+        let has_warmth = |required| replica.warmth == required;
         replica.availability == Availability::Up
+            && request.warmth.is_none_or(has_warmth)
             && healthy_at.is_none_or(|now| replica.health.accepts_request(now))
             && replica.pools.iter().any(is_matching_pool)
             && !request.tried.contains(&replica.target)
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -4,7 +4,7 @@
 
 use super::{
     Availability, ExchangeOutcome, HealthState, LoadEstimate, LoadReport, PoolId, PrefixBlock,
-    PrefixIndex, ReplicaSpec, RouteChoice, RouteTuning, health::TargetHealth,
+    PrefixIndex, ReplicaSpec, RouteChoice, RouteTuning, Warmth, health::TargetHealth,
     prefix_index::PrefixHolder, prefix_popularity::PrefixPopularity, replica::Replica,
     replica_pool::ReplicaPool,
 };
@@ -92,6 +92,7 @@
                     slots,
                     distance_ms,
                     availability: Availability::Up,
+                    warmth: Warmth::Warm,
                     cache_horizon: None,
                     load: LoadEstimate::default(),
                     health: TargetHealth::new(),
@@ -130,6 +131,13 @@
         }
     }
 
+    /// Sets whether a target has warmed up.
+    pub fn set_warmth(&mut self, target: &TargetId, warmth: Warmth) {
+        if let Some(replica) = self.replica_mut(target) {
+            replica.warmth = warmth;
+        }
+    }
+
     /// Applies a load report of a target.
     pub fn apply_report(&mut self, target: &TargetId, report: LoadReport) {
         if let Some(replica) = self.replica_mut(target) {
--- a/tests/delegated_polls.rs
+++ b/tests/delegated_polls.rs
@@ -14,6 +14,7 @@
         data_centre: "a".into(),
         slots: 4,
         is_draining: false,
+        is_cold: false,
         started_ms: 0,
         software: "v1".into(),
         models: Vec::new(),
--- a/tests/engine_fleet/mod.rs
+++ b/tests/engine_fleet/mod.rs
@@ -50,6 +50,7 @@
             health_path: "/health".into(),
             max_connections: 1_900,
             engine: Some(engine),
+            warmup: None,
         }],
         ..ServingPlan::default()
     })
@@ -100,6 +101,7 @@
             data_centre: "a".into(),
             slots: 12,
             is_draining: false,
+            is_cold: false,
             software: "".into(),
             started_ms: 1,
             models: held_models(number, models),
--- a/tests/engine_view.rs
+++ b/tests/engine_view.rs
@@ -20,6 +20,7 @@
         data_centre: "casa".into(),
         slots: 64,
         is_draining: false,
+        is_cold: false,
         software: "".into(),
         started_ms: 1,
         models: Vec::new(),
--- a/tests/model_waits.rs
+++ b/tests/model_waits.rs
@@ -21,6 +21,7 @@
         data_centre: "a".into(),
         slots: 12,
         is_draining: false,
+        is_cold: false,
         software: "".into(),
         started_ms: 1,
         models: vec![LoadedModel {
--- a/tests/plan.rs
+++ b/tests/plan.rs
@@ -61,6 +61,7 @@
             health_path: "/health".into(),
             max_connections: 10,
             engine: None,
+            warmup: None,
         }],
         limits: CallerLimits::default(),
         teams: vec![team("atlas", &["k1", "k2"]), team("kritt", &["k3"])],
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -64,6 +64,7 @@
         prefix,
         tried,
         priority: 4,
+        warmth: None,
     }
 }
 
--- a/tests/target_history.rs
+++ b/tests/target_history.rs
@@ -21,6 +21,7 @@
         data_centre: "casa".into(),
         slots,
         is_draining: false,
+        is_cold: false,
         software: "".into(),
         started_ms: 1,
         models: Vec::new(),
