Keep requests in the regions that their route and team allow

Plans could not say in which regions requests may be served. Weighed: comparing regions at each choice of a target; a region at each target entry. Both touch the wire or the choice more than a set of data centres that is made once for each request. An empty intersection of two lists and no list at all are variants of one type, since taking one for the other would serve a request anywhere. Change: src/region/ holds the limit, the table of the settings and the filter; the choice of a target takes the filter. A request without an allowed data centre is refused before its body is read.

--- a/benches/route.rs
+++ b/benches/route.rs
@@ -6,9 +6,12 @@
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use waxwinglatch::route::{
-    LoadReport, PoolId, PrefixBlock, ReplicaSpec, ReplicaTable, RetryBudget, RouteRequest,
-    RouteTuning,
+use waxwinglatch::{
+    region::DataCentreFilter,
+    route::{
+        LoadReport, PoolId, PrefixBlock, ReplicaSpec, ReplicaTable, RetryBudget, RouteRequest,
+        RouteTuning,
+    },
 };
 
 const NOW: Duration = Duration::from_secs(10);
@@ -69,6 +72,7 @@
         prompt_tokens: 5000,
         prefix: &blocks,
         tried: &[],
+        data_centres: &DataCentreFilter::Any,
         priority: 4,
     };
     for size in sizes {
--- a/examples/route_compare/policy.rs
+++ b/examples/route_compare/policy.rs
@@ -5,6 +5,7 @@
 use rand_chacha::ChaCha8Rng;
 use waxwinglatch::{
     ids::TargetId,
+    region::DataCentreFilter,
     route::{
         ExchangeOutcome, LoadEstimate, LoadReport, PoolId, PrefixBlock, ReplicaSpec, ReplicaTable,
         RouteChoice, RouteRequest, RouteTuning,
@@ -132,6 +133,7 @@
                     prompt_tokens: PREFIX_TOKENS + OWN_TOKENS,
                     prefix: &blocks,
                     tried: &[],
+                    data_centres: &DataCentreFilter::Any,
                     priority: 4,
                 };
                 let chosen = self.table.choose(&request, now, rng).unwrap();
--- a/src/coordinator.rs
+++ b/src/coordinator.rs
@@ -28,6 +28,7 @@
 mod plan_history;
 mod plan_pusher;
 mod plan_store;
+mod regional_needs;
 mod served_list;
 mod state;
 mod stream_versions;
@@ -42,7 +43,7 @@
 pub use engine_table::{EngineTable, PlannedOrder, TargetChanges};
 pub use engine_view::{EngineLiveness, EngineView};
 pub use gateway_table::GatewayTable;
-pub use model_waits::{ModelWait, ModelWaits};
+pub use model_waits::{ModelWait, ModelWaits, WantedModel};
 pub use placement::{
     CopyAction, ModelNeed, PlacementEngine, PlacementInput, PlacementStep, plan_copies,
 };
--- a/src/coordinator/adapter_orders.rs
+++ b/src/coordinator/adapter_orders.rs
@@ -12,7 +12,8 @@
     adapter::OrderAction,
     ids::{ModelId, TargetId},
     plan::EnginePlan,
-    sync::ServedModel,
+    region::DataCentreFilter,
+    sync::AwaitedModel,
 };
 
 /// Number of adapters that one plan may load ahead of requests in any fleet.
@@ -26,8 +27,16 @@
 /// Fraction of the mean load of an engine above which an adapter gets another copy.
 const OVERLOAD_FRACTION: f64 = 0.2;
 
+/// An adapter that needs another copy.
+struct AdapterNeed<'n> {
+    adapter: &'n ModelId,
+    /// Data centres in which the copy is useful.
+    data_centres: &'n DataCentreFilter,
+    reason: &'static str,
+}
+
 impl EngineTable {
-    /// Plans orders for adapters that requests wait for and that no engine holds.
+    /// Plans orders for adapters that requests wait for and that no allowed engine holds.
     pub(super) fn plan_awaited_adapters(
         &self,
         service: &str,
@@ -36,9 +45,9 @@
         orders: &mut Vec<PlannedOrder>,
         now: Duration,
     ) {
-        let mut awaited: Vec<&ServedModel> = gateways
+        let mut awaited: Vec<&AwaitedModel> = gateways
             .awaited_models()
-            .filter(|model| model.service == service && is_adapter(&model.model))
+            .filter(|awaited| awaited.model.service == service && is_adapter(&awaited.model.model))
             .collect();
         if awaited.is_empty() {
             return;
@@ -46,9 +55,16 @@
         awaited.sort();
         awaited.dedup();
         let copies = ModelCopies::count(self.service_engines(service));
-        for model in awaited {
-            if copies.of_adapter(&model.model) == 0 {
-                self.plan_adapter_copy(&copies, engine, model, "awaited", orders, now);
+        for awaited in awaited {
+            let adapter = &awaited.model.model;
+            let data_centres = self.regional_needs.filter(&awaited.regions);
+            if !copies.has_adapter_in(base_model(adapter), adapter, &data_centres) {
+                let need = AdapterNeed {
+                    adapter,
+                    data_centres: &data_centres,
+                    reason: "awaited",
+                };
+                self.plan_adapter_copy(&copies, engine, &need, orders, now);
             }
         }
     }
@@ -76,7 +92,12 @@
             #[allow(clippy::cast_precision_loss)] // Counts of copies are small.
             let share = tokens / held.max(1) as f64;
             if held > 0 && share > OVERLOAD_FRACTION * mean {
-                self.plan_adapter_copy(&copies, engine, model, "demand", orders, now);
+                let need = AdapterNeed {
+                    adapter: &model.model,
+                    data_centres: &DataCentreFilter::Any,
+                    reason: "demand",
+                };
+                self.plan_adapter_copy(&copies, engine, &need, orders, now);
             }
         }
     }
@@ -132,17 +153,20 @@
         &self,
         copies: &ModelCopies<'_>,
         engine: &EnginePlan,
-        adapter: &ServedModel,
-        reason: &'static str,
+        need: &AdapterNeed<'_>,
         orders: &mut Vec<PlannedOrder>,
         now: Duration,
     ) {
-        let model = base_model(&adapter.model);
+        let adapter = need.adapter;
+        let model = base_model(adapter);
         let slots = engine.adapter_slots as usize;
         let candidates = copies.holders(model).filter(|(view, held)| {
             let is_ordered = orders.iter().any(|order| order.target == view.entry.id);
             // An engine refuses adapter orders while it loads or unloads a whole model.
-            view.accepts_model_orders(now) && !is_ordered && !held.adapters.contains(&adapter.model)
+            view.accepts_model_orders(now)
+                && !is_ordered
+                && need.data_centres.allows(&view.entry.data_centre)
+                && !held.adapters.contains(adapter)
         });
         let candidates = candidates.map(|(view, _)| view);
         let Some(view) =
@@ -154,7 +178,7 @@
             return;
         };
         let (action, model) = if view.used_adapter_slots() < slots {
-            (OrderAction::Load, adapter.model.clone())
+            (OrderAction::Load, adapter.clone())
         } else {
             match self.eviction_candidate(view, now) {
                 Some(evicted) => (OrderAction::Unload, evicted),
@@ -166,7 +190,7 @@
             action,
             model,
             expected_orders,
-            reason,
+            reason: need.reason,
         });
     }
 
--- a/src/coordinator/config.rs
+++ b/src/coordinator/config.rs
@@ -1,10 +1,14 @@
 use std::{
     net::{IpAddr, SocketAddr},
     path::PathBuf,
+    sync::Arc,
     time::Duration,
 };
 
-use crate::ids::{DataCentreId, VmId};
+use crate::{
+    ids::{DataCentreId, VmId},
+    region::RegionTable,
+};
 
 /// Settings of a coordinator, a control daemon that serves gateways.
 #[derive(Clone, Debug)]
@@ -13,6 +17,9 @@
     pub vm: VmId,
     /// Data centre of the VM.
     pub data_centre: DataCentreId,
+    /// Regions of all data centres, by which copies of models are placed for requests with allowed
+    /// regions.
+    pub regions: Arc<RegionTable>,
     /// Folder with all durable state.
     pub data_folder: PathBuf,
     /// Address of the VM.
--- a/src/coordinator/daemon.rs
+++ b/src/coordinator/daemon.rs
@@ -103,11 +103,8 @@
         };
         let voter = VoterHandle::start(journal, settings, addresses, Box::new(peers))?;
         let client = client::http_client()?;
-        let state = Arc::new(CoordinatorState::new(
-            voter.clone(),
-            self.adapter,
-            config.plan_lease,
-        ));
+        let state = CoordinatorState::new(voter.clone(), self.adapter, config.plan_lease);
+        let state = Arc::new(state.with_regions(Arc::clone(&config.regions)));
         let delegate = DelegateClient::new(Arc::clone(&state), client.clone(), self.secret.clone());
         // The set is dropped with the daemon, which aborts the tasks and frees the port.
         let _services =
--- a/src/coordinator/engine_table.rs
+++ b/src/coordinator/engine_table.rs
@@ -1,5 +1,6 @@
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, HashSet},
+    sync::Arc,
     time::Duration,
 };
 
@@ -13,11 +14,13 @@
         CopyAction, ModelNeed, PlacementEngine, PlacementInput, SPARE_COPY_REASON, describe_load,
         plan_copies,
     },
+    regional_needs::RegionalNeeds,
 };
 use crate::{
     adapter::{EngineStatus, OrderAction, TargetEntry},
     ids::{ModelId, TargetId},
     plan::{EnginePlan, PlanIndex},
+    region::RegionTable,
     sync::ServedModel,
 };
 
@@ -96,9 +99,19 @@
     pub(super) unpublished: BTreeSet<TargetId>,
     /// Whether targets were added or removed, or plain ones changed, since the last publication.
     is_list_unpublished: bool,
+    pub(super) regional_needs: RegionalNeeds,
 }
 
 impl EngineTable {
+    /// Returns an empty table for the regions in the settings.
+    #[must_use]
+    pub fn new(regions: Arc<RegionTable>) -> Self {
+        Self {
+            regional_needs: RegionalNeeds::new(regions),
+            ..Self::default()
+        }
+    }
+
     /// Applies the platform's list. Of a known engine that was not restarted only the entry is
     /// replaced, since its own reports are newer than the list.
     pub fn apply_list(&mut self, plan: &PlanIndex, list: Vec<TargetEntry>) {
@@ -232,6 +245,7 @@
         if !is_due {
             self.last_placement_at = last_placement_at;
         }
+        self.regional_needs.record(gateways.awaited_models(), now);
         for service in plan.services() {
             let Some(engine) = &service.engine else {
                 continue;
@@ -386,14 +400,17 @@
         }
         let awaited: HashSet<&str> = gateways
             .awaited_models()
+            .map(|awaited| &awaited.model)
             .filter(|model| model.service == service)
             .map(|model| base_model(&model.model))
             .collect();
+        let mut regional = self.regional_needs.filters(service);
         let models = engine.models.iter().map(|model| ModelNeed {
             id: model.id.clone(),
             weights_mb: model.weights_mb,
             tokens_per_second: demand.get(model.id.as_str()).copied().unwrap_or(0.0),
             has_waiting_requests: awaited.contains(model.id.as_str()),
+            regional_copies: regional.remove(model.id.as_str()).unwrap_or_default(),
         });
         let engines = self.service_engines(service).map(|view| {
             let loading = match &view.active_order {
@@ -412,6 +429,7 @@
                 cached_models: view.cached_models.clone(),
                 reserved_for,
                 id: view.entry.id.clone(),
+                data_centre: view.entry.data_centre.clone(),
                 models,
                 loading,
                 free_mb: view.free_mb_of(&memory),
--- a/src/coordinator/gateway_table.rs
+++ b/src/coordinator/gateway_table.rs
@@ -8,7 +8,10 @@
 use super::{demand_trend::DemandTrend, load_groups::LoadGroups};
 use crate::{
     ids::{DataCentreId, EntryKey},
-    sync::{GatewayReport, GatewayRoster, LoadTopology, ModelRequests, RosterEntry, ServedModel},
+    sync::{
+        AwaitedModel, GatewayReport, GatewayRoster, LoadTopology, ModelRequests, RosterEntry,
+        ServedModel,
+    },
 };
 
 /// Time without a report after which a gateway counts as gone.
@@ -47,7 +50,7 @@
     pub data_centre: DataCentreId,
     pub load_address: SocketAddr,
     news_address: Option<SocketAddr>,
-    awaited_models: Vec<ServedModel>,
+    awaited_models: Vec<AwaitedModel>,
     /// When the gateway last synced with this coordinator and not with another one.
     synced_at: Option<Duration>,
 }
@@ -99,7 +102,7 @@
             data_centre: report.data_centre.clone(),
             load_address: report.load_address,
             news_address: report.news_address,
-            awaited_models: report.missing_models.clone(),
+            awaited_models: report.awaited_models().collect(),
             synced_at: Some(now),
         };
         let former = self.gateways.insert(report.gateway.clone(), state);
@@ -228,8 +231,8 @@
         (LEADER_SYNC_INTERVAL * self.count()).clamp(MIN_SYNC_INTERVAL, MAX_SYNC_INTERVAL)
     }
 
-    /// Returns the models that requests wait for.
-    pub fn awaited_models(&self) -> impl Iterator<Item = &ServedModel> {
+    /// Returns the models that requests wait for, with the regions that they allow.
+    pub fn awaited_models(&self) -> impl Iterator<Item = &AwaitedModel> {
         self.gateways
             .values()
             .flat_map(|state| &state.awaited_models)
--- a/src/coordinator/model_copies.rs
+++ b/src/coordinator/model_copies.rs
@@ -3,7 +3,7 @@
 use smallvec::SmallVec;
 
 use super::engine_view::EngineView;
-use crate::{adapter::LoadedModel, ids::ModelId};
+use crate::{adapter::LoadedModel, ids::ModelId, region::DataCentreFilter};
 
 /// An engine with one of its models.
 type ModelHolder<'e> = (&'e EngineView, &'e LoadedModel);
@@ -38,6 +38,22 @@
         self.adapters.get(adapter.as_str()).copied().unwrap_or(0)
     }
 
+    /// Returns whether an available engine in one of the data centres holds an adapter of a model.
+    pub fn has_adapter_in(
+        &self,
+        model: &str,
+        adapter: &ModelId,
+        filter: &DataCentreFilter,
+    ) -> bool {
+        let mut holders = self.holders(model);
+        self.of_adapter(adapter) > 0
+            && holders.any(|(view, held)| {
+                view.is_available()
+                    && filter.allows(&view.entry.data_centre)
+                    && held.adapters.contains(adapter)
+            })
+    }
+
     /// Returns the engines that hold a model, whatever their state.
     pub fn holders(&self, model: &str) -> impl Iterator<Item = ModelHolder<'e>> {
         self.holders.get(model).into_iter().flatten().copied()
--- a/src/coordinator/model_waits.rs
+++ b/src/coordinator/model_waits.rs
@@ -1,11 +1,25 @@
 use std::{
-    collections::{BTreeMap, HashSet},
+    collections::{BTreeMap, HashMap},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
 use tokio::sync::oneshot;
 
-use crate::{adapter::TargetEntry, ids::ModelId, sync::ServedModel};
+use crate::{
+    adapter::TargetEntry,
+    ids::{DataCentreId, ModelId},
+    region::DataCentreFilter,
+    sync::ServedModel,
+};
+
+/// A model that requests wait for, with the data centres in which a target may hold it for them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WantedModel {
+    /// The model.
+    pub model: ServedModel,
+    /// Data centres of the targets that may serve the requests.
+    pub data_centres: DataCentreFilter,
+}
 
 /// Replies to gateways that are delayed until a target holds one of the models that their requests
 /// wait for. In a large fleet targets change all the time, so a reply must not be sent with the
@@ -18,7 +32,7 @@
 #[derive(Debug, Default)]
 struct WaitTable {
     last_id: u64,
-    waits: BTreeMap<u64, (Vec<ModelId>, oneshot::Sender<()>)>,
+    waits: BTreeMap<u64, (Vec<WantedModel>, oneshot::Sender<()>)>,
 }
 
 /// A delayed reply. It is removed when dropped.
@@ -36,13 +50,12 @@
 impl ModelWaits {
     /// Adds a reply that waits for any of `models`.
     #[must_use]
-    pub fn add(&self, models: &[ServedModel]) -> ModelWait {
+    pub fn add(&self, models: &[WantedModel]) -> ModelWait {
         let (sender, loaded) = oneshot::channel();
-        let models = models.iter().map(|model| model.model.clone()).collect();
         let mut table = lock(&self.waits);
         table.last_id += 1;
         let id = table.last_id;
-        table.waits.insert(id, (models, sender));
+        table.waits.insert(id, (models.to_vec(), sender));
         ModelWait {
             id,
             waits: Arc::clone(&self.waits),
@@ -56,12 +69,20 @@
         if table.waits.is_empty() {
             return;
         }
-        let loaded = changed.iter().flat_map(|target| &target.models);
-        let loaded = loaded.flat_map(|held| std::iter::once(&held.model).chain(&held.adapters));
-        let loaded: HashSet<&ModelId> = loaded.collect();
-        let woken = table.waits.extract_if(.., |_, (models, _)| {
-            models.iter().any(|model| loaded.contains(model))
-        });
+        let mut loaded: HashMap<&ModelId, Vec<&DataCentreId>> = HashMap::new();
+        for target in changed {
+            let held = target.models.iter();
+            for model in held.flat_map(|held| std::iter::once(&held.model).chain(&held.adapters)) {
+                loaded.entry(model).or_default().push(&target.data_centre);
+            }
+        }
+        let is_loaded = |wanted: &WantedModel| {
+            let mut holders = loaded.get(&wanted.model.model).into_iter().flatten();
+            holders.any(|data_centre| wanted.data_centres.allows(data_centre))
+        };
+        let woken = table
+            .waits
+            .extract_if(.., |_, (models, _)| models.iter().any(is_loaded));
         for (_, (_, sender)) in woken {
             // An error means that the reply was sent at the same moment.
             let _ = sender.send(());
--- a/src/coordinator/placement.rs
+++ b/src/coordinator/placement.rs
@@ -4,7 +4,10 @@
 use engine_loads::estimate_engine_loads;
 use planner::PlacementPlanner;
 
-use crate::ids::{ModelId, TargetId};
+use crate::{
+    ids::{DataCentreId, ModelId, TargetId},
+    region::DataCentreFilter,
+};
 
 /// Reason of a load that adds a second copy of a model to free memory ahead of demand.
 pub(super) const SPARE_COPY_REASON: &str = "spare copy";
@@ -16,6 +19,8 @@
 pub struct PlacementEngine {
     /// Id of the engine.
     pub id: TargetId,
+    /// Data centre of the engine.
+    pub data_centre: DataCentreId,
     /// Models that are loaded or being loaded.
     pub models: Vec<ModelId>,
     /// Model of this list that is being loaded.
@@ -44,6 +49,9 @@
     pub tokens_per_second: f64,
     /// Whether requests are queued until the model is loaded.
     pub has_waiting_requests: bool,
+    /// Data centres in which the model needs a copy: one for each filter, since requests with allowed
+    /// regions can use no other.
+    pub regional_copies: Vec<DataCentreFilter>,
 }
 
 /// Input of [`plan_copies`].
@@ -112,7 +120,7 @@
 
 /// Plans which copies to load and unload, in this order of priority:
 ///
-/// 1. A model without a copy gets one.
+/// 1. A model without a copy gets one, as does a model without a copy in the allowed regions of requests.
 /// 2. A model whose copies are all on overloaded engines gets another one on an underloaded engine.
 /// 3. A model with a single copy gets a second one where memory is free, so that the model is
 ///    already loaded when an engine is lost or demand rises.
@@ -127,7 +135,12 @@
     });
     planner.load_reserved();
     for need in &needs {
-        if planner.copies(&need.id) == 0 {
+        for filter in &need.regional_copies {
+            if !planner.has_copy_in(&need.id, filter) {
+                planner.add_regional_copy(need, filter);
+            }
+        }
+        if planner.copies(&need.id) == 0 && !planner.has_step(&need.id) {
             planner.add_copy(need, f64::INFINITY, "no copy");
         }
     }
--- a/src/coordinator/placement/planner.rs
+++ b/src/coordinator/placement/planner.rs
@@ -6,7 +6,7 @@
     CopyAction, ModelNeed, PlacementEngine, PlacementInput, PlacementStep,
     engine_loads::estimate_engine_loads,
 };
-use crate::ids::ModelId;
+use crate::{ids::ModelId, region::DataCentreFilter};
 
 /// A model gets another copy when the least loaded engine that holds it carries more than this
 /// multiple of the mean load.
@@ -19,6 +19,8 @@
 /// Fraction of the mean load by which an engine with cached weights may exceed another engine and
 /// still be chosen for the load.
 const CACHED_WEIGHTS_BONUS: f64 = 0.5;
+/// Reason of a load for requests with allowed regions.
+const REGIONAL_COPY_REASON: &str = "no copy in the allowed regions";
 /// Number of steps in one plan that is allowed in any fleet.
 const MIN_STEPS: usize = 4;
 /// Number of engines for which a plan may have one step.
@@ -45,8 +47,8 @@
     need: &'i ModelNeed,
     /// Available engines that hold the model or reserve memory for it.
     holders: SmallVec<[usize; 8]>,
-    /// Number of copies that serve requests already.
-    ready: usize,
+    /// Engines whose copy serves requests already.
+    ready: SmallVec<[usize; 8]>,
 }
 
 impl ModelPlacement<'_> {
@@ -67,7 +69,7 @@
             let placement = ModelPlacement {
                 need,
                 holders: SmallVec::new(),
-                ready: 0,
+                ready: SmallVec::new(),
             };
             (need.id.as_str(), placement)
         });
@@ -80,7 +82,9 @@
                         placement.holders.push(index);
                         let is_ready =
                             engine.loading.as_ref() != Some(model) && engine.models.contains(model);
-                        placement.ready += usize::from(is_ready);
+                        if is_ready {
+                            placement.ready.push(index);
+                        }
                     }
                     _ => {}
                 }
@@ -115,6 +119,27 @@
             .map_or(0, |placement| placement.holders.len())
     }
 
+    /// Returns whether a step of this plan is towards a copy of a model.
+    pub fn has_step(&self, model: &str) -> bool {
+        self.steps.iter().any(|step| step.model == model)
+    }
+
+    /// Returns whether an available engine in one of the data centres holds a model, reserves memory
+    /// for it or gets a step towards a copy of it.
+    pub fn has_copy_in(&self, model: &str, filter: &DataCentreFilter) -> bool {
+        let engines = &self.input.engines;
+        let holders = self.models.get(model).map(|placement| &placement.holders);
+        let mut holders = holders.into_iter().flatten();
+        if holders.any(|index| filter.allows(&engines[*index].data_centre)) {
+            return true;
+        }
+        let mut steps = self.steps.iter().filter(|step| step.model == model);
+        steps.any(|step| {
+            let mut engines = engines.iter().filter(|engine| engine.id == step.engine);
+            engines.any(|engine| filter.allows(&engine.data_centre))
+        })
+    }
+
     fn need(&self, model: &str) -> Option<&'i ModelNeed> {
         self.models.get(model).map(|placement| placement.need)
     }
@@ -139,6 +164,23 @@
     /// must evict a model first scores higher by the mean load and by the demand that the evicted
     /// copy serves.
     pub fn add_copy(&mut self, need: &'i ModelNeed, share: f64, reason: &'static str) {
+        self.add_copy_in(need, &DataCentreFilter::Any, share, reason);
+    }
+
+    /// Adds a step towards a copy that requests with allowed regions can use. It may evict any copy
+    /// that is not the last one, as for a model without a copy: the requests cannot be served
+    /// elsewhere.
+    pub fn add_regional_copy(&mut self, need: &'i ModelNeed, filter: &DataCentreFilter) {
+        self.add_copy_in(need, filter, f64::INFINITY, REGIONAL_COPY_REASON);
+    }
+
+    fn add_copy_in(
+        &mut self,
+        need: &'i ModelNeed,
+        filter: &DataCentreFilter,
+        share: f64,
+        reason: &'static str,
+    ) {
         let needs_eviction = self.most_free_mb < need.weights_mb;
         if self.steps.len() >= self.max_steps || (needs_eviction && share <= 0.0) {
             return;
@@ -150,8 +192,11 @@
         };
         let candidates = self.candidates.iter();
         let candidates = candidates.map(|index| (&self.input.engines[*index], self.loads[*index]));
-        let candidates = candidates
-            .filter(|(engine, load)| *load < load_limit && !engine.holds_or_reserves(&need.id));
+        let candidates = candidates.filter(|(engine, load)| {
+            *load < load_limit
+                && filter.allows(&engine.data_centre)
+                && !engine.holds_or_reserves(&need.id)
+        });
         let scored = candidates.filter_map(|(engine, load)| {
             let bonus = if engine.cached_models.contains(&need.id) {
                 CACHED_WEIGHTS_BONUS * self.mean_load
@@ -218,7 +263,9 @@
             placement
                 .holders
                 .retain(|index| engines[*index].id != engine.id);
-            placement.ready = placement.ready.saturating_sub(1);
+            placement
+                .ready
+                .retain(|index| engines[*index].id != engine.id);
         }
         let engines = &self.input.engines;
         self.candidates
@@ -231,6 +278,20 @@
         });
     }
 
+    /// Returns whether an engine has the only ready copy of a model for requests with some allowed
+    /// regions.
+    fn is_last_regional_copy(&self, placement: &ModelPlacement, engine: &PlacementEngine) -> bool {
+        let others = || {
+            let ready = placement.ready.iter();
+            let ready = ready.map(|index| &self.input.engines[*index]);
+            ready.filter(|other| other.id != engine.id)
+        };
+        placement.need.regional_copies.iter().any(|filter| {
+            filter.allows(&engine.data_centre)
+                && !others().any(|other| filter.allows(&other.data_centre))
+        })
+    }
+
     /// Returns the model to evict from an engine: the one with the least demand per copy among
     /// those that have another ready copy and far less demand per copy than the new copy would
     /// serve.
@@ -245,7 +306,8 @@
             // A model that is no longer configured is evictable in any case and has no demand.
             placement.is_none_or(|placement| {
                 let frees_enough = engine.free_mb + placement.need.weights_mb >= need.weights_mb;
-                placement.ready > 1
+                placement.ready.len() > 1
+                    && !self.is_last_regional_copy(placement, engine)
                     && engine.loading.as_ref() != Some(*model)
                     && placement.share() * EVICTION_HYSTERESIS <= share
                     && (share.is_infinite() || frees_enough)
--- a/src/coordinator/state.rs
+++ b/src/coordinator/state.rs
@@ -14,7 +14,7 @@
     engine_table::{EngineTable, TargetChanges},
     gateway_table::GatewayTable,
     leader_work::LeaderWork,
-    model_waits::ModelWaits,
+    model_waits::{ModelWaits, WantedModel},
     plan_confirmations::PlanConfirmations,
     plan_history::PlanHistory,
     served_list::ServedList,
@@ -25,6 +25,7 @@
     error::{Error, Result},
     ids::{EntryKey, Incarnation, TeamId, Term},
     plan::PlanIndex,
+    region::RegionTable,
     state::ControlState,
     sync::{
         GatewayReply, GatewayReport, GrantReply, GrantRequest, LeaderRedirect, ListVersion,
@@ -51,6 +52,7 @@
     pub(super) work: LeaderWork,
     pub(super) part_recorder: Arc<PartRecorder>,
     pub(super) plan_lease: Duration,
+    regions: Arc<RegionTable>,
     /// Wakes publications that wait for gateways.
     pub(super) confirmed: Notify,
     tables: Mutex<LeaderTables>,
@@ -133,6 +135,7 @@
             part_recorder: Arc::new(PartRecorder::new(voter.clone())),
             voter,
             plan_lease,
+            regions: Arc::default(),
             confirmed: Notify::new(),
             tables: Mutex::new(LeaderTables::new(
                 0,
@@ -150,6 +153,13 @@
         }
     }
 
+    /// Sets the regions of data centres, by which copies of models are placed.
+    #[must_use]
+    pub fn with_regions(mut self, regions: Arc<RegionTable>) -> Self {
+        self.regions = regions;
+        self
+    }
+
     /// Returns the time since this state was created, which all tables use as their clock.
     pub(super) fn now(&self) -> Duration {
         self.started_at.elapsed()
@@ -167,6 +177,7 @@
             *delegate = DelegateView::new(self.plan_lease);
             drop(delegate);
             *tables = LeaderTables::new(lease.term, now, self.plan_lease, gateways);
+            tables.engines = EngineTable::new(Arc::clone(&self.regions));
         }
         tables
     }
@@ -289,8 +300,9 @@
         let (are_parts_recorded, are_streams_recorded) = tokio::join!(recorded, streams);
         let sync_time = &self.work.sync_time_us;
         let grants = LeaderWork::timed(sync_time, || self.record(&report, lease));
-        if !report.missing_models.is_empty() {
-            self.await_models(&report).await;
+        let wanted = self.wanted_models(&report);
+        if !wanted.is_empty() {
+            self.await_models(&wanted).await;
         }
         let mut reply = LeaderWork::timed(sync_time, || self.reply(&report, grants, lease));
         reply.are_parts_recorded = are_parts_recorded;
@@ -302,12 +314,20 @@
         }
     }
 
-    /// Waits until a target holds one of the models that the gateway is missing, or until the reply
-    /// has to be sent without.
-    async fn await_models(&self, report: &GatewayReport) {
-        let mut wait = self.model_waits.add(&report.missing_models);
+    fn wanted_models(&self, report: &GatewayReport) -> Vec<WantedModel> {
+        let awaited = report.awaited_models().map(|awaited| WantedModel {
+            data_centres: self.regions.filter(&awaited.regions),
+            model: awaited.model,
+        });
+        awaited.collect()
+    }
+
+    /// Waits until an allowed target holds one of the models that a gateway is missing, or until the
+    /// reply has to be sent without.
+    async fn await_models(&self, wanted: &[WantedModel]) {
+        let mut wait = self.model_waits.add(wanted);
         let is_held = LeaderWork::timed(&self.work.sync_time_us, || {
-            self.list().history().holds_any(&report.missing_models)
+            self.list().history().holds_any(wanted)
         });
         if is_held {
             return;
--- a/src/coordinator/target_history.rs
+++ b/src/coordinator/target_history.rs
@@ -1,9 +1,10 @@
 use std::collections::{BTreeMap, HashMap};
 
+use super::model_waits::WantedModel;
 use crate::{
     adapter::TargetEntry,
     ids::{TargetId, Term},
-    sync::{ListVersion, ServedModel, TargetDigest, TargetHash, TargetList, target_hash},
+    sync::{ListVersion, TargetDigest, TargetHash, TargetList, target_hash},
 };
 
 /// Maximum number of removals that are kept. A gateway that has missed older ones gets the whole
@@ -128,15 +129,19 @@
         }
     }
 
-    /// Returns whether a target holds one of the models.
+    /// Returns whether a target holds one of the models in an allowed data centre.
     #[must_use]
-    pub fn holds_any(&self, models: &[ServedModel]) -> bool {
-        let targets = self.entries.values().map(|listed| &listed.entry);
-        let mut held = targets.flat_map(|target| &target.models);
-        held.any(|held| {
-            models
+    pub fn holds_any(&self, wanted: &[WantedModel]) -> bool {
+        let mut targets = self.entries.values().map(|listed| &listed.entry);
+        targets.any(|target| {
+            let mut allowed = wanted
                 .iter()
-                .any(|model| held.model == model.model || held.adapters.contains(&model.model))
+                .filter(|wanted| wanted.data_centres.allows(&target.data_centre))
+                .map(|wanted| &wanted.model.model);
+            allowed.any(|model| {
+                let mut held = target.models.iter();
+                held.any(|held| held.model == *model || held.adapters.contains(model))
+            })
         })
     }
 
--- a/src/entry/scheduler.rs
+++ b/src/entry/scheduler.rs
@@ -17,6 +17,7 @@
     error::Result,
     fair::{FairQueue, PushRefusal, QueueLimits, TicketId},
     ids::{DataCentreId, TargetId, TeamId},
+    region::DataCentreFilter,
     route::{Availability, PoolId, ReplicaTable, RouteChoice, RouteRequest, RouteTuning},
 };
 
@@ -246,6 +247,7 @@
             prompt_tokens: 0,
             prefix: &[],
             tried: &[],
+            data_centres: &DataCentreFilter::Any,
             priority: 0,
         };
         (0..MAX_CAPACITY_DRAWS).any(|_| {
@@ -270,6 +272,7 @@
             prompt_tokens: request.prompt_tokens,
             prefix: &request.prefix,
             tried: &request.tried,
+            data_centres: &DataCentreFilter::Any,
             priority: request.priority,
         };
         let mut rng = rand::rng();
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -16,7 +16,7 @@
     adapter::{RefusalKind, RefusalNotice},
     entry::{ReservedTokens, TokenPatience, TokenRefusal},
     route::PoolId,
-    sync::ServedModel,
+    sync::{AwaitedModel, ServedModel},
 };
 
 /// Share of the first-byte target that a request waits for tokens of its team; a longer wait would
@@ -62,13 +62,17 @@
             Some(_) => ADAPTER_LOAD_TIME.min(max_wait),
             None => plan.load_time,
         };
-        self.sync_client.request_model(model);
+        let awaited = AwaitedModel {
+            model: model.clone(),
+            regions: request.scope.limit.clone(),
+        };
+        self.sync_client.request_model(&awaited);
         if load_time > max_wait {
             let delay = random_duration(load_time / 2, load_time);
             return Err(unavailable("the model is being loaded").with_retry_after(delay));
         }
         let deadline = tokio::time::Instant::now() + max_wait;
-        let _waiter = self.sync_client.add_waiter(model);
+        let _waiter = self.sync_client.add_waiter(&awaited);
         while self.choose(request, pool, &[]).is_none() {
             let mut is_refusing = self.is_refusing.clone();
             let stopped = async {
@@ -79,7 +83,8 @@
                 () = self.targets.list_changed() => {}
                 () = stopped => return Err(unavailable("the gateway stops")),
                 () = tokio::time::sleep_until(deadline) => {
-                    return Err(unavailable("no target holds the model"));
+                    let reason = request.no_target_reason("no target holds the model");
+                    return Err(unavailable(reason));
                 }
             }
         }
@@ -103,7 +108,10 @@
                 Some(chosen) if self.targets.has_room(&chosen, max_gap) => return Ok(chosen),
                 Some(_) if Instant::now() < deadline => {}
                 Some(_) => return Err(unavailable("all targets are full")),
-                None => return Err(unavailable("no target can take the request")),
+                None => {
+                    let reason = request.no_target_reason("no target can take the request");
+                    return Err(unavailable(reason));
+                }
             }
             // Not every change of capacity sends a notification, so poll as well.
             let _ = tokio::time::timeout(CAPACITY_POLL_INTERVAL, capacity_freed).await;
--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -1,7 +1,10 @@
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use super::plan_lease::PlanLease;
-use crate::ids::{DataCentreId, VmId};
+use crate::{
+    ids::{DataCentreId, RegionId, VmId},
+    region::RegionTable,
+};
 
 /// Settings of a gateway.
 #[derive(Clone, Debug)]
@@ -10,6 +13,10 @@
     pub vm: VmId,
     /// Data centre of the VM.
     pub data_centre: DataCentreId,
+    /// Region of the VM, for the log; `None` if the settings name none.
+    pub region: Option<RegionId>,
+    /// Regions of all data centres, by which targets are allowed or not.
+    pub regions: Arc<RegionTable>,
     /// Address at which callers' requests are accepted.
     pub caller_listen: SocketAddr,
     /// Address for the readiness checks of the load balancer.
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -23,6 +23,7 @@
     plan_news::PlanNewsReceiver,
     proxy::GatewayProxy,
     readiness::ReadinessServer,
+    regions::log_regions,
     stream_origins::StreamOrigins,
     sync_client::{SyncClient, SyncParts},
     targets::TargetTable,
@@ -131,6 +132,7 @@
             retry_budget: RetryBudget::new().into(),
             started_at: Instant::now(),
             plan_lease: config.plan_lease,
+            regions: Arc::clone(&config.regions),
             is_closing: AtomicBool::new(false),
             is_refusing,
         });
@@ -152,6 +154,7 @@
             "gateway: {} accepts callers' connections at {}",
             config.vm, config.caller_listen
         );
+        log_regions(&config);
         stop.await;
         info!("gateway: shutting down; waiting for the load balancer and for requests in progress");
         let deadline = Instant::now() + config.grace_period.saturating_sub(EXIT_MARGIN);
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -6,8 +6,7 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::{
     Request, Response, StatusCode,
     body::{Body, Incoming},
@@ -26,6 +25,7 @@
     plan_lease::{PlanLease, PlanStanding},
     relay::{RelayBody, RelayedAnswer},
     request::GatewayRequest,
+    request_body::read_body,
     retry_delay::add_retry_after,
     routing::{model_pool, prefix_blocks},
     stream_origins::StreamOrigins,
@@ -39,6 +39,7 @@
     entry::{SharedAllowance, body},
     ids::{RequestId, TargetId, TeamId},
     plan::TeamMatch,
+    region::RegionTable,
     route::{ExchangeOutcome, PoolId, RetryBudget, RouteRequest},
     sync::ServedModel,
 };
@@ -65,6 +66,7 @@
     pub retry_budget: std::sync::Mutex<RetryBudget>,
     pub started_at: Instant,
     pub plan_lease: PlanLease,
+    pub regions: Arc<RegionTable>,
     /// Whether callers' connections are closed after the request in progress.
     pub is_closing: AtomicBool,
     /// Becomes true once new and waiting requests are refused.
@@ -156,11 +158,12 @@
                 return Err(Self::unknown_in_plan(unknown, standing));
             }
         };
+        let scope = self.region_scope(&metadata, route, team.as_deref())?;
         let limit = route.timeout;
         let limit = metadata
             .deadline
             .map_or(limit, |deadline| deadline.min(limit));
-        let body = self.read_body(incoming, plan.plan().limits.max_body_bytes, limit);
+        let body = read_body(incoming, plan.plan().limits.max_body_bytes, limit);
         Ok(GatewayRequest {
             body: body.await?,
             route: Arc::clone(route),
@@ -175,6 +178,7 @@
             metadata,
             plan,
             origin: None,
+            scope,
         })
     }
 
@@ -193,25 +197,6 @@
         }
     }
 
-    async fn read_body(
-        &self,
-        incoming: Incoming,
-        max_bytes: usize,
-        limit: Duration,
-    ) -> Result<Bytes, RefusalNotice> {
-        let malformed = RefusalNotice::new(RefusalKind::Malformed, "the body is cut short");
-        let body = Limited::new(incoming, max_bytes).collect();
-        match tokio::time::timeout(limit, body).await {
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => Err(RefusalNotice::new(
-                RefusalKind::BodyTooLong,
-                "the body is too long",
-            )),
-            Ok(Err(_)) => Err(malformed),
-            Err(_) => Err(unavailable("the body did not arrive in time")),
-        }
-    }
-
     async fn forward(
         &self,
         request: &GatewayRequest,
@@ -294,6 +279,7 @@
             prompt_tokens,
             prefix: &request.prefix_blocks,
             tried,
+            data_centres: &request.scope.data_centres,
             priority: 9 - request.rank(),
         })
     }
@@ -320,7 +306,7 @@
             let Some(chosen) = chosen else {
                 return Err(Self::no_target_refusal(
                     possible_runs,
-                    "no target can take the request",
+                    request.no_target_reason("no target can take the request"),
                 ));
             };
             // The block may have begun while the request waited or ran elsewhere.
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -12,6 +12,7 @@
     adapter::{PromptPart, RequestMetadata},
     ids::{Fingerprint, ServiceId, SoftwareVersion, TeamId},
     plan::{PlanIndex, RoutePlan, TeamPlan},
+    region::RegionScope,
     route::PrefixBlock,
     sync::PartKind,
 };
@@ -41,6 +42,8 @@
     pub prefix_blocks: SmallVec<[PrefixBlock; 4]>,
     /// Service and version that began the stream that the request takes up.
     pub origin: Option<(ServiceId, SoftwareVersion)>,
+    /// Where the request may be served.
+    pub scope: RegionScope,
 }
 
 impl GatewayRequest {
--- a/src/gateway/resumption.rs
+++ b/src/gateway/resumption.rs
@@ -63,7 +63,7 @@
         let origin = recorded.or(only);
         let is_served = origin.as_ref().is_some_and(|(service, version)| {
             let (same, _) = self.targets.split_by_software(service, version);
-            !same.is_empty()
+            self.targets.is_any_in(&same, &request.scope.data_centres)
         });
         info!("gateway: takes up a stream", kv: {
             request = request.log_id(),
--- a/src/gateway/sync_client.rs
+++ b/src/gateway/sync_client.rs
@@ -33,8 +33,8 @@
     ids::{EntryKey, Incarnation},
     plan::{DocumentDelta, PlanIndex, PlanVersion},
     sync::{
-        self, GATEWAY_SYNC_PATH, GatewayReply, GatewayReport, LeaderRedirect, ListVersion,
-        PlanUpdate, SECRET_HEADER, ServedModel, TargetDigest,
+        self, AwaitedModel, GATEWAY_SYNC_PATH, GatewayReply, GatewayReport, LeaderRedirect,
+        ListVersion, PlanUpdate, SECRET_HEADER, TargetDigest,
     },
 };
 
@@ -71,7 +71,7 @@
     news_address: SocketAddr,
     http_client: Client,
     secret: String,
-    wanted_models: Mutex<HashMap<ServedModel, usize>>,
+    wanted_models: Mutex<HashMap<AwaitedModel, usize>>,
     sync_requested: Notify,
     state: Mutex<SyncState>,
 }
@@ -159,7 +159,7 @@
     }
 
     /// Requests a model from the leader and triggers a sync at once.
-    pub fn request_model(&self, model: &ServedModel) {
+    pub fn request_model(&self, model: &AwaitedModel) {
         self.wanted_models().entry(model.clone()).or_insert(0);
         self.sync_now();
     }
@@ -217,7 +217,7 @@
     }
 
     /// Requests a model with every sync until the returned guard is dropped.
-    pub fn add_waiter(self: &Arc<Self>, model: &ServedModel) -> ModelWaiter {
+    pub fn add_waiter(self: &Arc<Self>, model: &AwaitedModel) -> ModelWaiter {
         *self.wanted_models().entry(model.clone()).or_insert(0) += 1;
         ModelWaiter {
             client: Arc::clone(self),
@@ -230,7 +230,7 @@
         self.wanted_models().values().any(|waiters| *waiters > 0)
     }
 
-    fn wanted_models(&self) -> std::sync::MutexGuard<'_, HashMap<ServedModel, usize>> {
+    fn wanted_models(&self) -> std::sync::MutexGuard<'_, HashMap<AwaitedModel, usize>> {
         self.wanted_models
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
@@ -322,7 +322,10 @@
 
     /// Returns a report without the target list and the shares of tokens, which depend on the receiver.
     fn make_report(&self) -> GatewayReport {
-        let wanted: BTreeSet<ServedModel> = self.wanted_models().keys().cloned().collect();
+        let wanted: BTreeSet<AwaitedModel> = self.wanted_models().keys().cloned().collect();
+        let (regional, unlimited): (Vec<_>, Vec<_>) = wanted
+            .into_iter()
+            .partition(|model| model.regions.is_limited());
         let (parts_version, parts) = self.crash_watch.take_report();
         let (streams, stream_queries) = self.stream_origins.make_report();
         GatewayReport {
@@ -341,7 +344,8 @@
             news_address: Some(self.news_address),
             demand: self.demand.take(),
             unresponsive: self.targets.silent_targets(),
-            missing_models: wanted.into_iter().collect(),
+            missing_models: unlimited.into_iter().map(|wanted| wanted.model).collect(),
+            missing_regional_models: regional,
         }
     }
 
@@ -367,7 +371,7 @@
                 if !reply.are_parts_recorded {
                     self.put_back_parts(&report);
                 }
-                let wanted = &report.missing_models;
+                let wanted: BTreeSet<AwaitedModel> = report.awaited_models().collect();
                 self.wanted_models()
                     .retain(|model, waiters| *waiters > 0 || !wanted.contains(model));
                 self.allowance.apply_grants(&reply.grants, reported_at);
@@ -622,7 +626,7 @@
 /// dropped.
 pub struct ModelWaiter {
     client: Arc<SyncClient>,
-    model: ServedModel,
+    model: AwaitedModel,
 }
 
 impl Drop for ModelWaiter {
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -11,6 +11,8 @@
 pub type VmId = CompactString;
 /// Identifies a data centre.
 pub type DataCentreId = CompactString;
+/// Identifies a region, which has one or more data centres.
+pub type RegionId = CompactString;
 /// Identifies a team.
 pub type TeamId = CompactString;
 /// Identifies a key without being the secret key itself.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod placement;
 pub mod plan;
 pub mod raft;
+pub mod region;
 pub mod route;
 pub mod server;
 pub mod soft_state;
--- a/src/plan/route_plan.rs
+++ b/src/plan/route_plan.rs
@@ -3,7 +3,10 @@
 use compact_str::CompactString;
 use smallvec::SmallVec;
 
-use crate::ids::{RouteId, ServiceId};
+use crate::{
+    ids::{RouteId, ServiceId},
+    region::RegionLimit,
+};
 
 /// Kind of a route, which determines whether its requests may be repeated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -66,6 +69,8 @@
     pub max_attempts: u32,
     /// Whether requests need no key.
     pub is_public: bool,
+    /// Regions whose targets may run the requests.
+    pub allowed_regions: RegionLimit,
 }
 
 impl RoutePlan {
--- a/src/plan/team_plan.rs
+++ b/src/plan/team_plan.rs
@@ -1,6 +1,6 @@
 use compact_str::CompactString;
 
-use crate::{allowance::RateLimit, ids::TeamId};
+use crate::{allowance::RateLimit, ids::TeamId, region::RegionLimit};
 
 /// One team with its keys and its limit.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -15,4 +15,6 @@
     pub limit: Option<RateLimit>,
     /// Number of tokens charged for a request that does not declare its size.
     pub default_tokens: u64,
+    /// Regions whose targets may run the team's requests.
+    pub allowed_regions: RegionLimit,
 }
--- a/src/route/replica.rs
+++ b/src/route/replica.rs
@@ -34,6 +34,7 @@
 #[derive(Debug)]
 pub(super) struct Replica {
     pub target: TargetId,
+    pub data_centre: DataCentreId,
     pub slots: f32,
     pub distance_ms: f32,
     pub availability: Availability,
--- a/src/route/request.rs
+++ b/src/route/request.rs
@@ -1,7 +1,10 @@
 use std::time::Duration;
 
 use super::PoolId;
-use crate::ids::{TargetId, VersionId};
+use crate::{
+    ids::{TargetId, VersionId},
+    region::DataCentreFilter,
+};
 
 /// A prefix of a prompt, identified by a hash over all its tokens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,6 +28,8 @@
     pub prefix: &'r [PrefixBlock],
     /// Targets that are excluded because the request was sent to them before.
     pub tried: &'r [TargetId],
+    /// Data centres whose targets may run the request.
+    pub data_centres: &'r DataCentreFilter,
     /// Priority from 0 to 9; engines serve higher priorities first.
     pub priority: u8,
 }
--- a/src/route/selection.rs
+++ b/src/route/selection.rs
@@ -320,5 +320,6 @@
             && healthy_at.is_none_or(|now| replica.health.accepts_request(now))
             && replica.pools.iter().any(is_matching_pool)
             && !request.tried.contains(&replica.target)
+            && request.data_centres.allows(&replica.data_centre)
     }
 }
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -82,6 +82,7 @@
         let old_pools = match &mut self.replicas[index as usize] {
             Some(replica) => {
                 replica.slots = slots;
+                replica.data_centre = spec.data_centre.clone();
                 replica.distance_ms = distance_ms;
                 std::mem::replace(&mut replica.pools, spec.pools.iter().cloned().collect())
             }
@@ -89,6 +90,7 @@
                 self.last_generation += 1;
                 *empty = Some(Replica {
                     target: spec.target.clone(),
+                    data_centre: spec.data_centre.clone(),
                     slots,
                     distance_ms,
                     availability: Availability::Up,
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -1,6 +1,7 @@
 //! Messages between entry daemons and control daemons, and between gateways and coordinators; see
 //! docs/design.md, section 7.
 
+mod awaited;
 mod claims;
 mod delegate;
 mod gateway;
@@ -13,6 +14,7 @@
 mod request;
 mod streams;
 
+pub use awaited::AwaitedModel;
 pub use claims::{CLAIMS_PATH, CRASHES_PATH, ClaimMessage, CommandReply, CrashMessage};
 pub use delegate::{
     DELEGATE_SYNC_PATH, DelegateReply, DelegateReport, DelegatedGateway, GatewayRoster,
--- a/src/sync/gateway.rs
+++ b/src/sync/gateway.rs
@@ -9,9 +9,10 @@
     error::Result,
     ids::{DataCentreId, EntryKey, ModelId, ServiceId, TargetId, Term},
     plan::PlanVersion,
+    region::RegionLimit,
     sync::{
-        self, CompletedPart, CrashEvidence, LoadTopology, PartSection, StreamAnswer, StreamQuery,
-        StreamStart, TargetHash, target_hash,
+        self, AwaitedModel, CompletedPart, CrashEvidence, LoadTopology, PartSection, StreamAnswer,
+        StreamQuery, StreamStart, TargetHash, target_hash,
     },
 };
 
@@ -64,6 +65,9 @@
     /// Models that requests wait for because no target has them loaded.
     #[serde(rename = "wanted")]
     pub missing_models: Vec<ServedModel>,
+    /// Models that requests with allowed regions wait for, with these regions.
+    #[serde(default)]
+    pub missing_regional_models: Vec<AwaitedModel>,
 }
 
 /// Version of the leader's target list.
@@ -181,7 +185,17 @@
             && self.completed_parts.is_empty()
             && self.streams.is_empty()
             && self.stream_queries.is_empty()
-            && self.missing_models.is_empty())
+            && self.missing_models.is_empty()
+            && self.missing_regional_models.is_empty())
+    }
+
+    /// Returns the models that requests wait for, each with the regions that the requests allow.
+    pub fn awaited_models(&self) -> impl Iterator<Item = AwaitedModel> {
+        let unlimited = self.missing_models.iter().map(|model| AwaitedModel {
+            model: model.clone(),
+            regions: RegionLimit::Any,
+        });
+        unlimited.chain(self.missing_regional_models.iter().cloned())
     }
 }
 
--- a/tests/copies.rs
+++ b/tests/copies.rs
@@ -77,6 +77,7 @@
             };
             PlacementEngine {
                 id: id.clone(),
+                data_centre: "a".into(),
                 models: engine
                     .models
                     .iter()
@@ -96,6 +97,7 @@
             weights_mb: MODEL_MB,
             tokens_per_second: *demand,
             has_waiting_requests: false,
+            regional_copies: Vec::new(),
         });
         PlacementInput {
             engines: engines.collect(),
@@ -323,6 +325,7 @@
     let copies = f64::from(u32::try_from(models.len()).unwrap());
     PlacementEngine {
         id: id.into(),
+        data_centre: "a".into(),
         cached_models: Vec::new(),
         loading: loading.map(ModelId::from),
         reserved_for: None,
@@ -339,6 +342,7 @@
         weights_mb: MODEL_MB,
         tokens_per_second,
         has_waiting_requests: false,
+        regional_copies: Vec::new(),
     }
 }
 
--- a/tests/delegate_view.rs
+++ b/tests/delegate_view.rs
@@ -41,6 +41,7 @@
         streams: Vec::new(),
         stream_queries: Vec::new(),
         missing_models: Vec::new(),
+        missing_regional_models: Vec::new(),
     }
 }
 
--- a/tests/engine_fleet/mod.rs
+++ b/tests/engine_fleet/mod.rs
@@ -165,5 +165,6 @@
         streams: Vec::new(),
         stream_queries: Vec::new(),
         missing_models: Vec::new(),
+        missing_regional_models: Vec::new(),
     }
 }
--- a/tests/load_aggregator.rs
+++ b/tests/load_aggregator.rs
@@ -73,6 +73,7 @@
                 streams: Vec::new(),
                 stream_queries: Vec::new(),
                 missing_models: Vec::new(),
+                missing_regional_models: Vec::new(),
             };
             table.record(&report, Duration::ZERO);
         }
--- a/tests/model_waits.rs
+++ b/tests/model_waits.rs
@@ -7,7 +7,8 @@
 
 use waxwinglatch::{
     adapter::{LoadedModel, TargetEntry},
-    coordinator::{ModelWaits, TargetHistory},
+    coordinator::{ModelWaits, TargetHistory, WantedModel},
+    region::DataCentreFilter,
     sync::ServedModel,
 };
 
@@ -30,10 +31,21 @@
     }
 }
 
-fn served(model: &str) -> ServedModel {
-    ServedModel {
-        service: "drafts".into(),
-        model: model.into(),
+fn served(model: &str) -> WantedModel {
+    WantedModel {
+        model: ServedModel {
+            service: "drafts".into(),
+            model: model.into(),
+        },
+        data_centres: DataCentreFilter::Any,
+    }
+}
+
+/// Returns a model that targets in one data centre only can serve.
+fn served_in(model: &str, data_centre: &str) -> WantedModel {
+    WantedModel {
+        data_centres: DataCentreFilter::Only([data_centre.into()].into_iter().collect()),
+        ..served(model)
     }
 }
 
@@ -73,3 +85,26 @@
     assert!(history.holds_any(&[served("m1")]));
     assert!(!history.holds_any(&[served("m1/a2")]));
 }
+
+/// Guards against a reply that is sent at once because a target outside the allowed regions holds
+/// the model: the gateway would ask again in a loop, and no planning round would be started.
+#[tokio::test]
+async fn copies_outside_the_allowed_data_centres_do_not_end_the_wait() {
+    let elsewhere = target("i-1", "m1", &["m1/a1"]);
+    let mut allowed = target("i-2", "m1", &["m1/a1"]);
+    allowed.data_centre = "b".into();
+    let wanted = [served_in("m1/a1", "b")];
+    let mut history = TargetHistory::new();
+    history.upsert(vec![elsewhere.clone()]);
+    assert!(!history.holds_any(&wanted));
+    history.upsert(vec![allowed.clone()]);
+    assert!(history.holds_any(&wanted));
+    let waits = ModelWaits::default();
+    let mut wait = waits.add(&wanted);
+    waits.wake(&[elsewhere]);
+    let woken = tokio::time::timeout(SHORT, wait.loaded()).await;
+    assert!(woken.is_err(), "a copy in another region wakes the reply");
+    waits.wake(&[allowed]);
+    let woken = tokio::time::timeout(SHORT, wait.loaded()).await;
+    assert!(woken.is_ok(), "the allowed copy does not wake the reply");
+}
--- a/tests/plan.rs
+++ b/tests/plan.rs
@@ -10,6 +10,7 @@
         CallerLimits, PlanIndex, RouteKind, RoutePlan, ServicePlan, ServiceShare, ServingPlan,
         TeamMatch, TeamPlan,
     },
+    region::RegionLimit,
     state::{Command, ControlState, StampedCommand},
     sync::PublishedPlan,
 };
@@ -32,6 +33,7 @@
         .collect(),
         max_attempts: 1,
         is_public: false,
+        allowed_regions: RegionLimit::Any,
     }
 }
 
@@ -45,6 +47,7 @@
             burst: 10,
         }),
         default_tokens: 1,
+        allowed_regions: RegionLimit::Any,
     };
     let mut public_route = route("open", "b.example", "/open/");
     public_route.is_public = true;
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -8,6 +8,7 @@
 use rstest::rstest;
 use waxwinglatch::{
     ids::TargetId,
+    region::DataCentreFilter,
     route::{
         Availability, ExchangeOutcome, HealthState, LoadReport, PoolId, PrefixBlock, PrefixIndex,
         ReplicaSpec, ReplicaTable, RetryBudget, RouteChoice, RouteRequest, RouteTuning,
@@ -63,6 +64,7 @@
         prompt_tokens: 2000,
         prefix,
         tried,
+        data_centres: &DataCentreFilter::Any,
         priority: 4,
     }
 }
