--- a/src/coordinator/config.rs
+++ b/src/coordinator/config.rs
@@ -1,11 +1,13 @@
 use std::{
     net::{IpAddr, SocketAddr},
     path::PathBuf,
+    sync::Arc,
     time::Duration,
 };
 
 use crate::{
     ids::{DataCentreId, VmId},
+    region::RegionTable,
     warmup::WarmupBounds,
 };
 
@@ -16,6 +18,9 @@
     pub vm: VmId,
     /// Data centre of the VM.
     pub data_centre: DataCentreId,
+    /// Regions of all data centres, by which copies of models are placed for requests with allowed
+    /// regions.
+    pub regions: Arc<RegionTable>,
     /// Folder with all durable state.
     pub data_folder: PathBuf,
     /// Address of the VM.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod placement;
 pub mod plan;
 pub mod raft;
+pub mod region;
 pub mod route;
 pub mod server;
 pub mod soft_state;
