--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -66,6 +66,7 @@
             model: model.clone(),
             regions: request.scope.limit.clone(),
         };
+        request.log_regional_model(&awaited);
         self.sync_client.request_model(&awaited);
         if load_time > max_wait {
             let delay = random_duration(load_time / 2, load_time);
--- a/src/gateway/regions.rs
+++ b/src/gateway/regions.rs
@@ -13,6 +13,7 @@
     ids::TargetId,
     plan::{RoutePlan, TeamPlan},
     region::{DataCentreFilter, RegionLimit, RegionScope},
+    sync::AwaitedModel,
 };
 
 /// Logs the regions in the settings of a gateway, if there are any.
@@ -62,6 +63,17 @@
 }
 
 impl GatewayRequest {
+    /// Logs a model that the request waits for if only some regions are allowed.
+    pub(super) fn log_regional_model(&self, awaited: &AwaitedModel) {
+        if awaited.regions.is_limited() {
+            info!("gateway: requests a model in allowed regions", kv: {
+                request = self.log_id(),
+                model = awaited.model.model.as_str(),
+                regions = awaited.regions.to_string().as_str(),
+            });
+        }
+    }
+
     /// Returns why no target can take the request: `reason`, unless only targets in its allowed
     /// regions were considered.
     pub(super) fn no_target_reason(&self, reason: &'static str) -> &'static str {
