Refuse less urgent requests in a burst once the rate of slots is known

Rank 2 may wait 2.75 s and rank 1 0.75 s, and requests were refused at once only while no slot was free at all, which is rare: the fleet frees a slot every 1.5 ms, which goes to rank 0.

A free slot now prevents a refusal at once only if no request that precedes needs it, here or at another gateway. The rate counts as known after 3 slots or 0.5 s, rates of arrivals follow within 1 s, and a waiting request is judged once more after 0.5 s.

Weighed: a shorter wait for less urgent ranks contradicts the rule that the wait depends on the target alone.

Not run: the tests of whole processes.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -11,6 +11,8 @@
 mod team_shares;
 mod waiting_request;
 
+use std::time::Duration;
+
 pub use forecast::WaitForecast;
 pub use order::AdmissionOrder;
 pub use queue::{AdmissionQueue, TicketId};
@@ -24,5 +26,9 @@
 /// urgent request, so that no rank starves.
 pub const SLOTS_PER_LESS_URGENT: u32 = 16;
 
+/// Time after which a waiting request is judged once more. In a burst the first requests arrive before
+/// the rate of slots is known.
+pub const REVIEW_DELAY: Duration = Duration::from_millis(500);
+
 /// Number of waiting requests by rank.
 pub type RankCounts = [u16; RANKS];
--- a/src/admission/decaying_rate.rs
+++ b/src/admission/decaying_rate.rs
@@ -1,23 +1,21 @@
 use std::time::Duration;
 
-/// Time constant of the averages: long enough for tens of slots of one gateway, short enough to
-/// follow a lost or added data centre within a few seconds.
-const TIME_CONSTANT_S: f64 = 2.0;
-
 /// Rates of events by kind as exponential moving averages over the time that was counted.
 #[derive(Debug)]
 pub(super) struct DecayingRate<const KINDS: usize> {
     events: [f64; KINDS],
     seconds: f64,
+    time_constant: f64,
     updated_at: Duration,
 }
 
 impl<const KINDS: usize> DecayingRate<KINDS> {
-    /// Creates a rate without events at `now`.
-    pub fn new(now: Duration) -> Self {
+    /// Creates a rate without events at `now`, with the time constant in seconds.
+    pub fn new(time_constant: f64, now: Duration) -> Self {
         Self {
             events: [0.0; KINDS],
             seconds: 0.0,
+            time_constant,
             updated_at: now,
         }
     }
@@ -25,11 +23,11 @@
     /// Counts the time since the last update.
     pub fn count_until(&mut self, now: Duration) {
         let elapsed = now.saturating_sub(self.updated_at).as_secs_f64();
-        let decay = (-elapsed / TIME_CONSTANT_S).exp();
+        let decay = (-elapsed / self.time_constant).exp();
         for events in &mut self.events {
             *events *= decay;
         }
-        self.seconds = self.seconds * decay + TIME_CONSTANT_S * (1.0 - decay);
+        self.seconds = self.seconds * decay + self.time_constant * (1.0 - decay);
         self.updated_at = self.updated_at.max(now);
     }
 
--- a/src/admission/queue.rs
+++ b/src/admission/queue.rs
@@ -158,6 +158,26 @@
         WaitForecast::new(urgent.len(), same.len(), self.rate.per_second(), rate_left)
     }
 
+    /// Returns whether a request should be refused at once: its wait is futile, and each of the pool's
+    /// `free_slots` is needed by a request that precedes it here or waits among `others` elsewhere.
+    pub fn is_futile(
+        &mut self,
+        ticket: TicketId,
+        free_slots: u32,
+        others: &RankCounts,
+        now: Duration,
+    ) -> bool {
+        let forecast = self.forecast(ticket, now);
+        let own = self.entries.iter().find(|(id, _)| *id == ticket);
+        let Some((_, request)) = own else {
+            return false;
+        };
+        let others = others.iter().take(request.rank_index() + 1);
+        let claims = forecast.position + others.copied().map(usize::from).sum::<usize>();
+        let has_free_slot = usize::try_from(free_slots).is_ok_and(|free| free > claims);
+        !has_free_slot && forecast.is_futile(request.wait_until.saturating_sub(now))
+    }
+
     /// Returns the number of waiting requests by rank.
     #[must_use]
     pub fn counts(&self) -> RankCounts {
--- a/src/admission/slot_rate.rs
+++ b/src/admission/slot_rate.rs
@@ -2,8 +2,17 @@
 
 use super::{RANKS, SLOTS_PER_LESS_URGENT, decaying_rate::DecayingRate};
 
-/// Counted seconds from which on the rate of slots is known.
+/// Time constant of the rate of slots: long enough for tens of slots of one gateway, short enough to
+/// follow a lost or added data centre within a few seconds.
+const SLOT_TIME_CONSTANT_S: f64 = 2.0;
+/// Time constant of the rates of arrivals. In a burst a slower average lets less urgent requests wait
+/// whose slots the more urgent ones will take.
+const ARRIVAL_TIME_CONSTANT_S: f64 = 1.0;
+/// Counted seconds from which on the rate of slots is known, however few there were.
 const MIN_KNOWN_SECONDS: f64 = 0.5;
+/// Slots from which on the rate is known sooner. In a burst, requests that are let in before the rate is
+/// known outlast more urgent ones, which may wait for less time.
+const MIN_KNOWN_SLOTS: f64 = 3.0;
 /// Time without a waiting request after which the rate of slots is unknown again.
 const MAX_IDLE: Duration = Duration::from_secs(2);
 
@@ -22,8 +31,8 @@
     /// Creates an unknown rate.
     pub fn new(now: Duration) -> Self {
         Self {
-            slots: DecayingRate::new(now),
-            arrivals: DecayingRate::new(now),
+            slots: DecayingRate::new(SLOT_TIME_CONSTANT_S, now),
+            arrivals: DecayingRate::new(ARRIVAL_TIME_CONSTANT_S, now),
             waited_at: now,
         }
     }
@@ -38,7 +47,7 @@
                 self.waited_at = now;
             }
             () if now.saturating_sub(self.waited_at) > MAX_IDLE => {
-                self.slots = DecayingRate::new(now);
+                self.slots = DecayingRate::new(SLOT_TIME_CONSTANT_S, now);
             }
             () => self.slots.skip_until(now),
         }
@@ -56,7 +65,10 @@
 
     /// Returns the slots a second; `None` while too little time was counted.
     pub fn per_second(&self) -> Option<f64> {
-        (self.slots.seconds() >= MIN_KNOWN_SECONDS).then(|| self.slots.per_second(1))
+        let seconds = self.slots.seconds();
+        let rate = self.slots.per_second(1);
+        let is_known = seconds >= MIN_KNOWN_SECONDS || seconds * rate >= MIN_KNOWN_SLOTS;
+        is_known.then_some(rate)
     }
 
     /// Returns the slots a second that are left for a rank when more urgent requests arrive as
--- a/src/gateway/admission_queues.rs
+++ b/src/gateway/admission_queues.rs
@@ -165,6 +165,16 @@
         Some(state.queue.forecast(id, now))
     }
 
+    /// Returns whether the wait of a request is futile while the pool has `free_slots`.
+    pub(super) fn is_futile(&self, pool: &PoolId, id: TicketId, free_slots: u32) -> bool {
+        let others = self.other_waits().get(&pool_hash(pool)).copied();
+        let others = others.unwrap_or_default();
+        let now = self.now();
+        let mut pools = self.pools();
+        let state = pools.get_mut(pool);
+        state.is_some_and(|state| state.queue.is_futile(id, free_slots, &others.ranks, now))
+    }
+
     /// Returns whether a request may take one of `free_slots`, of which other gateways need one for
     /// each more urgent request that waits there.
     pub(super) fn may_take_slot(&self, pool: &PoolId, id: TicketId, free_slots: u32) -> bool {
--- a/src/gateway/admission_ticket.rs
+++ b/src/gateway/admission_ticket.rs
@@ -50,6 +50,12 @@
         self.queues.may_take_slot(&self.pool, self.id, free_slots)
     }
 
+    /// Returns whether the request should be refused at once although it could still wait.
+    #[must_use]
+    pub fn is_futile(&self, free_slots: u32) -> bool {
+        self.queues.is_futile(&self.pool, self.id, free_slots)
+    }
+
     /// Returns the expected wait of the request; `None` when it no longer waits.
     #[must_use]
     pub fn forecast(&self) -> Option<WaitForecast> {
--- a/src/gateway/capacity_wait.rs
+++ b/src/gateway/capacity_wait.rs
@@ -13,7 +13,7 @@
 };
 use crate::{
     adapter::RefusalNotice,
-    admission::{WaitForecast, WaitingRequest},
+    admission::{REVIEW_DELAY, WaitForecast, WaitingRequest},
     route::PoolId,
 };
 
@@ -41,19 +41,23 @@
         let time_left = waiting.wait_until.saturating_sub(waiting.arrived_at);
         let wait_until = Instant::now() + time_left;
         let ticket = self.queues.enter(pool, waiting);
-        // A slot may be free for this request although others wait, so it is not refused at once then.
-        if !self.targets.has_room(&chosen, max_gap)
-            && self.targets.free_slots(pool, max_gap) == 0
-            && ticket
-                .forecast()
-                .is_some_and(|forecast| forecast.is_futile(time_left))
-        {
+        if ticket.is_futile(self.targets.free_slots(pool, max_gap)) {
             return Err(Self::refuse(request, &ticket, "too many requests wait"));
         }
+        let mut review_at = Some(Instant::now() + REVIEW_DELAY);
         loop {
             tokio::select! {
                 biased;
                 () = ticket.turn() => {}
+                () = tokio::time::sleep_until(review_at.unwrap_or(wait_until).into()),
+                    if review_at.is_some() =>
+                {
+                    review_at = None;
+                    if ticket.is_futile(self.targets.free_slots(pool, max_gap)) {
+                        return Err(Self::refuse(request, &ticket, "too many requests wait"));
+                    }
+                    continue;
+                }
                 () = tokio::time::sleep_until(wait_until.into()) => {
                     return Err(Self::refuse(request, &ticket, "all targets are full"));
                 }
--- a/tests/admission_queue.rs
+++ b/tests/admission_queue.rs
@@ -230,3 +230,21 @@
         .count();
     assert_eq!(taken, 10);
 }
+
+/// Guards against a refusal while a slot is free that no request ahead needs, and against a wait behind slots
+/// that all go to others. The load is a pool whose rate is known to be zero.
+#[rstest]
+#[case::free_for_it(5, false)]
+#[case::needed_by_others(4, true)]
+fn a_request_is_refused_at_once_only_without_a_slot_for_it(
+    #[case] free: u32,
+    #[case] refused: bool,
+) {
+    let mut queue = AdmissionQueue::new(ms(0));
+    queue.push(request(1, ms(0)), ms(0));
+    let ticket = queue.push(request(2, ms(800)), ms(800));
+    let mut others = no_others();
+    // Those of rank 3 do not precede it.
+    (others[0], others[2], others[3]) = (2, 1, 9);
+    assert_eq!(queue.is_futile(ticket, free, &others, ms(800)), refused);
+}
--- a/tests/admission_simulation.rs
+++ b/tests/admission_simulation.rs
@@ -5,7 +5,9 @@
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use rstest::rstest;
-use waxwinglatch::admission::{AdmissionQueue, RANKS, RankCounts, TicketId, WaitingRequest};
+use waxwinglatch::admission::{
+    AdmissionQueue, RANKS, REVIEW_DELAY, RankCounts, TicketId, WaitingRequest,
+};
 
 const GATEWAYS: usize = 59;
 const ENGINES: u32 = 112;
@@ -28,12 +30,19 @@
 #[derive(Default)]
 struct Gateway {
     queue: Option<AdmissionQueue>,
-    waiting: Vec<(TicketId, u8, u64)>,
+    waiting: Vec<(TicketId, u8, Times)>,
     others: RankCounts,
     other_rate: f64,
     taken: u32,
 }
 
+/// When a request is judged once more, and when it is refused.
+#[derive(Clone, Copy)]
+struct Times {
+    review_at: u64,
+    wait_until: u64,
+}
+
 /// Requests by rank.
 #[derive(Debug, Default)]
 struct Figures {
@@ -68,6 +77,10 @@
     figures: Figures,
 }
 
+fn milliseconds(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap()
+}
+
 fn at(milliseconds: u64) -> Duration {
     Duration::from_millis(milliseconds)
 }
@@ -164,20 +177,29 @@
         let queue = gateway.queue.as_mut().unwrap();
         let rank = request.rank;
         let ticket = queue.push(request, at(now));
-        let time_left = at(wait_until - now);
-        if free == 0 && queue.forecast(ticket, at(now)).is_futile(time_left) {
+        let others = gateway.others;
+        if queue.is_futile(ticket, free, &others, at(now)) {
             queue.remove(ticket, at(now));
             self.figures.refused_at_once += 1.0;
             return;
         }
-        gateway.waiting.push((ticket, rank, wait_until));
+        let review_at = now + milliseconds(REVIEW_DELAY);
+        let times = Times {
+            review_at,
+            wait_until,
+        };
+        gateway.waiting.push((ticket, rank, times));
     }
 
     fn expire(&mut self, number: usize, now: u64) {
+        let free = self.free(number);
         let gateway = &mut self.gateways[number];
         let queue = gateway.queue.as_mut().unwrap();
-        gateway.waiting.retain(|(ticket, _, wait_until)| {
-            let is_waiting = *wait_until > now;
+        let others = gateway.others;
+        gateway.waiting.retain(|(ticket, _, times)| {
+            let is_reviewed = (now..now + STEP_MS).contains(&times.review_at);
+            let is_futile = is_reviewed && queue.is_futile(*ticket, free, &others, at(now));
+            let is_waiting = times.wait_until > now && !is_futile;
             if !is_waiting {
                 queue.remove(*ticket, at(now));
             }
