--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -3,7 +3,10 @@
 
 mod absence_watch;
 mod admission;
+mod admission_queues;
+mod admission_ticket;
 mod caller_server;
+mod capacity_wait;
 mod cold_choice;
 mod config;
 mod connections;
@@ -42,6 +45,8 @@
 mod warmup_permit;
 
 pub use absence_watch::AbsenceWatch;
+pub use admission_queues::AdmissionQueues;
+pub use admission_ticket::AdmissionTicket;
 pub use config::GatewayConfig;
 pub use coordinator_list::CoordinatorList;
 pub use crash_watch::CrashWatch;
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -14,6 +14,7 @@
 };
 use crate::{
     adapter::{RefusalKind, RefusalNotice},
+    admission::AdmissionOrder,
     entry::{ReservedTokens, TokenPatience, TokenRefusal},
     route::{PoolId, Warmth},
     sync::{AwaitedModel, ServedModel},
@@ -99,6 +100,9 @@
         request: &GatewayRequest,
         pool: &PoolId,
     ) -> Result<AdmittedTarget, RefusalNotice> {
+        if self.admission_order == AdmissionOrder::Ranked {
+            return self.await_turn(request, pool).await;
+        }
         let max_wait = request.route.first_byte_target.mul_f64(CAPACITY_WAIT_SHARE);
         let deadline = Instant::now() + max_wait.min(request.time_left() / 4);
         let mut refused = RefusedTargets::new();
--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -2,6 +2,7 @@
 
 use super::plan_lease::PlanLease;
 use crate::{
+    admission::AdmissionOrder,
     ids::{DataCentreId, RegionId, VmId},
     region::RegionTable,
     warmup::WarmupBounds,
@@ -32,6 +33,8 @@
     pub plan_lease: PlanLease,
     /// Bounds on requests to cold targets; `None` if there is no limit.
     pub warmup_bounds: Option<WarmupBounds>,
+    /// Order in which waiting requests get slots that become free.
+    pub admission_order: AdmissionOrder,
     /// Time between SIGTERM and the kill of the process.
     pub grace_period: Duration,
 }
--- a/src/route.rs
+++ b/src/route.rs
@@ -6,6 +6,7 @@
 mod outlier;
 mod pace;
 mod pool;
+mod pool_slots;
 mod prefix_index;
 mod prefix_popularity;
 mod replica;
