--- a/src/coordinator.rs
+++ b/src/coordinator.rs
@@ -15,6 +15,8 @@
 mod engine_memory;
 mod engine_table;
 mod engine_view;
+mod evacuated_engines;
+mod evacuation_store;
 mod gateway_table;
 mod grant_server;
 mod leader_work;
@@ -41,6 +43,7 @@
 pub use demand_trend::DemandTrend;
 pub use engine_table::{EngineTable, PlannedOrder, TargetChanges};
 pub use engine_view::{EngineLiveness, EngineView};
+pub use evacuation_store::EvacuationStore;
 pub use gateway_table::GatewayTable;
 pub use model_waits::{ModelWait, ModelWaits};
 pub use placement::{
--- a/src/coordinator/acknowledgement.rs
+++ b/src/coordinator/acknowledgement.rs
@@ -1,16 +1,14 @@
 use std::time::Duration;
 
-use spdlog::prelude::*;
-
 use super::{
     gateway_table::GatewayTable, plan_confirmations::PlanConfirmations,
     plan_pusher::LaggingGateway, state::CoordinatorState,
 };
 use crate::{
     error::{Error, Result},
-    ids::EntryKey,
-    plan::PlanVersion,
-    sync::{PlanConfirmation, PlanNews},
+    ids::{EntryKey, Revision},
+    state::ControlState,
+    sync::{self, EvacuationSection, PlanConfirmation, PlanNews, PlanUpdate, ServingState},
 };
 
 /// Interval at which a publication checks whether leases have ended.
@@ -18,45 +16,45 @@
 /// Time after the longest lease after which a publication counts as unconfirmed.
 const CONFIRMATION_MARGIN: Duration = Duration::from_millis(500);
 
-/// Acknowledgement of plans by the leader; see docs/design.md, section 18.
+/// Maximum size of news. A datagram of this size fits one packet, whose other bytes are headers.
+const MAX_NEWS_BYTES: usize = 1_350;
+
+/// Acknowledgement of plans and evacuations by the leader; see docs/design.md, section 18.
 impl CoordinatorState {
-    /// Waits until each gateway has a plan of the log or a newer one in force, or has no lease on an older one.
+    /// Waits until each gateway has what the log contains or newer in force, or has no lease on older, and returns
+    /// how long that took.
     ///
     /// # Errors
     /// [`Error::Unconfirmed`] when this daemon does not lead or gateways renew their leases without the plan. The
-    /// plan is in the log, so the operator must never be sent on as if nothing had happened.
-    pub(super) async fn await_confirmation(&self, version: PlanVersion) -> Result<()> {
+    /// change is in the log, so the operator must never be sent on as if nothing had happened.
+    pub(super) async fn await_confirmation(&self, needed: ServingState) -> Result<Duration> {
         let began_at = self.now();
         let deadline = began_at + self.plan_lease + CONFIRMATION_MARGIN;
         loop {
             let confirmed = self.confirmed.notified();
             let now = self.now();
             let lease = self.lease().map_err(|_| Error::Unconfirmed {
-                reason: format!("leadership ended before gateways confirmed plan {version}"),
+                reason: format!("leadership ended before gateways confirmed {needed}"),
             })?;
             let behind = {
                 let mut tables = self.tables(lease);
                 tables.confirmations.expire(now);
-                if tables.confirmations.is_confirmed(version, now) {
+                if tables.confirmations.is_confirmed(needed, now) {
                     break;
                 }
-                tables.confirmations.count_behind(version, now)
+                tables.confirmations.count_behind(needed, now)
             };
             if now >= deadline {
-                let reason = format!("{behind} gateways do not have plan {version}");
+                let reason = format!("{behind} gateways do not have {needed}");
                 return Err(Error::Unconfirmed { reason });
             }
             // Leases end without a notification.
             let _ = tokio::time::timeout(CONFIRMATION_CHECK_INTERVAL, confirmed).await;
         }
-        info!("plan: confirmed", kv: {
-            plan = version,
-            waited_ms = self.now().saturating_sub(began_at).as_millis(),
-        });
-        Ok(())
+        Ok(self.now().saturating_sub(began_at))
     }
 
-    /// Records that a gateway has put a plan in force.
+    /// Records that a gateway has put a plan in force and evacuations in effect.
     pub(super) fn confirm_plan(&self, confirmation: &PlanConfirmation) {
         let Ok(lease) = self.lease() else {
             if self.delegate().confirm(confirmation) {
@@ -64,18 +62,18 @@
             }
             return;
         };
-        let (gateway, version) = (&confirmation.gateway, confirmation.version);
-        if self.tables(lease).confirmations.confirm(gateway, version) {
+        let (gateway, state) = (&confirmation.gateway, confirmation.serving_state());
+        if self.tables(lease).confirmations.confirm(gateway, state) {
             self.confirmed.notify_waiters();
         }
     }
 
-    /// Returns at most `count` gateways that lack the newest plan and are due to be told of it, of
+    /// Returns at most `count` gateways that lack the newest plan or evacuation and are due to be told of it, of
     /// those that sync with this coordinator.
     pub(super) fn lagging_gateways(
         &self,
         count: usize,
-        is_due: impl Fn(&EntryKey, PlanVersion) -> bool,
+        is_due: impl Fn(&EntryKey, ServingState) -> bool,
     ) -> Vec<LaggingGateway> {
         let Ok(lease) = self.lease() else {
             let delegate = self.delegate();
@@ -88,34 +86,83 @@
         self.lagging_of(&tables.gateways, &tables.confirmations, count, is_due)
     }
 
+    /// Returns the evacuated data centres of the log for a receiver that has those of an earlier revision.
+    pub(super) fn evacuations_since(&self, held: Revision) -> Option<EvacuationSection> {
+        let section = |state: &ControlState| state.evacuations().section_since(held);
+        self.voter.read_local(section)
+    }
+
+    /// Returns the newest plan and the latest revision that the log has brought.
+    pub(super) fn newest_state(&self) -> ServingState {
+        let revision = |state: &ControlState| state.evacuations().revision();
+        let version = self.plans().newest_version().unwrap_or(0);
+        ServingState::new(version, self.voter.read_local(revision))
+    }
+
     fn lagging_of(
         &self,
         gateways: &GatewayTable,
         confirmations: &PlanConfirmations,
         count: usize,
-        is_due: impl Fn(&EntryKey, PlanVersion) -> bool,
+        is_due: impl Fn(&EntryKey, ServingState) -> bool,
     ) -> Vec<LaggingGateway> {
         let mut plans = self.plans();
-        let Some(newest) = plans.newest_version() else {
+        let Some(version) = plans.newest_version() else {
             return Vec::new();
         };
+        let section = self.evacuations_since(0).unwrap_or_default();
+        let newest = ServingState::new(version, section.revision);
         let gateways = gateways.news_addresses();
         let lagging = gateways.filter_map(|(gateway, address)| {
-            let held = confirmations.version(gateway)?;
-            (held < newest && is_due(gateway, newest)).then_some((gateway, address, held))
+            let held = confirmations.state(gateway)?;
+            (!held.covers(newest) && is_due(gateway, newest)).then_some((gateway, address, held))
         });
         let lagging = lagging.take(count).filter_map(|(gateway, address, held)| {
-            let news = plans.news_since(held).unwrap_or_else(|error| {
+            let news = plans.news_since(held.plan_version).unwrap_or_else(|error| {
                 spdlog::error!("plan: encoding the news for {} failed: {error}", gateway.vm);
                 None
             });
+            let lacks_evacuations = held.evacuation_revision < section.revision;
             Some(LaggingGateway {
                 gateway: gateway.clone(),
                 address,
-                news: PlanNews { update: news? },
-                version: newest,
+                news: make_news(news, lacks_evacuations.then_some(&section))?,
+                state: newest,
             })
         });
         lagging.collect()
     }
 }
+
+/// Returns the news for a gateway; `None` if there is nothing to tell. What does not fit into a datagram is left to a
+/// sync, evacuations last, since those are in effect only once all gateways have them.
+fn make_news(
+    update: Option<PlanUpdate>,
+    evacuations: Option<&EvacuationSection>,
+) -> Option<PlanNews> {
+    let Some(section) = evacuations else {
+        return update.map(|update| PlanNews {
+            update: Some(update),
+            evacuation_revision: 0,
+            evacuations: None,
+        });
+    };
+    let deferred = update.as_ref().map(|update| PlanUpdate::Deferred {
+        version: update.version(),
+    });
+    let mut news = PlanNews {
+        update,
+        evacuation_revision: section.revision,
+        evacuations: Some(section.clone()),
+    };
+    let fits = |news: &PlanNews| {
+        sync::encode_compact(news).is_ok_and(|bytes| bytes.len() <= MAX_NEWS_BYTES)
+    };
+    if !fits(&news) {
+        news.update = deferred;
+    }
+    if !fits(&news) {
+        news.evacuations = None;
+    }
+    Some(news)
+}
--- a/src/coordinator/daemon.rs
+++ b/src/coordinator/daemon.rs
@@ -8,6 +8,7 @@
     api::{self, SyncRuntimes},
     config::CoordinatorConfig,
     delegate_client::DelegateClient,
+    evacuation_store::EvacuationStore,
     grant_server::GrantServer,
     order_dispatcher::OrderDispatcher,
     plan_pusher::PlanPusher,
@@ -65,7 +66,7 @@
         }
     }
 
-    /// Sets the routes of the operators' API, which find the [`PlanStore`] in Rocket's state.
+    /// Sets the routes of the operators' API, which find the [`PlanStore`] and the [`EvacuationStore`] in Rocket's state.
     #[must_use]
     pub fn with_operator_routes(mut self, routes: Vec<Route>) -> Self {
         self.operator_routes = routes;
@@ -113,6 +114,7 @@
         let _services =
             spawn_services(control.system_listen.socket(), Arc::clone(&state), delegate).await?;
         let plans = Arc::new(PlanStore::new(Arc::clone(&state)));
+        let evacuations = Arc::new(EvacuationStore::new(Arc::clone(&state)));
         let system = build(&control.system_listen)
             .manage(SystemSecret(self.secret.clone()))
             .manage(SyncRuntimes::new(
@@ -125,6 +127,7 @@
             .mount("/", routes![api::sync_gateway, api::sync_delegate]);
         let operator = build(&listen_address(config.operator_listen))
             .manage(plans)
+            .manage(evacuations)
             .mount("/", self.operator_routes);
         let founder =
             FleetBootstrap::new(control, voter.clone(), client.clone(), self.secret.clone())
--- a/src/coordinator/delegate_view.rs
+++ b/src/coordinator/delegate_view.rs
@@ -8,10 +8,9 @@
 use crate::{
     clock::BootInstant,
     ids::{EntryKey, ServiceId, TargetId, Term},
-    plan::PlanVersion,
     sync::{
         DelegateReply, DelegateReport, DelegatedGateway, GatewayReport, ModelRequests,
-        PlanConfirmation, PolledEngine, RosterEntry, ServedModel,
+        PlanConfirmation, PolledEngine, RosterEntry, ServedModel, ServingState,
     },
 };
 
@@ -28,8 +27,8 @@
 pub struct DelegateView {
     is_needed: bool,
     term: Term,
-    /// Answered syncs with the leader: its newest plan, and when the sync was sent.
-    proofs: VecDeque<(PlanVersion, BootInstant)>,
+    /// Answered syncs with the leader: its newest plan and revision, and when the sync was sent.
+    proofs: VecDeque<(ServingState, BootInstant)>,
     pub(super) gateways: GatewayTable,
     /// Plans that the gateways have in force. Leases are recorded by the leader.
     pub(super) confirmations: PlanConfirmations,
@@ -82,30 +81,26 @@
         self.term
     }
 
-    /// Returns the age of the last proof that `newest`, this coordinator's newest plan, is the leader's newest
-    /// one; `None` if the coordinator must not answer syncs.
+    /// Returns the age of the last proof that `newest`, this coordinator's newest plan and revision, is no older than
+    /// what the leader has; `None` if the coordinator must not answer syncs.
     #[must_use]
-    pub fn proof_age(&self, newest: PlanVersion, now: BootInstant) -> Option<Duration> {
+    pub fn proof_age(&self, newest: ServingState, now: BootInstant) -> Option<Duration> {
         let proofs = self.proofs.iter().rev();
-        let mut proofs = proofs.filter(|(version, _)| *version <= newest);
+        let mut proofs = proofs.filter(|(named, _)| newest.covers(*named));
         let age = proofs.next().map(|(_, at)| now.saturating_since(*at))?;
         (self.is_needed && age < MAX_PROOF_AGE).then_some(age)
     }
 
-    /// Records a sync of a gateway that is about to be answered. `first_plan` is the plan that the reply
-    /// brings to a gateway without one.
-    pub fn record(
-        &mut self,
-        report: &GatewayReport,
-        first_plan: Option<PlanVersion>,
-        now: Duration,
-    ) {
+    /// Records a sync of a gateway that is about to be answered. `first` is what a gateway without a plan
+    /// serves by once it has received the reply.
+    pub fn record(&mut self, report: &GatewayReport, first: Option<ServingState>, now: Duration) {
         self.gateways.record(report, now);
         let confirmations = &mut self.confirmations;
-        confirmations.record_report(&report.gateway, report.plan_version, now);
-        if let Some(version) = first_plan {
-            confirmations.record_first_plan(&report.gateway, version, now);
+        confirmations.record_report(&report.gateway, report.serving_state(), now);
+        if let Some(first) = first {
+            confirmations.record_first_plan(&report.gateway, first, now);
         }
+        let first = first.unwrap_or_default();
         let gateway = DelegatedGateway {
             entry: RosterEntry {
                 gateway: report.gateway.clone(),
@@ -113,7 +108,9 @@
                 load_address: report.load_address,
             },
             plan_version: report.plan_version,
-            first_plan: first_plan.unwrap_or(0),
+            first_plan: first.plan_version,
+            evacuation_revision: report.evacuation_revision,
+            first_revision: first.evacuation_revision,
         };
         self.pending.add_gateway(gateway);
         self.pending.add_demand(&report.demand);
@@ -124,8 +121,8 @@
 
     /// Records that a gateway has put a plan in force. Returns whether the leader has to be told.
     pub fn confirm(&mut self, confirmation: &PlanConfirmation) -> bool {
-        let (gateway, version) = (&confirmation.gateway, confirmation.version);
-        if !self.confirmations.confirm(gateway, version) {
+        let (gateway, state) = (&confirmation.gateway, confirmation.serving_state());
+        if !self.confirmations.confirm(gateway, state) {
             return false;
         }
         let Some(entry) = self.gateways.roster_entry(gateway) else {
@@ -133,18 +130,21 @@
         };
         self.pending.add_gateway(DelegatedGateway {
             entry,
-            plan_version: version,
+            plan_version: state.plan_version,
             first_plan: 0,
+            evacuation_revision: state.evacuation_revision,
+            first_revision: 0,
         });
         true
     }
 
-    /// Returns the next report, and empties what it tells. `newest` is this coordinator's newest plan.
+    /// Returns the next report, and empties what it tells. `newest` is this coordinator's newest plan
+    /// and revision.
     pub fn make_report(
         &mut self,
         delegate: EntryKey,
         address: SocketAddr,
-        newest: PlanVersion,
+        newest: ServingState,
         list_version: crate::sync::ListVersion,
         now: Duration,
     ) -> DelegateReport {
@@ -155,7 +155,8 @@
         DelegateReport {
             delegate,
             address,
-            plan_version: newest,
+            plan_version: newest.plan_version,
+            evacuation_revision: newest.evacuation_revision,
             list_version,
             roster_number: self
                 .roster_at
@@ -198,12 +199,16 @@
             // The new leader has not heard of the gateways that the former one was told of.
             let synced: Vec<RosterEntry> = self.gateways.synced_gateways(now).collect();
             for entry in synced {
-                let held = self.confirmations.version(&entry.gateway).unwrap_or(0);
-                let sent = self.confirmations.sent_plan(&entry.gateway);
+                let held = self.confirmations.state(&entry.gateway).unwrap_or_default();
+                let sent = self.confirmations.sent_state(&entry.gateway);
+                let held = sent.map_or(held, |_| ServingState::default());
+                let sent = sent.unwrap_or_default();
                 self.pending.add_earlier_gateway(DelegatedGateway {
                     entry,
-                    plan_version: sent.map_or(held, |_| 0),
-                    first_plan: sent.unwrap_or(0),
+                    plan_version: held.plan_version,
+                    first_plan: sent.plan_version,
+                    evacuation_revision: held.evacuation_revision,
+                    first_revision: sent.evacuation_revision,
                 });
             }
         }
@@ -213,7 +218,7 @@
             self.proofs.clear();
             return;
         }
-        self.proofs.push_back((reply.plan_version, sent_at));
+        self.proofs.push_back((reply.serving_state(), sent_at));
         if self.proofs.len() > MAX_WAITING_PROOFS {
             self.proofs.pop_front();
         }
@@ -257,13 +262,20 @@
 /// Returns what two records of a gateway say together. A gateway that reports no plan was not reached by the
 /// first one that it was sent before.
 fn merge(earlier: DelegatedGateway, later: DelegatedGateway) -> DelegatedGateway {
-    let first_plan = match later.plan_version {
-        0 => later.first_plan,
-        _ => later.first_plan.max(earlier.first_plan),
+    let first = match (later.plan_version, later.first_plan, earlier.first_plan) {
+        (0, ..) | (_, _, 0) => later.first_state(),
+        (_, 0, _) => earlier.first_state(),
+        _ => {
+            let revision = later.first_revision.min(earlier.first_revision);
+            ServingState::new(later.first_plan.max(earlier.first_plan), revision)
+        }
     };
+    let held = later.serving_state().join(earlier.serving_state());
     DelegatedGateway {
-        plan_version: later.plan_version.max(earlier.plan_version),
-        first_plan,
+        plan_version: held.plan_version,
+        first_plan: first.plan_version,
+        evacuation_revision: held.evacuation_revision,
+        first_revision: first.evacuation_revision,
         ..later
     }
 }
--- a/src/coordinator/delegation.rs
+++ b/src/coordinator/delegation.rs
@@ -5,14 +5,15 @@
 use spdlog::prelude::*;
 
 use super::{
-    delegate_view::DelegateView, gateway_table::MAX_DIRECT_GATEWAYS, leader_work::LeaderWork,
-    state::CoordinatorState,
+    delegate_view::DelegateView,
+    gateway_table::MAX_DIRECT_GATEWAYS,
+    leader_work::LeaderWork,
+    state::{CoordinatorState, first_state},
 };
 use crate::{
     clock::BootInstant,
     error::{Error, Result},
-    plan::PlanVersion,
-    sync::{DelegateReply, DelegateReport, GatewayReply, GatewayReport, PlanUpdate, TargetList},
+    sync::{DelegateReply, DelegateReport, GatewayReply, GatewayReport, TargetList},
 };
 
 /// Maximum number of polls that a delegate picks up at once.
@@ -23,10 +24,6 @@
         self.delegate.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn newest_plan(&self) -> PlanVersion {
-        self.plans().newest_version().unwrap_or(0)
-    }
-
     /// Answers a gateway's sync in the leader's place.
     ///
     /// # Errors
@@ -39,16 +36,14 @@
         }
         let now = self.now();
         let mut delegate = self.delegate();
-        let newest = self.newest_plan();
+        let newest = self.newest_state();
         let age = delegate.proof_age(newest, BootInstant::now());
         let age = age.ok_or_else(not_leader)?;
         LeaderWork::add(&self.work.delegated_syncs, 1);
         let plan = self.plan_update(report);
-        let first_plan = match &plan {
-            Some(PlanUpdate::Full { version, .. }) if report.plan_version == 0 => Some(*version),
-            _ => None,
-        };
-        delegate.record(report, first_plan, now);
+        let evacuations = self.evacuations_since(report.evacuation_revision);
+        let first = first_state(report, plan.as_ref(), evacuations.as_ref());
+        delegate.record(report, first, now);
         let targets = delegate.listed_at.and_then(|_| self.target_changes(report));
         let list_age = delegate.listed_at.map(|at| now.saturating_sub(at));
         // One more millisecond for what rounding has cut off.
@@ -56,6 +51,7 @@
         Ok(GatewayReply {
             term: delegate.term(),
             plan,
+            evacuations,
             grants: Vec::new(),
             targets,
             are_parts_recorded: true,
@@ -90,21 +86,21 @@
                 || report.fleet_size as usize > MAX_DIRECT_GATEWAYS;
             let mut is_confirmed = false;
             for gateway in &report.gateways {
-                let (key, version) = (&gateway.entry.gateway, gateway.plan_version);
+                let (key, state) = (&gateway.entry.gateway, gateway.serving_state());
                 tables.gateways.record_delegated(&gateway.entry, now);
                 // Reports of several delegates come in any order: one without a plan may be old.
-                if version > 0 {
-                    is_confirmed |= tables.confirmations.record_report(key, version, now);
+                if state.plan_version > 0 {
+                    is_confirmed |= tables.confirmations.record_report(key, state, now);
                 }
                 if gateway.first_plan > 0 {
                     let confirmations = &mut tables.confirmations;
-                    confirmations.record_first_plan(key, gateway.first_plan, now);
+                    confirmations.record_first_plan(key, gateway.first_state(), now);
                 }
             }
             if is_needed {
                 let confirmations = &mut tables.confirmations;
                 is_confirmed |=
-                    confirmations.record_delegate(&report.delegate, report.plan_version, now);
+                    confirmations.record_delegate(&report.delegate, report.serving_state(), now);
                 tables
                     .delegates
                     .record(&report.delegate, report.address, now);
@@ -135,10 +131,12 @@
                 .roster_number
                 .and_then(|number| tables.gateways.roster_since(number));
             let list = tables.listed_at.filter(|_| is_needed);
+            let newest = self.newest_state();
             DelegateReply {
                 term: tables.term,
                 is_needed,
-                plan_version: self.newest_plan(),
+                plan_version: newest.plan_version,
+                evacuation_revision: newest.evacuation_revision,
                 targets: list.and_then(|_| self.changes_since(report.list_version)),
                 list_age_ms: list.map(|at| millis(now.saturating_sub(at))),
                 recorded_services: self.recorded_services(),
@@ -160,7 +158,7 @@
         let now = self.now();
         let mut delegate = self.delegate();
         // Read under the lock: syncs that were answered with an earlier plan are in the report.
-        let newest = self.newest_plan();
+        let newest = self.newest_state();
         let list_version = self.mirrored_version();
         delegate.make_report(self.own_key(), own.system, newest, list_version, now)
     }
--- a/src/coordinator/engine_view.rs
+++ b/src/coordinator/engine_view.rs
@@ -5,6 +5,7 @@
     adapter::{EngineStatus, LoadedModel, OrderAction, TargetEntry},
     ids::ModelId,
     plan::EnginePlan,
+    state::EvacuationState,
 };
 
 /// Time after which an engine no longer carries out an order that it did not answer.
@@ -67,6 +68,8 @@
     pub is_fenced: bool,
     /// Whether the engine is alive, suspected or lost.
     pub liveness: EngineLiveness,
+    /// Whether the data centre of the engine is evacuated.
+    pub evacuation: EvacuationState,
     /// When an order was last refused, which happens when another engine has taken over the
     /// address.
     pub last_refusal_at: Option<Duration>,
@@ -102,6 +105,7 @@
             unconfirmed_loads: Vec::new(),
             is_fenced: false,
             liveness: EngineLiveness::Alive,
+            evacuation: EvacuationState::InService,
             last_refusal_at: None,
             last_poll_at: Duration::ZERO,
             unanswered_polls: 0,
@@ -195,10 +199,12 @@
             && self.draining_model.is_none()
     }
 
-    /// Returns whether the engine is neither draining nor lost, so that its copies count.
+    /// Returns whether the engine is neither draining, evacuated nor lost, so that its copies count.
     #[must_use]
     pub fn is_available(&self) -> bool {
-        !self.entry.is_draining && self.liveness != EngineLiveness::Lost
+        !self.entry.is_draining
+            && self.evacuation == EvacuationState::InService
+            && self.liveness != EngineLiveness::Lost
     }
 
     /// Returns whether a model is loaded or being loaded.
--- a/src/coordinator/order_dispatcher.rs
+++ b/src/coordinator/order_dispatcher.rs
@@ -107,6 +107,8 @@
         if !is_first && now.saturating_sub(tables.started_at) < self.holder_lease {
             return;
         }
+        let evacuated = self.state.evacuated_data_centres();
+        tables.engines.set_evacuated(&evacuated);
         let orders = tables.engines.plan_orders(&plan, &tables.gateways, now);
         self.state.publish_targets(tables);
         for order in orders {
--- a/src/coordinator/plan_confirmations.rs
+++ b/src/coordinator/plan_confirmations.rs
@@ -1,11 +1,12 @@
 use std::{collections::HashMap, time::Duration};
 
-use crate::{ids::EntryKey, plan::PlanVersion};
+use crate::{ids::EntryKey, sync::ServingState};
 
-/// Plans that gateways have in force, which decide when a plan may be acknowledged to its operator.
+/// Plans and evacuations that gateways have in force, which decide when a plan or an evacuation may be acknowledged
+/// to its operator.
 ///
-/// Each sync gives a gateway a lease on its plan: until the lease ends, no newer plan is acknowledged
-/// that the gateway has not confirmed. The lease counts from the arrival of the report here and from its
+/// Each sync gives a gateway a lease on both: until the lease ends, no newer plan or later evacuation is
+/// acknowledged that the gateway has not confirmed. The lease counts from the arrival of the report here and from its
 /// sending there, so that it ends there first. A gateway without a lease runs by its plan for at most the
 /// time in which an acknowledged plan must be in force; see docs/design.md, section 18.
 #[derive(Debug)]
@@ -13,14 +14,14 @@
     lease: Duration,
     /// Time until which gateways that have not reported yet may have a lease of a former leader.
     unknown_until: Duration,
-    gateways: HashMap<EntryKey, LeasedPlan>,
+    gateways: HashMap<EntryKey, LeasedState>,
     /// Newest plans of the coordinators that answer syncs in the leader's place.
-    delegates: HashMap<EntryKey, LeasedPlan>,
+    delegates: HashMap<EntryKey, LeasedState>,
 }
 
 #[derive(Clone, Copy, Debug)]
-struct LeasedPlan {
-    version: PlanVersion,
+struct LeasedState {
+    state: ServingState,
     until: Duration,
     /// Whether the gateway has said that it has the plan; otherwise it was sent to it.
     is_reported: bool,
@@ -44,75 +45,77 @@
     pub fn record_report(
         &mut self,
         gateway: &EntryKey,
-        version: PlanVersion,
+        state: ServingState,
         now: Duration,
     ) -> bool {
         let known = self.gateways.get(gateway).copied();
-        if version == 0 {
+        if state.plan_version == 0 {
             // A gateway syncs again only after it has given up the reply with its first plan.
             let is_lost = known.is_some_and(|known| !known.is_reported);
             return is_lost && self.gateways.remove(gateway).is_some();
         }
-        let before = known.map_or(0, |known| known.version);
-        let leased = LeasedPlan {
-            version: before.max(version),
+        let before = known.map_or(ServingState::default(), |known| known.state);
+        let leased = LeasedState {
+            state: before.join(state),
             until: now + self.lease,
             is_reported: true,
         };
         self.gateways.insert(gateway.clone(), leased);
-        before < version
+        !before.covers(state)
     }
 
     /// Records that a gateway without a plan is sent its first one, which it may have in force from now on. Of
     /// several plans that it was sent, by coordinators whose reports may be late, it may apply any.
-    pub fn record_first_plan(&mut self, gateway: &EntryKey, version: PlanVersion, now: Duration) {
-        let leased = LeasedPlan {
-            version,
+    pub fn record_first_plan(&mut self, gateway: &EntryKey, state: ServingState, now: Duration) {
+        let leased = LeasedState {
+            state,
             until: now + self.lease,
             is_reported: false,
         };
         // A gateway that has lost the document of its plan still runs by it.
         let known = self.gateways.entry(gateway.clone()).or_insert(leased);
-        known.version = known.version.min(version);
+        known.state = known.state.meet(state);
         known.until = known.until.max(leased.until);
     }
 
-    /// Returns the first plan that a gateway was sent and has not reported.
+    /// Returns the first plan that a gateway was sent and has not reported, with the evacuations sent with it.
     #[must_use]
-    pub fn sent_plan(&self, gateway: &EntryKey) -> Option<PlanVersion> {
+    pub fn sent_state(&self, gateway: &EntryKey) -> Option<ServingState> {
         let known = self.gateways.get(gateway);
         known
             .filter(|known| !known.is_reported)
-            .map(|known| known.version)
+            .map(|known| known.state)
     }
 
-    /// Records a sync of a delegate whose newest plan is `version`. Until its lease ends, the delegate may give
-    /// leases on this plan that it has not reported yet. Returns whether the plan is newer than before.
+    /// Records a sync of a delegate whose newest plan and revision are `state`. Until its lease ends, the delegate may
+    /// give leases on these that it has not reported yet. Returns whether one of them is newer than before.
     pub fn record_delegate(
         &mut self,
         delegate: &EntryKey,
-        version: PlanVersion,
+        state: ServingState,
         now: Duration,
     ) -> bool {
-        let before = self
-            .delegates
-            .get(delegate)
-            .map_or(0, |known| known.version);
-        let leased = LeasedPlan {
-            version: before.max(version),
+        let known = self.delegates.get(delegate);
+        let before = known.map_or(ServingState::default(), |known| known.state);
+        let leased = LeasedState {
+            state: before.join(state),
             until: now + self.lease,
             is_reported: true,
         };
         self.delegates.insert(delegate.clone(), leased);
-        before < version
+        !before.covers(state)
     }
 
-    /// Records that a gateway has put a plan in force. Its lease is not renewed, since the gateway learns
-    /// nothing from it. Returns whether the plan is newer than the one before.
-    pub fn confirm(&mut self, gateway: &EntryKey, version: PlanVersion) -> bool {
+    /// Records that a gateway has put a plan in force and evacuations in effect. Its lease is not renewed, since the
+    /// gateway learns nothing from it. Returns whether one of them is newer than before.
+    pub fn confirm(&mut self, gateway: &EntryKey, state: ServingState) -> bool {
+        // A gateway without a plan has nothing in force: it has lost the reply that brought its first one.
+        if state.plan_version == 0 {
+            return false;
+        }
         match self.gateways.get_mut(gateway) {
-            Some(leased) if leased.version < version => {
-                leased.version = version;
+            Some(leased) if !leased.state.covers(state) => {
+                leased.state = leased.state.join(state);
                 leased.is_reported = true;
                 true
             }
@@ -120,25 +123,25 @@
         }
     }
 
-    /// Returns the newest plan that a gateway is known to have in force.
+    /// Returns the newest plan and the latest revision that a gateway is known to have in force.
     #[must_use]
-    pub fn version(&self, gateway: &EntryKey) -> Option<PlanVersion> {
-        self.gateways.get(gateway).map(|leased| leased.version)
+    pub fn state(&self, gateway: &EntryKey) -> Option<ServingState> {
+        self.gateways.get(gateway).map(|leased| leased.state)
     }
 
-    /// Returns whether each gateway has a plan or a newer one in force, or no lease on an older one, and no
-    /// delegate can give one.
+    /// Returns whether each gateway has a plan and evacuations or newer ones in force, or no lease on older ones, and
+    /// no delegate can give one.
     #[must_use]
-    pub fn is_confirmed(&self, version: PlanVersion, now: Duration) -> bool {
-        now >= self.unknown_until && self.count_behind(version, now) == 0
+    pub fn is_confirmed(&self, needed: ServingState, now: Duration) -> bool {
+        now >= self.unknown_until && self.count_behind(needed, now) == 0
     }
 
-    /// Returns the number of gateways and delegates with a lease on an older plan.
+    /// Returns the number of gateways and delegates with a lease on an older plan or an earlier revision.
     #[must_use]
-    pub fn count_behind(&self, version: PlanVersion, now: Duration) -> usize {
+    pub fn count_behind(&self, needed: ServingState, now: Duration) -> usize {
         let leased = self.gateways.values().chain(self.delegates.values());
         leased
-            .filter(|leased| leased.version < version && now < leased.until)
+            .filter(|leased| !leased.state.covers(needed) && now < leased.until)
             .count()
     }
 
--- a/src/coordinator/plan_pusher.rs
+++ b/src/coordinator/plan_pusher.rs
@@ -7,8 +7,7 @@
 use crate::{
     error::{Error, Result},
     ids::EntryKey,
-    plan::PlanVersion,
-    sync::{self, PlanConfirmation, PlanNews},
+    sync::{self, PlanConfirmation, PlanNews, ServingState},
 };
 
 /// Interval at which gateways without the newest plan are told of it.
@@ -23,20 +22,21 @@
 /// Delay after a failed receive.
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Task of the leader that tells gateways of a new plan as soon as it is accepted, and receives their
-/// confirmations. With the periodic sync alone, a plan would be acknowledged a sync interval later.
+/// Task of the leader that tells gateways of a new plan or evacuation as soon as it is accepted, and receives their
+/// confirmations. With the periodic sync alone, each would be acknowledged a sync interval later.
 pub struct PlanPusher {
     socket: UdpSocket,
     state: Arc<CoordinatorState>,
 }
 
-/// A gateway that lacks the newest plan.
+/// A gateway that lacks the newest plan or evacuation.
 #[derive(Clone, Debug)]
 pub(super) struct LaggingGateway {
     pub gateway: EntryKey,
     pub address: SocketAddr,
     pub news: PlanNews,
-    pub version: PlanVersion,
+    /// What the gateway has once it has received all of it.
+    pub state: ServingState,
 }
 
 impl PlanPusher {
@@ -58,13 +58,13 @@
     }
 
     async fn run_news(&self) {
-        let mut told: HashMap<EntryKey, (PlanVersion, Duration)> = HashMap::new();
+        let mut told: HashMap<EntryKey, (ServingState, Duration)> = HashMap::new();
         loop {
             tokio::time::sleep(PUSH_INTERVAL).await;
             let now = self.state.now();
-            let is_due = |gateway: &EntryKey, version: PlanVersion| {
+            let is_due = |gateway: &EntryKey, state: ServingState| {
                 told.get(gateway).is_none_or(|(known, at)| {
-                    *known != version || now.saturating_sub(*at) >= REPEAT_DELAY
+                    *known != state || now.saturating_sub(*at) >= REPEAT_DELAY
                 })
             };
             let lagging = self.state.lagging_gateways(MAX_PUSHES, is_due);
@@ -73,7 +73,7 @@
             }
             for lagging in lagging {
                 self.tell(&lagging).await;
-                told.insert(lagging.gateway, (lagging.version, now));
+                told.insert(lagging.gateway, (lagging.state, now));
             }
             told.retain(|_, (_, at)| now.saturating_sub(*at) < REPEAT_DELAY);
         }
--- a/src/coordinator/plan_store.rs
+++ b/src/coordinator/plan_store.rs
@@ -7,8 +7,9 @@
 use crate::{
     adapter::PlatformAdapter,
     error::Result,
+    plan::PlanVersion,
     state::{Command, ControlState},
-    sync::PublishedPlan,
+    sync::{PublishedPlan, ServingState},
     voter::VoterHandle,
 };
 
@@ -45,7 +46,7 @@
         let in_force = self.voter.read(ControlState::plan_version).await?;
         if version <= in_force {
             info!("plan: overtaken", kv: { plan = version, in_force = in_force });
-            return self.state.await_confirmation(version).await;
+            return self.await_gateways(version).await;
         }
         let plan = PublishedPlan {
             version,
@@ -53,7 +54,18 @@
         };
         self.voter.propose(Command::Publish(plan)).await?;
         info!("plan: accepted", kv: { plan = version, before = in_force });
-        self.state.await_confirmation(version).await
+        self.await_gateways(version).await
+    }
+
+    /// Waits until all gateways have a plan or a newer one in force.
+    async fn await_gateways(&self, version: PlanVersion) -> Result<()> {
+        let needed = ServingState::with_plan(version);
+        let waited = self.state.await_confirmation(needed).await?;
+        info!("plan: confirmed", kv: {
+            plan = version,
+            waited_ms = waited.as_millis(),
+        });
+        Ok(())
     }
 
     /// Returns the newest plan, taking into account every plan accepted before the call.
--- a/src/coordinator/state.rs
+++ b/src/coordinator/state.rs
@@ -27,8 +27,8 @@
     plan::PlanIndex,
     state::ControlState,
     sync::{
-        GatewayReply, GatewayReport, GrantReply, GrantRequest, LeaderRedirect, ListVersion,
-        ModelRequests, PartSection, PlanUpdate, TargetList,
+        EvacuationSection, GatewayReply, GatewayReport, GrantReply, GrantRequest, LeaderRedirect,
+        ListVersion, ModelRequests, PartSection, PlanUpdate, ServingState, TargetList,
     },
     voter::{LeaderLease, PartRecorder, VoterHandle},
 };
@@ -178,10 +178,17 @@
     /// Keeps each plan that this coordinator applies, until the task is dropped.
     pub(super) async fn follow_plans(&self) {
         let mut applied = self.voter.watch_applied();
+        let mut known_revision = 0;
         // An error means that the voter has stopped, which ends the daemon.
         while applied.changed().await.is_ok() {
             let known = self.plans().newest_version();
-            let newest = self.voter.read_local(ControlState::plan);
+            let (newest, revision) = self
+                .voter
+                .read_local(|state| (state.plan(), state.evacuations().revision()));
+            // A delegate reports at once what its leader waits for.
+            if std::mem::replace(&mut known_revision, revision) != revision {
+                self.delegate_due.notify_one();
+            }
             if let Some(published) = newest.filter(|newest| Some(newest.version) > known) {
                 self.plans().add(&published);
                 self.delegate_due.notify_one();
@@ -368,7 +375,7 @@
         let tables = &mut *tables;
         tables.gateways.record(report, now);
         let confirmations = &mut tables.confirmations;
-        if confirmations.record_report(&report.gateway, report.plan_version, now) {
+        if confirmations.record_report(&report.gateway, report.serving_state(), now) {
             self.confirmed.notify_waiters();
         }
         for requests in &report.demand {
@@ -394,9 +401,10 @@
         let now = self.now();
         let mut tables = self.tables(lease);
         let plan = self.plan_update(report);
-        if let (0, Some(PlanUpdate::Full { version, .. })) = (report.plan_version, &plan) {
+        let evacuations = self.evacuations_since(report.evacuation_revision);
+        if let Some(first) = first_state(report, plan.as_ref(), evacuations.as_ref()) {
             let confirmations = &mut tables.confirmations;
-            confirmations.record_first_plan(&report.gateway, *version, now);
+            confirmations.record_first_plan(&report.gateway, first, now);
         }
         let targets = match tables.listed_at {
             Some(_) => self.target_changes(report),
@@ -408,6 +416,7 @@
         GatewayReply {
             term: tables.term,
             plan,
+            evacuations,
             grants,
             targets,
             are_parts_recorded: true,
@@ -505,3 +514,18 @@
         self.publish_targets(&mut tables);
     }
 }
+
+/// Returns what a gateway without a plan serves by once it has received a reply with its first plan.
+pub(super) fn first_state(
+    report: &GatewayReport,
+    plan: Option<&PlanUpdate>,
+    evacuations: Option<&EvacuationSection>,
+) -> Option<ServingState> {
+    let revision = evacuations.map_or(report.evacuation_revision, |section| section.revision);
+    match plan {
+        Some(PlanUpdate::Full { version, .. }) if report.plan_version == 0 => {
+            Some(ServingState::new(*version, revision))
+        }
+        _ => None,
+    }
+}
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -70,6 +70,7 @@
         let deadline = tokio::time::Instant::now() + max_wait;
         let _waiter = self.sync_client.add_waiter(model);
         while self.choose(request, pool, &[]).is_none() {
+            self.check_evacuation(&model.service)?;
             let mut is_refusing = self.is_refusing.clone();
             let stopped = async {
                 // An error means that the daemon has ended.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -25,6 +25,8 @@
     Answered(Box<StartedExchange>),
     /// The request has not run and will not.
     NotRun(&'static str),
+    /// The target's data centre was evacuated after the target was chosen; nothing was sent.
+    Evacuated,
     /// The target does not hold the model, or another target listens at the address.
     Misdirected,
     /// The request may have run.
@@ -133,6 +135,10 @@
     if time_left.is_zero() {
         return ExchangeStart::NotRun("the time is over");
     }
+    // Connecting may have taken long. From here on, nothing waits before the request is written.
+    if guard.targets.is_evacuated(&target) {
+        return ExchangeStart::Evacuated;
+    }
     let outgoing = build_request(adapter, request, &guard.chosen, time_left);
     let response = connection.sender.try_send_request(outgoing);
     let response = match tokio::time::timeout(time_left, response).await {
--- a/src/gateway/liveness.rs
+++ b/src/gateway/liveness.rs
@@ -116,11 +116,11 @@
 }
 
 impl TableState {
-    /// Makes a target available for requests again unless it is leaving.
+    /// Makes a target available for requests again unless it is leaving or evacuated.
     pub(super) fn mark_available(&mut self, target: &TargetId) {
         let entry = self.entries.get(target);
-        if entry.is_some_and(|entry| !entry.is_draining) {
-            self.replicas.set_availability(target, Availability::Up);
+        if let Some(availability) = entry.map(|entry| self.availability(entry)) {
+            self.replicas.set_availability(target, availability);
         }
     }
 }
--- a/src/gateway/plan_news.rs
+++ b/src/gateway/plan_news.rs
@@ -15,7 +15,7 @@
 /// Delay after a failed receive.
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Receiver of news about plans from the leader, which confirms the plans that come into force.
+/// Receiver of news about plans and evacuations from the leader, which confirms what comes into force.
 pub struct PlanNewsReceiver {
     socket: UdpSocket,
     key: EntryKey,
@@ -65,26 +65,27 @@
         }
     }
 
-    /// Puts the plan in force and confirms it. A sync does so if that fails.
+    /// Puts a plan in force and evacuations in effect, and confirms them. A sync does so if that fails.
     async fn receive(&self, news: &PlanNews, leader: SocketAddr) {
-        let Some(version) = self.sync_client.apply_news(&news.update) else {
+        let Some(held) = self.sync_client.apply_news(news) else {
             self.sync_client.sync_now();
             return;
         };
         let confirmation = PlanConfirmation {
             gateway: self.key.clone(),
-            version,
+            version: held.plan_version,
+            evacuation_revision: held.evacuation_revision,
         };
         let sent = match sync::encode_compact(&confirmation) {
             Ok(bytes) => self.socket.send_to(&bytes, leader).await,
             Err(error) => {
-                debug!("gateway: cannot encode the confirmation of plan {version}: {error}");
+                debug!("gateway: cannot encode the confirmation of {held}: {error}");
                 return;
             }
         };
-        // The next sync confirms the plan as well.
+        // The next sync confirms it as well.
         if let Err(error) = sent {
-            debug!("gateway: cannot confirm plan {version}: {error}");
+            debug!("gateway: cannot confirm {held}: {error}");
         }
     }
 }
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -6,8 +6,7 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::{
     Request, Response, StatusCode,
     body::{Body, Incoming},
@@ -26,6 +25,7 @@
     plan_lease::{PlanLease, PlanStanding},
     relay::{RelayBody, RelayedAnswer},
     request::GatewayRequest,
+    request_body::read_body,
     retry_delay::add_retry_after,
     routing::{model_pool, prefix_blocks},
     stream_origins::StreamOrigins,
@@ -160,7 +160,7 @@
         let limit = metadata
             .deadline
             .map_or(limit, |deadline| deadline.min(limit));
-        let body = self.read_body(incoming, plan.plan().limits.max_body_bytes, limit);
+        let body = read_body(incoming, plan.plan().limits.max_body_bytes, limit);
         Ok(GatewayRequest {
             body: body.await?,
             route: Arc::clone(route),
@@ -193,25 +193,6 @@
         }
     }
 
-    async fn read_body(
-        &self,
-        incoming: Incoming,
-        max_bytes: usize,
-        limit: Duration,
-    ) -> Result<Bytes, RefusalNotice> {
-        let malformed = RefusalNotice::new(RefusalKind::Malformed, "the body is cut short");
-        let body = Limited::new(incoming, max_bytes).collect();
-        match tokio::time::timeout(limit, body).await {
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => Err(RefusalNotice::new(
-                RefusalKind::BodyTooLong,
-                "the body is too long",
-            )),
-            Ok(Err(_)) => Err(malformed),
-            Err(_) => Err(unavailable("the body did not arrive in time")),
-        }
-    }
-
     async fn forward(
         &self,
         request: &GatewayRequest,
@@ -223,6 +204,7 @@
         };
         let service = service.and_then(|id| request.plan.service(id));
         let service = service.ok_or_else(|| unavailable("the route has no service"))?;
+        self.check_evacuation(&service.id)?;
         let model = match (&service.engine, &request.metadata.model) {
             (Some(_), Some(model)) => Some(ServedModel {
                 service: service.id.clone(),
@@ -345,6 +327,8 @@
                     refusals += 1;
                     reason
                 }
+                // The target is not chosen again while its data centre is evacuated.
+                ExchangeStart::Evacuated => continue,
                 ExchangeStart::Misdirected => {
                     refusals += 1;
                     if let Some(model) = model {
--- a/src/gateway/sync_client.rs
+++ b/src/gateway/sync_client.rs
@@ -13,8 +13,10 @@
     absence_watch::AbsenceWatch,
     config::GatewayConfig,
     crash_watch::CrashWatch,
+    evacuations::confirmed_state,
     list_fallback::ListFallback,
     loads::LoadExchange,
+    model_waiter::ModelWaiter,
     part_watch::PartReport,
     plan_lease::DoubtfulTime,
     retry_delay::random_duration,
@@ -34,7 +36,7 @@
     plan::{DocumentDelta, PlanIndex, PlanVersion},
     sync::{
         self, GATEWAY_SYNC_PATH, GatewayReply, GatewayReport, LeaderRedirect, ListVersion,
-        PlanUpdate, SECRET_HEADER, ServedModel, TargetDigest,
+        PlanNews, PlanUpdate, SECRET_HEADER, ServedModel, ServingState, TargetDigest,
     },
 };
 
@@ -203,17 +205,24 @@
         self.state().absence.was_leaderless(began, ended)
     }
 
-    /// Applies a plan that the leader has sent between two syncs, and returns the version in force; `None`
-    /// when the gateway needs a sync to get the plan.
-    pub fn apply_news(&self, update: &PlanUpdate) -> Option<PlanVersion> {
-        let newest = update.version();
-        if self.state().document.0 < newest
+    /// Applies what the leader has sent between two syncs, and returns what is in force; `None` when the gateway
+    /// needs a sync to get it.
+    pub fn apply_news(&self, news: &PlanNews) -> Option<ServingState> {
+        if let Some(section) = &news.evacuations {
+            self.targets.apply_evacuations(section);
+        }
+        let held = self.state().document.0;
+        if let Some(update) = news
+            .update
+            .as_ref()
+            .filter(|update| update.version() > held)
             && let Err(error) = self.apply_plan_update(update)
         {
+            let newest = update.version();
             debug!("gateway: cannot apply plan {newest} without a sync: {error}");
         }
         let held = self.state().document.0;
-        (held >= newest).then_some(held)
+        confirmed_state(news, held, self.targets.evacuation_revision())
     }
 
     /// Requests a model with every sync until the returned guard is dropped.
@@ -230,7 +239,7 @@
         self.wanted_models().values().any(|waiters| *waiters > 0)
     }
 
-    fn wanted_models(&self) -> std::sync::MutexGuard<'_, HashMap<ServedModel, usize>> {
+    pub(super) fn wanted_models(&self) -> std::sync::MutexGuard<'_, HashMap<ServedModel, usize>> {
         self.wanted_models
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
@@ -334,6 +343,7 @@
             gateway: self.key.clone(),
             data_centre: self.config.data_centre.clone(),
             plan_version: self.state().document.0,
+            evacuation_revision: self.targets.evacuation_revision(),
             list_version: ListVersion::default(),
             list_digest: Vec::new(),
             shares: Vec::new(),
@@ -453,6 +463,10 @@
     }
 
     fn apply_reply(&self, reply: GatewayReply, peer: SyncPeer, sent_at: BootInstant) {
+        // The first plan comes into force after the evacuations that were sent with it.
+        if let Some(section) = &reply.evacuations {
+            self.targets.apply_evacuations(section);
+        }
         let applied = reply
             .plan
             .as_ref()
@@ -617,22 +631,3 @@
         }
     }
 }
-
-/// Guard of a request that waits for a model. The model is requested until the last guard is
-/// dropped.
-pub struct ModelWaiter {
-    client: Arc<SyncClient>,
-    model: ServedModel,
-}
-
-impl Drop for ModelWaiter {
-    fn drop(&mut self) {
-        let mut wanted = self.client.wanted_models();
-        if let Some(waiters) = wanted.get_mut(&self.model) {
-            *waiters = waiters.saturating_sub(1);
-            if *waiters == 0 {
-                wanted.remove(&self.model);
-            }
-        }
-    }
-}
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -9,6 +9,7 @@
 use tokio::sync::Notify;
 
 use super::{
+    evacuations::EvacuationSet,
     liveness::TargetLiveness,
     routing::{replica_spec, split_model},
 };
@@ -18,8 +19,8 @@
     ids::{DataCentreId, ServiceId, SoftwareVersion, TargetId},
     plan::PlanIndex,
     route::{
-        Availability, ExchangeOutcome, LoadReport, PrefixBlock, ReplicaTable, RouteChoice,
-        RouteRequest, RouteTuning,
+        ExchangeOutcome, LoadReport, PrefixBlock, ReplicaTable, RouteChoice, RouteRequest,
+        RouteTuning,
     },
     sync::{
         ListVersion, LoadSum, ServedModel, TargetCrash, TargetDigest, TargetHash, TargetList,
@@ -67,6 +68,7 @@
     pub(super) replicas: ReplicaTable,
     pub(super) entries: HashMap<TargetId, TargetEntry>,
     pub(super) running_requests: BTreeMap<TargetId, u32>,
+    pub(super) evacuations: EvacuationSet,
     list_version: ListVersion,
     /// Number of changes of the list that the leader did not make.
     local_changes: u64,
@@ -95,6 +97,7 @@
                 replicas: ReplicaTable::new(tuning, &[(data_centre.clone(), Duration::ZERO)]),
                 entries: HashMap::new(),
                 running_requests: BTreeMap::new(),
+                evacuations: EvacuationSet::default(),
                 list_version: ListVersion::default(),
                 local_changes: 0,
                 announced_software: HashSet::new(),
@@ -151,6 +154,12 @@
         (!entry.is_draining).then(|| TargetCrash::new(entry.id.clone(), entry.started_ms))
     }
 
+    /// Wakes all requests that wait for a target.
+    pub(super) fn notify_all(&self) {
+        self.list_changed.notify_waiters();
+        self.capacity_freed.notify_waiters();
+    }
+
     /// Waits until the target list changes.
     pub async fn list_changed(&self) {
         self.list_changed.notified().await;
@@ -445,12 +454,7 @@
             self.replicas.remove(&entry.id);
         }
         self.replicas.upsert(&replica_spec(plan, &entry));
-        let liveness = self.liveness.get(&entry.id);
-        let availability = match liveness {
-            _ if entry.is_draining => Availability::Draining,
-            Some(liveness) if liveness.is_silent => Availability::Down,
-            _ => Availability::Up,
-        };
+        let availability = self.availability(&entry);
         self.replicas.set_availability(&entry.id, availability);
         self.entries.insert(entry.id.clone(), entry);
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -12,6 +12,7 @@
 mod crash_table;
 mod drain_request;
 mod drain_table;
+mod evacuation_table;
 mod machine;
 mod memory_table;
 mod outcome;
@@ -30,6 +31,7 @@
 pub use crash_table::CrashTable;
 pub use drain_request::{DrainOutcome, DrainRequest, DrainState, DrainSubject};
 pub use drain_table::DrainTable;
+pub use evacuation_table::{EvacuationChange, EvacuationOutcome, EvacuationState, EvacuationTable};
 pub use machine::ControlState;
 pub use memory_table::MemoryTable;
 pub use outcome::{
--- a/src/state/command.rs
+++ b/src/state/command.rs
@@ -1,7 +1,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    ApplyRequest, ClaimRequest, ClaimTicket, DrainRequest, RecordedResponse, SettleResult,
+    ApplyRequest, ClaimRequest, ClaimTicket, DrainRequest, EvacuationChange, RecordedResponse,
+    SettleResult,
 };
 use crate::{
     ids::{
@@ -18,6 +19,8 @@
 const PARTS_LEVEL: CommandLevel = 3;
 /// Lowest command level at which every voter can apply versions that began streams.
 const STREAMS_LEVEL: CommandLevel = 4;
+/// Lowest command level at which every voter can apply evacuations of data centres.
+const EVACUATION_LEVEL: CommandLevel = 5;
 
 /// A state change that is replicated through the log; docs/design.md, section 5, lists them all.
 ///
@@ -120,6 +123,8 @@
     Drain(DrainRequest),
     /// Puts a serving plan in force if its version is higher than that of the current plan.
     Publish(PublishedPlan),
+    /// Evacuates a data centre or returns it to service.
+    Evacuate(EvacuationChange),
     /// Raises the highest command level that may be proposed.
     RaiseLevel {
         /// The new level.
@@ -135,6 +140,7 @@
             Self::Publish(_) => PUBLISH_LEVEL,
             Self::ReportParts(_) | Self::ClearParts(_) => PARTS_LEVEL,
             Self::ObserveVersions(_) | Self::RecordStreams { .. } => STREAMS_LEVEL,
+            Self::Evacuate(_) => EVACUATION_LEVEL,
             _ => 1,
         }
     }
--- a/src/state/machine.rs
+++ b/src/state/machine.rs
@@ -4,8 +4,8 @@
 
 use super::{
     ApplyOutcome, ApplyRequest, ClaimTable, Command, ConfigHistory, CrashTable, DrainOutcome,
-    DrainRequest, DrainTable, MemoryTable, Outcome, RequestTable, StampedCommand, StreamTable,
-    request_table::RequestLookup,
+    DrainRequest, DrainTable, EvacuationTable, MemoryTable, Outcome, RequestTable, StampedCommand,
+    StreamTable, request_table::RequestLookup,
 };
 use crate::{
     border::FleetConfig,
@@ -34,6 +34,8 @@
     plan: Option<Arc<PublishedPlan>>,
     #[serde(default)]
     streams: StreamTable,
+    #[serde(default)]
+    evacuations: EvacuationTable,
 }
 
 impl ControlState {
@@ -114,6 +116,9 @@
                 self.plan = Some(Arc::new(plan.clone()));
             }
             Command::Publish(_) => {}
+            Command::Evacuate(change) => {
+                return Outcome::Evacuate(self.evacuations.apply(change));
+            }
             Command::RaiseLevel { level } => self.level = self.level.max(*level),
         }
         Outcome::Done
@@ -240,6 +245,12 @@
         &self.drains
     }
 
+    /// Returns the evacuated data centres.
+    #[must_use]
+    pub fn evacuations(&self) -> &EvacuationTable {
+        &self.evacuations
+    }
+
     /// Encodes the state as a snapshot.
     ///
     /// # Errors
--- a/src/state/outcome.rs
+++ b/src/state/outcome.rs
@@ -1,6 +1,6 @@
 use serde::{Deserialize, Serialize};
 
-use super::{ClaimOutcome, DrainOutcome};
+use super::{ClaimOutcome, DrainOutcome, EvacuationOutcome};
 use crate::ids::Revision;
 
 /// Result of applying a command.
@@ -20,6 +20,8 @@
     Reserve(ReserveOutcome),
     /// Result of a drain request.
     Drain(DrainOutcome),
+    /// Result of an evacuation change.
+    Evacuate(EvacuationOutcome),
 }
 
 /// Result of an operator's apply request, recorded for resends.
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -11,6 +11,7 @@
 mod reply;
 mod report;
 mod request;
+mod serving_state;
 mod streams;
 
 pub use claims::{CLAIMS_PATH, CRASHES_PATH, ClaimMessage, CommandReply, CrashMessage};
@@ -34,6 +35,7 @@
 };
 pub use report::{EngineReport, ResidentCopy};
 pub use request::{ModelDemand, SyncRequest, TargetObservation, TargetReport};
+pub use serving_state::{EvacuationSection, ServingState};
 pub use streams::{StreamAnswer, StreamOrigin, StreamQuery, StreamStart, VersionObservation};
 
 use serde::{Serialize, de::DeserializeOwned};
--- a/src/sync/delegate.rs
+++ b/src/sync/delegate.rs
@@ -4,9 +4,9 @@
 
 use crate::{
     adapter::{EngineStatus, TargetEntry},
-    ids::{DataCentreId, EntryKey, ServiceId, TargetId, Term},
+    ids::{DataCentreId, EntryKey, Revision, ServiceId, TargetId, Term},
     plan::PlanVersion,
-    sync::{ListVersion, ModelRequests, TargetList},
+    sync::{ListVersion, ModelRequests, ServingState, TargetList},
 };
 
 /// Path of a delegate's sync on the system port.
@@ -38,6 +38,17 @@
     pub unresponsive: Vec<TargetId>,
     /// Results of polls of engines.
     pub polled: Vec<PolledEngine>,
+    /// Revision of the evacuated data centres that the coordinator has, to which the same applies as to its plan.
+    #[serde(default)]
+    pub evacuation_revision: Revision,
+}
+
+impl DelegateReport {
+    /// Returns the newest state of the coordinator.
+    #[must_use]
+    pub fn serving_state(&self) -> ServingState {
+        ServingState::new(self.plan_version, self.evacuation_revision)
+    }
 }
 
 /// Result of the poll of an engine.
@@ -58,6 +69,26 @@
     pub plan_version: PlanVersion,
     /// First plan that it was sent since its last report; 0 if it was sent none.
     pub first_plan: PlanVersion,
+    /// Revision of the evacuated data centres that it has in effect.
+    #[serde(default)]
+    pub evacuation_revision: Revision,
+    /// Revision that it had in effect or was sent with the first plan.
+    #[serde(default)]
+    pub first_revision: Revision,
+}
+
+impl DelegatedGateway {
+    /// Returns what the gateway has reported to serve by.
+    #[must_use]
+    pub fn serving_state(&self) -> ServingState {
+        ServingState::new(self.plan_version, self.evacuation_revision)
+    }
+
+    /// Returns what the gateway serves by once it has received its first plan.
+    #[must_use]
+    pub fn first_state(&self) -> ServingState {
+        ServingState::new(self.first_plan, self.first_revision)
+    }
 }
 
 /// A gateway of the fleet.
@@ -102,4 +133,15 @@
     pub delegates: Vec<SocketAddr>,
     /// Engines whose status the coordinator is to ask for.
     pub polls: Vec<TargetEntry>,
+    /// Newest revision of the evacuated data centres of the leader, which the coordinator receives by the log.
+    #[serde(default)]
+    pub evacuation_revision: Revision,
+}
+
+impl DelegateReply {
+    /// Returns the newest state of the leader.
+    #[must_use]
+    pub fn serving_state(&self) -> ServingState {
+        ServingState::new(self.plan_version, self.evacuation_revision)
+    }
 }
--- a/src/sync/gateway.rs
+++ b/src/sync/gateway.rs
@@ -7,11 +7,11 @@
     adapter::TargetEntry,
     allowance::{ShareGrant, ShareReport},
     error::Result,
-    ids::{DataCentreId, EntryKey, ModelId, ServiceId, TargetId, Term},
+    ids::{DataCentreId, EntryKey, ModelId, Revision, ServiceId, TargetId, Term},
     plan::PlanVersion,
     sync::{
-        self, CompletedPart, CrashEvidence, LoadTopology, PartSection, StreamAnswer, StreamQuery,
-        StreamStart, TargetHash, target_hash,
+        self, CompletedPart, CrashEvidence, EvacuationSection, LoadTopology, PartSection,
+        ServingState, StreamAnswer, StreamQuery, StreamStart, TargetHash, target_hash,
     },
 };
 
@@ -28,6 +28,9 @@
     /// Version of the plan that the gateway has in force; 0 before the first plan.
     #[serde(rename = "plan")]
     pub plan_version: PlanVersion,
+    /// Revision of the evacuated data centres that the gateway has in effect.
+    #[serde(default)]
+    pub evacuation_revision: Revision,
     /// Version of the target list that the gateway has.
     #[serde(rename = "list")]
     pub list_version: ListVersion,
@@ -129,6 +132,9 @@
     pub term: Term,
     /// Update to the newest plan; `None` when the gateway has it already.
     pub plan: Option<PlanUpdate>,
+    /// The evacuated data centres; `None` when the gateway has them already.
+    #[serde(default)]
+    pub evacuations: Option<EvacuationSection>,
     /// Grants of the teams' allowances.
     pub grants: Vec<ShareGrant>,
     /// Update of the target list; `None` when the gateway is up to date.
@@ -174,6 +180,12 @@
 }
 
 impl GatewayReport {
+    /// Returns what the gateway serves by.
+    #[must_use]
+    pub fn serving_state(&self) -> ServingState {
+        ServingState::new(self.plan_version, self.evacuation_revision)
+    }
+
     /// Returns whether the report has something that only the leader can record or answer.
     #[must_use]
     pub fn needs_leader(&self) -> bool {
--- a/src/voter/settings.rs
+++ b/src/voter/settings.rs
@@ -7,7 +7,7 @@
 };
 
 /// Highest command level that this release supports.
-pub const SUPPORTED_LEVEL: CommandLevel = 4;
+pub const SUPPORTED_LEVEL: CommandLevel = 5;
 
 /// Settings of one voter.
 #[derive(Clone, Debug)]
--- a/tests/delegate_view.rs
+++ b/tests/delegate_view.rs
@@ -10,7 +10,7 @@
     plan::PlanVersion,
     sync::{
         DelegateReply, DelegateReport, GatewayReport, GatewayRoster, ListVersion, PlanConfirmation,
-        RosterEntry,
+        RosterEntry, ServingState,
     },
 };
 
@@ -28,6 +28,7 @@
         gateway: key(vm),
         data_centre: "a".into(),
         plan_version,
+        evacuation_revision: 0,
         list_version: ListVersion::default(),
         list_digest: Vec::new(),
         shares: Vec::new(),
@@ -55,11 +56,13 @@
         roster: None,
         delegates: Vec::new(),
         polls: Vec::new(),
+        evacuation_revision: 0,
     }
 }
 
 fn report(view: &mut DelegateView, newest: PlanVersion, now: Duration) -> DelegateReport {
     let address = "10.0.0.2:7600".parse().unwrap();
+    let newest = ServingState::with_plan(newest);
     view.make_report(key("core-2"), address, newest, ListVersion::default(), now)
 }
 
@@ -83,8 +86,14 @@
     let sent_at = BootInstant::now();
     view.apply(reply(1, 5), sent_at, Duration::ZERO);
     let age = Duration::from_millis(300);
-    assert_eq!(view.proof_age(5, sent_at + age), Some(age));
-    assert_eq!(view.proof_age(5, sent_at + Duration::from_secs(1)), None);
+    assert_eq!(
+        view.proof_age(ServingState::with_plan(5), sent_at + age),
+        Some(age)
+    );
+    assert_eq!(
+        view.proof_age(ServingState::with_plan(5), sent_at + Duration::from_secs(1)),
+        None
+    );
 }
 
 /// Guards against a proof of a plan that the log has not brought yet (CONFIG).
@@ -96,9 +105,15 @@
     let second = sent_at + Duration::from_millis(100);
     view.apply(reply(1, 6), second, Duration::from_millis(100));
     let now = second + Duration::from_millis(100);
-    assert_eq!(view.proof_age(5, now), Some(Duration::from_millis(200)));
-    assert_eq!(view.proof_age(6, now), Some(Duration::from_millis(100)));
-    assert_eq!(view.proof_age(4, now), None);
+    assert_eq!(
+        view.proof_age(ServingState::with_plan(5), now),
+        Some(Duration::from_millis(200))
+    );
+    assert_eq!(
+        view.proof_age(ServingState::with_plan(6), now),
+        Some(Duration::from_millis(100))
+    );
+    assert_eq!(view.proof_age(ServingState::with_plan(4), now), None);
 }
 
 #[test]
@@ -111,7 +126,7 @@
         ..reply(1, 5)
     };
     view.apply(idle, sent_at, Duration::ZERO);
-    assert_eq!(view.proof_age(5, sent_at), None);
+    assert_eq!(view.proof_age(ServingState::with_plan(5), sent_at), None);
 }
 
 /// Guards against plans that are acknowledged although a gateway of a delegate runs by an older one (CONFIG): the
@@ -120,7 +135,11 @@
 fn lost_report_is_repeated_with_what_came_later() {
     let mut view = DelegateView::new(LEASE);
     view.record(&gateway_report("edge-1", 3), None, Duration::ZERO);
-    view.record(&gateway_report("edge-2", 0), Some(3), Duration::ZERO);
+    view.record(
+        &gateway_report("edge-2", 0),
+        Some(ServingState::with_plan(3)),
+        Duration::ZERO,
+    );
     let lost = report(&mut view, 3, Duration::ZERO);
     assert_eq!(told(&lost), [("edge-1", 3, 0), ("edge-2", 0, 3)]);
     view.record(&gateway_report("edge-1", 5), None, Duration::ZERO);
@@ -138,6 +157,7 @@
     let confirmation = PlanConfirmation {
         gateway: key("edge-1"),
         version: 5,
+        evacuation_revision: 0,
     };
     assert!(view.confirm(&confirmation));
     assert!(!view.confirm(&confirmation), "twice");
--- a/tests/engine_fleet/mod.rs
+++ b/tests/engine_fleet/mod.rs
@@ -155,6 +155,7 @@
         },
         data_centre: "a".into(),
         plan_version: 1,
+        evacuation_revision: 0,
         list_version: ListVersion::default(),
         list_digest: Vec::new(),
         shares: Vec::new(),
--- a/tests/load_aggregator.rs
+++ b/tests/load_aggregator.rs
@@ -63,6 +63,7 @@
                 gateway: key(number),
                 data_centre: format!("centre-{}", number % data_centres).into(),
                 plan_version: 0,
+                evacuation_revision: 0,
                 list_version: ListVersion::default(),
                 list_digest: Vec::new(),
                 shares: Vec::new(),
--- a/tests/model_plans.rs
+++ b/tests/model_plans.rs
@@ -13,7 +13,7 @@
     gateway::{AbsenceWatch, DoubtfulTime, PlanLease, PlanStanding},
     ids::EntryKey,
     raft::VoterId,
-    sync::AbsenceReport,
+    sync::{AbsenceReport, ServingState},
 };
 
 const TICK: Duration = Duration::from_secs(1);
@@ -209,6 +209,10 @@
     VoterId::new(format!("core-{voter}"), 1)
 }
 
+fn plan_state(version: u8) -> ServingState {
+    ServingState::with_plan(u64::from(version))
+}
+
 fn ticks(count: u8) -> Duration {
     TICK * u32::from(count)
 }
@@ -224,17 +228,17 @@
             if let Some((version, at)) = sent
                 && self.fault != Fault::FirstPlanForgotten
             {
-                confirmations.record_first_plan(&key(gateway), u64::from(*version), ticks(*at));
+                confirmations.record_first_plan(&key(gateway), plan_state(*version), ticks(*at));
             }
         }
         if let Some((version, at)) = state.delegate.report
             && self.fault != Fault::DelegateIgnored
         {
-            confirmations.record_delegate(&key(GATEWAYS), u64::from(version), ticks(at));
+            confirmations.record_delegate(&key(GATEWAYS), plan_state(version), ticks(at));
         }
         for (gateway, report) in state.reports.iter().enumerate() {
             if let Some((version, at)) = report {
-                confirmations.record_report(&key(gateway), u64::from(*version), ticks(*at));
+                confirmations.record_report(&key(gateway), plan_state(*version), ticks(*at));
             }
         }
         confirmations
@@ -254,7 +258,7 @@
         self.fault == Fault::AcknowledgedAtCommit
             || self
                 .confirmations(state)
-                .is_confirmed(u64::from(state.newest), ticks(state.now))
+                .is_confirmed(plan_state(state.newest), ticks(state.now))
     }
 
     /// Returns whether the first gateway holds that nothing was acknowledged in a time.
--- a/tests/plan_fleet.rs
+++ b/tests/plan_fleet.rs
@@ -11,6 +11,7 @@
     coordinator::PlanConfirmations,
     gateway::{PlanLease, PlanStanding},
     ids::EntryKey,
+    sync::ServingState,
 };
 
 const BOUND: Duration = Duration::from_secs(3);
@@ -168,7 +169,11 @@
                 term,
             } if term == self.term => {
                 if let Some(confirmations) = &mut self.confirmations {
-                    confirmations.record_report(&key(gateway), held, self.now);
+                    confirmations.record_report(
+                        &key(gateway),
+                        ServingState::with_plan(held),
+                        self.now,
+                    );
                     let newest = self.newest;
                     self.send(Event::Reply {
                         gateway,
@@ -202,7 +207,7 @@
                 term,
             } if term == self.term => {
                 if let Some(confirmations) = &mut self.confirmations {
-                    confirmations.confirm(&key(gateway), version);
+                    confirmations.confirm(&key(gateway), ServingState::with_plan(version));
                 }
             }
             Event::Publish => {
@@ -239,10 +244,9 @@
             return;
         };
         let now = self.now;
-        let (confirmed, waiting) = self
-            .waiting
-            .drain(..)
-            .partition(|(version, _)| confirmations.is_confirmed(*version, now));
+        let (confirmed, waiting) = self.waiting.drain(..).partition(|(version, _)| {
+            confirmations.is_confirmed(ServingState::with_plan(*version), now)
+        });
         self.waiting = waiting;
         let confirmed: Vec<(u64, Duration)> = confirmed;
         for (version, published_at) in confirmed {
@@ -326,20 +330,29 @@
         let now = Duration::from_secs(second);
         for gateway in 0..291 {
             let held = if gateway < 100 { 8 } else { 0 };
-            confirmations.record_report(&key(gateway), held, now);
+            confirmations.record_report(&key(gateway), ServingState::with_plan(held), now);
         }
-        assert!(confirmations.is_confirmed(8, now), "after {now:?}");
+        assert!(
+            confirmations.is_confirmed(ServingState::with_plan(8), now),
+            "after {now:?}"
+        );
         // One in ten is sent a plan, which is lost.
         for gateway in (100..291).step_by(10) {
-            confirmations.record_first_plan(&key(gateway), 8, now);
+            confirmations.record_first_plan(&key(gateway), ServingState::with_plan(8), now);
         }
     }
     let last = Duration::from_secs(19);
-    assert_eq!(confirmations.count_behind(9, last), 120);
+    assert_eq!(
+        confirmations.count_behind(ServingState::with_plan(9), last),
+        120
+    );
     // A gateway that has lost the document of its plan still runs by it.
-    confirmations.record_report(&key(0), 0, last);
-    confirmations.record_first_plan(&key(0), 9, last);
-    assert_eq!(confirmations.count_behind(9, last), 120);
+    confirmations.record_report(&key(0), ServingState::with_plan(0), last);
+    confirmations.record_first_plan(&key(0), ServingState::with_plan(9), last);
+    assert_eq!(
+        confirmations.count_behind(ServingState::with_plan(9), last),
+        120
+    );
 }
 
 /// Guards against plans that are acknowledged although a gateway runs by an older one (CONFIG): delegates report what
@@ -348,13 +361,25 @@
 fn oldest_plan_that_a_gateway_was_sent_counts_until_its_last_lease_ends() {
     let second = Duration::from_secs(1);
     let mut confirmations = PlanConfirmations::new(BOUND, Duration::ZERO);
-    confirmations.record_first_plan(&key(0), 4, second);
-    confirmations.record_first_plan(&key(0), 3, 2 * second);
-    assert_eq!(confirmations.count_behind(4, 2 * second), 1);
-    assert_eq!(confirmations.count_behind(4, 4 * second), 1);
+    confirmations.record_first_plan(&key(0), ServingState::with_plan(4), second);
+    confirmations.record_first_plan(&key(0), ServingState::with_plan(3), 2 * second);
+    assert_eq!(
+        confirmations.count_behind(ServingState::with_plan(4), 2 * second),
+        1
+    );
+    assert_eq!(
+        confirmations.count_behind(ServingState::with_plan(4), 4 * second),
+        1
+    );
     // A gateway that has lost the document of its plan applies the one that it is sent.
-    confirmations.record_report(&key(1), 8, Duration::ZERO);
-    confirmations.record_first_plan(&key(1), 9, 2 * second);
-    assert_eq!(confirmations.count_behind(9, 2 * second), 2);
-    assert_eq!(confirmations.count_behind(10, 4 * second), 2);
+    confirmations.record_report(&key(1), ServingState::with_plan(8), Duration::ZERO);
+    confirmations.record_first_plan(&key(1), ServingState::with_plan(9), 2 * second);
+    assert_eq!(
+        confirmations.count_behind(ServingState::with_plan(9), 2 * second),
+        2
+    );
+    assert_eq!(
+        confirmations.count_behind(ServingState::with_plan(10), 4 * second),
+        2
+    );
 }
