--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -27,6 +27,8 @@
     Answered(Box<StartedExchange>),
     /// The request has not run and will not.
     NotRun(&'static str),
+    /// The target's data centre was evacuated after the target was chosen; nothing was sent.
+    Evacuated,
     /// The target does not hold the model, or another target listens at the address.
     Misdirected,
     /// The request may have run.
@@ -142,6 +144,11 @@
     if time_left.is_zero() {
         return ExchangeStart::NotRun("the time is over");
     }
+    // Connecting may have taken long. From here on, nothing waits before the request is written.
+    if guard.targets.is_evacuated(&target) {
+        connections.put_back(&target, connection);
+        return ExchangeStart::Evacuated;
+    }
     // The target may have turned cold since it was chosen.
     if guard.targets.is_cold(&target) && !permit.is_some_and(WarmupPermit::try_use) {
         connections.put_back(&target, connection);
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -214,6 +214,7 @@
         };
         let service = service.and_then(|id| request.plan.service(id));
         let service = service.ok_or_else(|| unavailable("the route has no service"))?;
+        self.check_evacuation(&service.id)?;
         let model = match (&service.engine, &request.metadata.model) {
             (Some(_), Some(model)) => Some(ServedModel {
                 service: service.id.clone(),
@@ -344,6 +345,8 @@
                     refusals += 1;
                     reason
                 }
+                // The target is not chosen again while its data centre is evacuated.
+                ExchangeStart::Evacuated => continue,
                 ExchangeStart::Misdirected => {
                     refusals += 1;
                     if let Some(model) = model {
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -12,6 +12,7 @@
 mod reply;
 mod report;
 mod request;
+mod serving_state;
 mod streams;
 mod waiting;
 
@@ -37,6 +38,7 @@
 };
 pub use report::{EngineReport, ResidentCopy};
 pub use request::{ModelDemand, SyncRequest, TargetObservation, TargetReport};
+pub use serving_state::{EvacuationSection, ServingState};
 pub use streams::{StreamAnswer, StreamOrigin, StreamQuery, StreamStart, VersionObservation};
 pub use waiting::{PoolHash, WaitSum, pool_hash};
 
