Start the upkeep of a gateway in a function of its own

Change: the tasks that keep the gateway's view up to date start in spawn_upkeep; clone_from in ReplicaTable. Conclusion: no change of behaviour.

--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -146,12 +146,9 @@
         });
         let (close_sender, is_closing) = watch::channel(false);
         tokio::spawn(readiness_server.run(ready_listener));
-        tokio::spawn(async move { sync_client.run().await });
         tokio::spawn(grants.run());
         tokio::spawn(news.run());
-        tokio::spawn(async move { loads.run().await });
-        tokio::spawn(queues.run(Arc::clone(&targets)));
-        tokio::spawn(maintain(targets, connections));
+        spawn_upkeep(sync_client, loads, queues, targets, connections);
         let server = tokio::spawn(caller_server::run(listener, Arc::clone(&proxy), is_closing));
         info!(
             "gateway: {} accepts callers' connections at {}",
@@ -178,6 +175,20 @@
     }
 }
 
+/// Starts the tasks that keep the gateway's view of the fleet up to date.
+fn spawn_upkeep(
+    sync_client: Arc<SyncClient>,
+    loads: Arc<LoadExchange>,
+    queues: Arc<AdmissionQueues>,
+    targets: Arc<TargetTable>,
+    connections: Arc<TargetConnections>,
+) {
+    tokio::spawn(async move { sync_client.run().await });
+    tokio::spawn(async move { loads.run().await });
+    tokio::spawn(queues.run(Arc::clone(&targets)));
+    tokio::spawn(maintain(targets, connections));
+}
+
 /// Checks targets for silence and closes expired connections until the task is dropped.
 async fn maintain(targets: Arc<TargetTable>, connections: Arc<TargetConnections>) {
     let mut last_cleanup = Instant::now();
--- a/src/route/table.rs
+++ b/src/route/table.rs
@@ -82,7 +82,7 @@
         let old_pools = match &mut self.replicas[index as usize] {
             Some(replica) => {
                 replica.slots = slots;
-                replica.data_centre = spec.data_centre.clone();
+                replica.data_centre.clone_from(&spec.data_centre);
                 replica.distance_ms = distance_ms;
                 std::mem::replace(&mut replica.pools, spec.pools.iter().cloned().collect())
             }
