--- a/src/pace/target_pace.rs
+++ b/src/pace/target_pace.rs
@@ -4,6 +4,9 @@
 
 /// Time for which a stated figure is trusted in full. It changes many times a second.
 const TRUST_TIME: Duration = Duration::from_millis(300);
+/// Maximum age of a stated figure with which a measured time shows the usual one. With 300 ms, gaps of a
+/// slow period that no figure had told yet raised the usual gap, so that the slow period was not noticed.
+const CALIBRATION_TIME: Duration = Duration::from_millis(50);
 /// Time after which half of the difference between the stated figure and the learned pace remains.
 const STATED_HALF_LIFE: Duration = Duration::from_millis(300);
 /// Time without a sample after which half of the difference between the learned pace and the usual one
@@ -14,7 +17,7 @@
 /// Weight of the time to a first byte in the learned pace.
 const FIRST_BYTE_WEIGHT: f32 = 0.1;
 /// Weight of a gap between two events in the learned pace. Streams have tens of events a second.
-const GAP_WEIGHT: f32 = 0.05;
+const GAP_WEIGHT: f32 = 0.1;
 /// Limits of a single measured sample, since one long gap may have other causes.
 const SAMPLE_LIMITS: (f32, f32) = (0.2, 10.0);
 
@@ -91,7 +94,7 @@
     }
 
     fn is_stated_new(&self, now: Duration) -> bool {
-        now.saturating_sub(self.stated_at) <= TRUST_TIME
+        now.saturating_sub(self.stated_at) <= CALIBRATION_TIME
     }
 
     fn learned_factor(&self, now: Duration) -> f32 {
