--- a/src/gateway/evacuations.rs
+++ b/src/gateway/evacuations.rs
@@ -18,7 +18,7 @@
 
 /// The data centres that are evacuated at this gateway. A later revision replaces an earlier one, never the reverse,
 /// since coordinators may answer late and from older state.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct EvacuationSet {
     revision: Revision,
     data_centres: BTreeSet<DataCentreId>,
