Build tests with the fields of all parts

Cause: tests of one part were written without the fields that the other parts add to shared types. Change: regions, warm-up and pace name the others' fields with the values that switch them off. The checks are the same.

--- a/tests/pace.rs
+++ b/tests/pace.rs
@@ -11,6 +11,7 @@
     answer::EventBoundary,
     ids::TargetId,
     pace::{PromptWork, StreamPauses, TargetActivity, TargetPace, TargetWork, WorkPace},
+    region::DataCentreFilter,
     route::{
         ExchangeOutcome, LoadReport, PoolId, ReplicaSpec, ReplicaTable, RouteRequest, RouteTuning,
     },
@@ -295,7 +296,9 @@
                 prompt_tokens: 500,
                 prefix: &[],
                 tried: &[],
+                data_centres: &DataCentreFilter::Any,
                 priority: 4,
+                warmth: None,
             };
             let choice = table.choose(&request, now, &mut rng).unwrap();
             let index = (0..ENGINES)
@@ -369,7 +372,9 @@
         prompt_tokens: 500,
         prefix: &[],
         tried: &[],
+        data_centres: &DataCentreFilter::Any,
         priority: 4,
+        warmth: None,
     };
     let mut rng = ChaCha8Rng::seed_from_u64(1);
     let before = table.choose(&request, ms(0), &mut rng).unwrap();
--- a/tests/regions.rs
+++ b/tests/regions.rs
@@ -100,6 +100,7 @@
             tried,
             data_centres: filter,
             priority: 4,
+            warmth: None,
         };
         replicas.choose(&request, NOW, &mut rng)
     };
@@ -235,6 +236,7 @@
         },
         data_centre: "a1".into(),
         plan_version: 1,
+        evacuation_revision: 0,
         list_version: ListVersion::default(),
         list_digest: Vec::new(),
         shares: Vec::new(),
@@ -280,6 +282,7 @@
             id: "drafts".into(),
             health_path: "/health".into(),
             max_connections: 100,
+            warmup: None,
             engine: Some(EnginePlan {
                 slots: 4,
                 kv_cache_tokens: 1_000,
@@ -312,6 +315,7 @@
         data_centre: DataCentreId::from(*data_centre),
         slots: 4,
         is_draining: false,
+        is_cold: false,
         software: "".into(),
         started_ms: 1,
         models: models.clone(),
--- a/tests/warmup.rs
+++ b/tests/warmup.rs
@@ -10,6 +10,7 @@
     allowance::{AllowanceLedger, AllowanceShare, RateLimit, ReservationOutcome},
     ids::{EntryKey, TargetId, TeamId},
     plan::{CallerLimits, PlanIndex, ServicePlan, ServingPlan, WarmupPlan},
+    region::DataCentreFilter,
     route::{PoolId, ReplicaSpec, ReplicaTable, RouteRequest, RouteTuning, Warmth},
     sync::{GrantReply, GrantRequest, encode_compact},
     warmup::{
@@ -284,6 +285,7 @@
             prompt_tokens: 0,
             prefix: &[],
             tried: &[],
+            data_centres: &DataCentreFilter::Any,
             priority: 4,
             warmth,
         };
