--- a/src/sync/serving_state.rs
+++ b/src/sync/serving_state.rs
@@ -73,7 +73,7 @@
 }
 
 /// All evacuated data centres, whose targets get no further requests.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct EvacuationSection {
     /// Revision of the set.
     pub revision: Revision,
