Mend a lint in the tests of regions

Cause: Clippy pedantic refuses a match on a bool; the part was committed without a run on its tests. Change: if and else; the check is the same.

--- a/tests/regions.rs
+++ b/tests/regions.rs
@@ -210,9 +210,10 @@
             ])
             .collect(),
     };
-    let expected = match is_evicted {
-        true => vec![("w".to_owned(), CopyAction::Unload("cold".into()))],
-        false => Vec::new(),
+    let expected = if is_evicted {
+        vec![("w".to_owned(), CopyAction::Unload("cold".into()))]
+    } else {
+        Vec::new()
     };
     assert_eq!(steps(&input, "hot"), expected);
 }
