Log whom a joining machine asks for a seat and why it is refused

Cause: the log of a machine that knows no leader did not tell whether it is in no membership (hypothesis 1), in a membership without a quorum (2) or in an election (3), nor whom it asked and what it was told. Change: "raft: asked a member for a seat" names the member, its answer and the number of known members; "raft: refused a seat" names the requester and the reason. Both are written only when the answer or reason changes. The search for a seat, the client of other members, their calls and the saved addresses have files of their own. No logic changed.

--- a/src/control/daemon.rs
+++ b/src/control/daemon.rs
@@ -10,13 +10,15 @@
 
 use super::{
     admin::{self, AdminToken},
-    bootstrap::{self, FleetBootstrap},
+    bootstrap::FleetBootstrap,
     claims, crashes, health, members,
     order_dispatcher::OrderDispatcher,
     peer_sender::HttpPeerSender,
     placement_controller::PlacementController,
     platform::LeavingVms,
     raft_api,
+    refused_joins::RefusedJoins,
+    saved_addresses::read_addresses,
     sync_service::SyncService,
     system::{self, SystemSecret},
 };
@@ -88,7 +90,7 @@
         let token = AdminToken(config::read_secret(&config.admin_token_file)?);
         let folder = DataFolder::open(&config.data_folder)?;
         let own = own_address(config);
-        let members = bootstrap::read_addresses(config);
+        let members = read_addresses(config);
         let members = members.into_iter().chain(config.voters.iter().cloned());
         let addresses = Arc::new(AddressBook::new(own, members));
         let level = self.settings.supported_level;
@@ -104,6 +106,7 @@
             .manage(voter.clone())
             .manage(Arc::clone(&service))
             .manage(Arc::clone(&part_recorder))
+            .manage(RefusedJoins::default())
             .mount(
                 "/",
                 routes![
--- a/src/control/raft_api.rs
+++ b/src/control/raft_api.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use spdlog::prelude::*;
 
-use super::system::SystemPeer;
+use super::{refused_joins::RefusedJoins, system::SystemPeer};
 use crate::{
     config::VoterAddress,
     error::Error,
@@ -98,6 +98,7 @@
     _peer: SystemPeer,
     body: Data<'_>,
     voter: &State<VoterHandle>,
+    refused: &State<RefusedJoins>,
 ) -> Result<(), Status> {
     let request: JoinRequest = read_body(body).await?;
     voter.addresses().update(&request.address);
@@ -114,7 +115,7 @@
                 tokio::time::sleep(JOIN_INTERVAL).await;
             }
             Err(error) => {
-                debug!("raft: cannot add {}: {error}", request.id.vm);
+                refused.record(&request.id, &error);
                 return Err(Status::MisdirectedRequest);
             }
         }
--- a/src/coordinator/daemon.rs
+++ b/src/coordinator/daemon.rs
@@ -21,8 +21,8 @@
     client,
     config::{ControlConfig, ListenAddress, VoterAddress},
     control::{
-        FleetBootstrap, HttpPeerSender, MemberReturn, SystemSecret, hand_over_seat, raft_routes,
-        read_addresses,
+        FleetBootstrap, HttpPeerSender, MemberReturn, RefusedJoins, SystemSecret, hand_over_seat,
+        raft_routes, read_addresses,
     },
     error::{Error, Result},
     journal::{DataFolder, OpenedJournal},
@@ -123,6 +123,7 @@
             ))
             .manage(voter.clone())
             .manage(Arc::clone(&state))
+            .manage(RefusedJoins::default())
             .mount("/", raft_routes())
             .mount("/", routes![api::sync_gateway, api::sync_delegate]);
         let operator = build(&listen_address(config.operator_listen))
