Lead machines without a seat to the leader by what members know

What callers saw: on a fleet whose machines are replaced, new machines answered operators "not the leader; leader: unknown" for as long as they ran, and once enough founders were lost the configuration could not be read any more (CONFIG).

Cause: only the leader gives a seat, but a new machine knows its three seeds alone. A member that does not lead refused it without naming anybody, and told it only its own address. So a machine joined only if a seed led. A seed that searches itself counts as taking part, so machines could refer to one another. Class: a process that knows only the first addresses it was told, and is refused without being sent on. Ruled out for the test: a lost quorum (the other two follow the leader all the time) and an election (the leader does not change). Change: answers about members and to requests for a seat, refusals too, name the leader and all known addresses; the searching machine asks whoever is new at once. A coordinator that follows no leader sends operators and gateways to the leader named within the last second. Conclusion: a replacement reaches the leader through any machine that is in touch.

--- a/src/control.rs
+++ b/src/control.rs
@@ -7,6 +7,7 @@
 mod crashes;
 mod daemon;
 mod health;
+mod known_members;
 mod member_calls;
 mod member_client;
 mod members;
--- a/src/control/bootstrap.rs
+++ b/src/control/bootstrap.rs
@@ -73,7 +73,9 @@
                 return;
             }
             if status.leader.is_none() || !status.membership.contains(&status.id) {
-                search.ask_all(&status);
+                search.ask_all(&status, ANNOUNCE_INTERVAL).await;
+            } else {
+                tokio::time::sleep(ANNOUNCE_INTERVAL).await;
             }
             let known_addresses = self.voter.addresses().others();
             if saved_addresses != known_addresses
@@ -81,7 +83,6 @@
             {
                 saved_addresses = known_addresses;
             }
-            tokio::time::sleep(ANNOUNCE_INTERVAL).await;
         }
     }
 
@@ -147,6 +148,7 @@
         while let Some(reply) = replies.next().await {
             let Ok(reply) = reply else { continue };
             self.voter.addresses().update(&reply.address);
+            reply.known.adopt(&self.voter);
             match reply.founding {
                 Some(founding) if founding.voters.contains(&id) => {
                     info!(
--- a/src/control/member_client.rs
+++ b/src/control/member_client.rs
@@ -2,7 +2,10 @@
 
 use reqwest::{Client, Response};
 
-use super::raft_api::{JOIN_PATH, JoinRequest, MEMBER_PATH, MemberReply};
+use super::{
+    known_members::KnownMembers,
+    raft_api::{JOIN_PATH, JoinRequest, MEMBER_PATH, MemberReply},
+};
 use crate::{
     client,
     error::{Error, Result},
@@ -12,13 +15,23 @@
 /// Timeout of a request to another control daemon.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Answer of a member to a request for a seat.
+/// Answer of a member to a request for a seat, with what it knows of the others.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum SeatAnswer {
     /// The member has recorded the address, and the requester is a member if it asked for that.
-    Accepted,
+    Accepted(KnownMembers),
     /// The member does not lead, or the leader cannot add a learner now.
-    Refused,
+    Refused(KnownMembers),
+}
+
+impl SeatAnswer {
+    /// Returns what the member knows of the others.
+    #[must_use]
+    pub fn known(&self) -> &KnownMembers {
+        match self {
+            Self::Accepted(known) | Self::Refused(known) => known,
+        }
+    }
 }
 
 /// Client of other control daemons, for daemons that found or join a fleet.
@@ -44,7 +57,7 @@
     /// Announces the requester to a daemon and, if the request says so, asks for a seat as a learner.
     ///
     /// # Errors
-    /// [`Error::Transport`] when the daemon does not answer.
+    /// [`Error::Transport`] when the daemon does not answer, [`Error::Decode`] when its answer is malformed.
     pub async fn request_seat(
         &self,
         address: SocketAddr,
@@ -59,10 +72,19 @@
             .send()
             .await
             .map_err(|error| transport(address, &error))?;
-        Ok(if answer.status().is_success() {
-            SeatAnswer::Accepted
+        let is_accepted = answer.status().is_success();
+        let peer = address.to_string();
+        let body = client::read_body(&peer, answer, client::MAX_MESSAGE_BYTES).await?;
+        // Daemons of earlier releases answer without a body.
+        let known = if body.is_empty() {
+            KnownMembers::default()
+        } else {
+            sync::decode("known members", &body)?
+        };
+        Ok(if is_accepted {
+            SeatAnswer::Accepted(known)
         } else {
-            SeatAnswer::Refused
+            SeatAnswer::Refused(known)
         })
     }
 }
--- a/src/control/raft_api.rs
+++ b/src/control/raft_api.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use spdlog::prelude::*;
 
-use super::{refused_joins::RefusedJoins, system::SystemPeer};
+use super::{known_members::KnownMembers, refused_joins::RefusedJoins, system::SystemPeer};
 use crate::{
     config::VoterAddress,
     error::Error,
@@ -47,6 +47,9 @@
     pub takes_part: bool,
     /// Membership with which the fleet was founded, if it is still known.
     pub founding: Option<Membership>,
+    /// What it knows of the other members; empty from daemons of earlier releases.
+    #[serde(default)]
+    pub known: KnownMembers,
 }
 
 /// Announcement of a control daemon that knows no leader.
@@ -88,20 +91,39 @@
         address: voter.addresses().own().clone(),
         takes_part: status.phase != VoterPhase::Uninitialized,
         founding: status.founding,
+        known: KnownMembers::of_voter(voter),
     };
     sync::encode(&reply).map_err(|_| Status::InternalServerError)
 }
 
-/// Saves the address of a member, and adds the member as a learner if it requests that.
+/// Saves the address of a member, and adds the member as a learner if it requests that. The answer says what this
+/// member knows of the others, also when it refuses: the requester may know no other way to the leader.
 #[post("/raft/v1/join", data = "<body>")]
 pub async fn accept_join(
     _peer: SystemPeer,
     body: Data<'_>,
     voter: &State<VoterHandle>,
     refused: &State<RefusedJoins>,
-) -> Result<(), Status> {
-    let request: JoinRequest = read_body(body).await?;
+) -> Result<Vec<u8>, (Status, Vec<u8>)> {
+    let request: JoinRequest = read_body(body)
+        .await
+        .map_err(|status| (status, Vec::new()))?;
     voter.addresses().update(&request.address);
+    let added = add_learner(voter, &request, refused).await;
+    let known = sync::encode(&KnownMembers::of_voter(voter));
+    let known = known.map_err(|_| (Status::InternalServerError, Vec::new()))?;
+    match added {
+        Ok(()) => Ok(known),
+        Err(status) => Err((status, known)),
+    }
+}
+
+/// Adds a requester as a learner if it requests that and is no member yet.
+async fn add_learner(
+    voter: &VoterHandle,
+    request: &JoinRequest,
+    refused: &RefusedJoins,
+) -> Result<(), Status> {
     if !request.learner || voter.status().membership.contains(&request.id) {
         return Ok(());
     }
--- a/src/control/seat_search.rs
+++ b/src/control/seat_search.rs
@@ -1,13 +1,16 @@
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
+    time::Duration,
 };
 
-use compact_str::{CompactString, format_compact};
+use compact_str::{CompactString, ToCompactString, format_compact};
 use spdlog::prelude::*;
+use tokio::{sync::mpsc, time::Instant};
 
 use super::{
+    known_members::KnownMembers,
     member_calls::MemberCalls,
     member_client::{MemberClient, SeatAnswer},
     raft_api::{JOIN_PATH, JoinRequest, MEMBER_PATH},
@@ -26,7 +29,9 @@
     Always,
 }
 
-/// Search of a daemon to which no leader sends for its seat.
+/// Search of a daemon to which no leader sends for its seat. Only the leader gives seats, and the daemon may know only
+/// machines that do not lead, or that search themselves; so each answer says whom the other one knows, and whoever is
+/// new is asked at once.
 pub struct SeatSearch {
     seeds: Vec<SocketAddr>,
     voter: VoterHandle,
@@ -34,6 +39,8 @@
     member_return: MemberReturn,
     calls: MemberCalls,
     answers: Arc<AnswerLog>,
+    news_sender: mpsc::UnboundedSender<KnownMembers>,
+    news: mpsc::UnboundedReceiver<KnownMembers>,
 }
 
 impl SeatSearch {
@@ -44,6 +51,7 @@
         client: MemberClient,
         member_return: MemberReturn,
     ) -> Self {
+        let (news_sender, news) = mpsc::unbounded_channel();
         Self {
             seeds,
             voter,
@@ -51,47 +59,70 @@
             member_return,
             calls: MemberCalls::default(),
             answers: Arc::default(),
+            news_sender,
+            news,
         }
     }
 
-    /// Asks all known members once more.
-    pub fn ask_all(&mut self, status: &VoterStatus) {
-        self.refresh_addresses();
-        self.announce(status);
+    /// Asks all known members once more, and those that their answers name until `interval` is over.
+    pub async fn ask_all(&mut self, status: &VoterStatus, interval: Duration) {
+        let end = Instant::now() + interval;
+        let request = Arc::new(self.request(status));
+        let mut asked = HashSet::new();
+        self.fetch_seeds();
+        self.request_seats(&request, &mut asked);
+        while let Ok(Some(known)) = tokio::time::timeout_at(end, self.news.recv()).await {
+            known.adopt(&self.voter);
+            self.request_seats(&request, &mut asked);
+        }
+    }
+
+    /// Returns the announcement of this member's address, with the request to be added as a learner if it is no
+    /// member of theirs.
+    fn request(&self, status: &VoterStatus) -> JoinRequest {
+        let is_new = status.last == 0 && !status.membership.contains(&status.id);
+        JoinRequest {
+            id: status.id.clone(),
+            address: self.voter.addresses().own().clone(),
+            learner: is_new || self.member_return == MemberReturn::Always,
+        }
     }
 
     /// Fetches the members at the seed addresses. A power failure may also destroy the saved
     /// addresses, and members that do not know each other's addresses cannot elect a leader.
-    fn refresh_addresses(&mut self) {
+    fn fetch_seeds(&mut self) {
         for seed in self.seeds.clone() {
             let (client, voter) = (self.client.clone(), self.voter.clone());
+            let news = self.news_sender.clone();
             self.calls.start((MEMBER_PATH, seed), async move {
                 // A seed that does not answer is asked again.
                 if let Ok(reply) = client.fetch(seed).await {
                     voter.addresses().update(&reply.address);
+                    // Fails only once the search has ended.
+                    let _ = news.send(reply.known);
                 }
             });
         }
     }
 
-    /// Announces this member's address to the known members, and requests to be added as a learner if it is no
-    /// member of theirs.
-    fn announce(&mut self, status: &VoterStatus) {
-        let is_new = status.last == 0 && !status.membership.contains(&status.id);
-        let request = Arc::new(JoinRequest {
-            id: status.id.clone(),
-            address: self.voter.addresses().own().clone(),
-            learner: is_new || self.member_return == MemberReturn::Always,
-        });
+    /// Sends the request to all known members that were not asked yet.
+    fn request_seats(&mut self, request: &Arc<JoinRequest>, asked: &mut HashSet<SocketAddr>) {
         let known = self.voter.addresses().others();
         let known_count = known.len();
-        for member in known {
-            let (client, request) = (self.client.clone(), Arc::clone(&request));
-            let answers = Arc::clone(&self.answers);
+        for member in known.into_iter().map(|member| member.system) {
+            if !asked.insert(member) {
+                continue;
+            }
+            let (client, request) = (self.client.clone(), Arc::clone(request));
+            let (answers, news) = (Arc::clone(&self.answers), self.news_sender.clone());
             // Members that do not lead refuse to add a learner; all are asked again.
-            self.calls.start((JOIN_PATH, member.system), async move {
-                let answer = client.request_seat(member.system, &request).await;
-                answers.record(member.system, &answer, known_count);
+            self.calls.start((JOIN_PATH, member), async move {
+                let answer = client.request_seat(member, &request).await;
+                answers.record(member, &answer, known_count);
+                if let Ok(answer) = answer {
+                    // Fails only once the search has ended.
+                    let _ = news.send(answer.known().clone());
+                }
             });
         }
     }
@@ -106,8 +137,9 @@
 impl AnswerLog {
     fn record(&self, member: SocketAddr, answer: &Result<SeatAnswer>, known_count: usize) {
         let text = match answer {
-            Ok(answer) => format_compact!("{answer:?}"),
-            Err(error) => format_compact!("{error}"),
+            Ok(SeatAnswer::Accepted(known)) => describe("accepted", known),
+            Ok(SeatAnswer::Refused(known)) => describe("refused", known),
+            Err(error) => error.to_compact_string(),
         };
         let mut last = self.last.lock().unwrap_or_else(PoisonError::into_inner);
         if last.get(&member) != Some(&text) {
@@ -120,3 +152,10 @@
         }
     }
 }
+
+fn describe(answer: &str, known: &KnownMembers) -> CompactString {
+    match &known.leader {
+        Some(leader) => format_compact!("{answer}; leader: {}", leader.vm),
+        None => format_compact!("{answer}; leader: unknown"),
+    }
+}
--- a/src/coordinator/state.rs
+++ b/src/coordinator/state.rs
@@ -231,14 +231,23 @@
 
     /// Returns what gateways are told while this daemon does not lead.
     pub(super) fn redirect(&self) -> LeaderRedirect {
-        let leader = self.voter.status().leader;
         let addresses = self.voter.addresses();
+        let leader = match self.voter.status().leader {
+            Some(_) => self.followed_leader(),
+            None => addresses.named_leader().map(|leader| leader.system),
+        };
         LeaderRedirect {
-            leader: leader.and_then(|leader| addresses.system_address(&leader.vm)),
+            leader,
             absence: self.voter.absence(),
         }
     }
 
+    /// Returns the system address of the leader that this coordinator's voter follows.
+    pub(super) fn followed_leader(&self) -> Option<SocketAddr> {
+        let leader = self.voter.status().leader?;
+        self.voter.addresses().system_address(&leader.vm)
+    }
+
     /// Publishes changed targets to gateways.
     pub(super) fn publish_targets(&self, tables: &mut LeaderTables) {
         match tables.engines.take_unpublished() {
--- a/src/voter/address_book.rs
+++ b/src/voter/address_book.rs
@@ -1,16 +1,23 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::{PoisonError, RwLock},
+    sync::{Mutex, PoisonError, RwLock},
+    time::Duration,
 };
 
-use crate::{config::VoterAddress, ids::VmId};
+use crate::{clock::BootInstant, config::VoterAddress, ids::VmId};
+
+/// Time for which a daemon that follows no leader sends others to the leader that a member has named. Members are
+/// asked again several times within it.
+const LEADER_NEWS_TIME: Duration = Duration::from_secs(1);
 
 /// Addresses of the control daemons. An address that a daemon reports for itself takes precedence
 /// over one from other daemons or from the settings.
 pub struct AddressBook {
     own: VoterAddress,
     addresses: RwLock<BTreeMap<VmId, VoterAddress>>,
+    /// Leader that a member has named last, and when.
+    named_leader: Mutex<Option<(VmId, BootInstant)>>,
 }
 
 impl AddressBook {
@@ -21,6 +28,7 @@
             .map(|address| (address.vm.clone(), address));
         Self {
             addresses: RwLock::new(initial.collect()),
+            named_leader: Mutex::default(),
             own,
         }
     }
@@ -70,6 +78,29 @@
         self.find(vm).map(|address| address.system)
     }
 
+    /// Records the leader that a member names.
+    pub fn record_leader(&self, leader: &VoterAddress) {
+        if leader.vm != self.own.vm {
+            let named = (leader.vm.clone(), BootInstant::now());
+            *self
+                .named_leader
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner) = Some(named);
+        }
+    }
+
+    /// Returns the leader that a member has named lately. It may lead no more.
+    #[must_use]
+    pub fn named_leader(&self) -> Option<VoterAddress> {
+        let named = self
+            .named_leader
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone();
+        let (vm, _) = named.filter(|(_, at)| at.elapsed() < LEADER_NEWS_TIME)?;
+        self.find(&vm)
+    }
+
     /// Returns the known addresses of other daemons.
     #[must_use]
     pub fn others(&self) -> Vec<VoterAddress> {
--- a/src/voter/driver.rs
+++ b/src/voter/driver.rs
@@ -283,9 +283,14 @@
         }
     }
 
+    /// Returns the operators' address of a leader; without one, of the leader that other members name.
     fn leader_address(&self, leader: Option<&VoterId>) -> Option<String> {
-        let address = self.addresses.find(&leader?.vm)?;
-        Some(address.admin.to_string())
+        let address = match leader {
+            Some(leader) => self.addresses.find(&leader.vm),
+            None if self.core.leader().is_none() => self.addresses.named_leader(),
+            None => None,
+        };
+        Some(address?.admin.to_string())
     }
 
     /// Publishes lease and status to the handles.
