Read the named coordinators again while a process reaches none

What callers saw: a machine or gateway that starts while all coordinators in its settings are lost serves nobody for as long as it runs, although the platform has rewritten its settings since. Cause: settings are read at the start only. Ruled out: SIGHUP as the only trigger; the platform rewrites settings without one, and a daemon that reaches its leader needs no seeds. Change: SeedList holds the seeds and reads them from a SeedSource (the settings file, in platform/) at most once a second, while a coordinator follows no leader or a gateway's sync fails. Founders go by their first settings. Conclusion: a process that was told of lost machines only comes back with the next settings.

--- a/src/adapter.rs
+++ b/src/adapter.rs
@@ -6,6 +6,8 @@
 mod metadata;
 mod platform_adapter;
 mod refusal;
+mod seed_list;
+mod seed_source;
 mod target_entry;
 
 pub use engine_order::{EngineOrder, OrderAction, OrderResponse};
@@ -13,4 +15,6 @@
 pub use metadata::{ForwardMetadata, PromptPart, RequestMetadata, ResponseMetadata};
 pub use platform_adapter::{PlatformAdapter, PlatformFuture};
 pub use refusal::{RefusalKind, RefusalNotice};
+pub use seed_list::SeedList;
+pub use seed_source::SeedSource;
 pub use target_entry::{LoadedModel, TargetEntry};
--- a/src/control/bootstrap.rs
+++ b/src/control/bootstrap.rs
@@ -11,6 +11,7 @@
     seat_search::{MemberReturn, SeatSearch},
 };
 use crate::{
+    adapter::SeedList,
     config::ControlConfig,
     error::Result,
     raft::Membership,
@@ -34,11 +35,13 @@
     voter: VoterHandle,
     client: MemberClient,
     member_return: MemberReturn,
+    seeds: SeedList,
 }
 
 impl FleetBootstrap {
     pub fn new(config: ControlConfig, voter: VoterHandle, client: Client, secret: String) -> Self {
         Self {
+            seeds: SeedList::new(config.seeds.clone()),
             config,
             voter,
             client: MemberClient::new(client, secret),
@@ -53,8 +56,15 @@
         self
     }
 
+    /// Sets the seeds of a daemon whose settings may name others later.
+    #[must_use]
+    pub fn with_seeds(mut self, seeds: SeedList) -> Self {
+        self.seeds = seeds;
+        self
+    }
+
     /// Runs until the task is dropped or the voter has stopped.
-    pub async fn run(self) {
+    pub async fn run(mut self) {
         while self.voter.status().phase == VoterPhase::Uninitialized {
             if let Some(membership) = self.find_membership().await {
                 let result = self.voter.initialize(membership).await;
@@ -88,7 +98,7 @@
 
     /// Returns the membership to start with, which is empty for a daemon that joins a fleet, or
     /// `None` if the attempt must be repeated.
-    async fn find_membership(&self) -> Option<Membership> {
+    async fn find_membership(&mut self) -> Option<Membership> {
         if !self.config.seeds.is_empty() {
             return self.find_membership_by_seeds().await;
         }
@@ -137,10 +147,14 @@
     /// Does the same as [`Self::find_membership`] for a daemon whose settings contain only
     /// addresses. The daemon at the lowest address founds the fleet with all of them as voters; any
     /// other daemon joins.
-    async fn find_membership_by_seeds(&self) -> Option<Membership> {
+    async fn find_membership_by_seeds(&mut self) -> Option<Membership> {
         let id = self.voter.status().id;
         let own = self.config.system_listen.socket();
-        let seeds = &self.config.seeds;
+        // All founders must agree on who they are, so they go by their first settings.
+        let seeds = match self.config.join {
+            true => self.seeds.refresh().to_vec(),
+            false => self.config.seeds.clone(),
+        };
         let others = seeds.iter().copied().filter(|seed| *seed != own);
         let mut replies: FuturesUnordered<_> = others.map(|seed| self.fetch_member(seed)).collect();
         let mut membership = Membership::of_voters([id.clone()]);
@@ -180,10 +194,8 @@
     }
 
     fn seat_search(&self) -> SeatSearch {
-        let own = self.config.system_listen.socket();
-        let seeds = self.config.seeds.iter().copied();
         SeatSearch::new(
-            seeds.filter(|seed| *seed != own).collect(),
+            self.seeds.clone(),
             self.voter.clone(),
             self.client.clone(),
             self.member_return,
--- a/src/control/seat_search.rs
+++ b/src/control/seat_search.rs
@@ -16,6 +16,7 @@
     raft_api::{JOIN_PATH, JoinRequest, MEMBER_PATH},
 };
 use crate::{
+    adapter::SeedList,
     error::Result,
     voter::{VoterHandle, VoterStatus},
 };
@@ -33,7 +34,7 @@
 /// machines that do not lead, or that search themselves; so each answer says whom the other one knows, and whoever is
 /// new is asked at once.
 pub struct SeatSearch {
-    seeds: Vec<SocketAddr>,
+    seeds: SeedList,
     voter: VoterHandle,
     client: MemberClient,
     member_return: MemberReturn,
@@ -46,7 +47,7 @@
 impl SeatSearch {
     /// Creates the search of a daemon that was told of some others by its settings.
     pub fn new(
-        seeds: Vec<SocketAddr>,
+        seeds: SeedList,
         voter: VoterHandle,
         client: MemberClient,
         member_return: MemberReturn,
@@ -91,7 +92,9 @@
     /// Fetches the members at the seed addresses. A power failure may also destroy the saved
     /// addresses, and members that do not know each other's addresses cannot elect a leader.
     fn fetch_seeds(&mut self) {
-        for seed in self.seeds.clone() {
+        let own = self.voter.addresses().own().system;
+        let seeds = self.seeds.refresh().iter().copied();
+        for seed in seeds.filter(|seed| *seed != own) {
             let (client, voter) = (self.client.clone(), self.voter.clone());
             let news = self.news_sender.clone();
             self.calls.start((MEMBER_PATH, seed), async move {
--- a/src/coordinator/daemon.rs
+++ b/src/coordinator/daemon.rs
@@ -17,7 +17,7 @@
     thread_runtime::ThreadRuntime,
 };
 use crate::{
-    adapter::PlatformAdapter,
+    adapter::{PlatformAdapter, SeedList, SeedSource},
     client,
     config::{ControlConfig, ListenAddress, VoterAddress},
     control::{
@@ -48,6 +48,7 @@
     adapter: Arc<dyn PlatformAdapter>,
     secret: String,
     operator_routes: Vec<Route>,
+    seed_source: Option<Arc<dyn SeedSource>>,
 }
 
 impl CoordinatorDaemon {
@@ -63,6 +64,7 @@
             adapter,
             secret,
             operator_routes: Vec::new(),
+            seed_source: None,
         }
     }
 
@@ -73,6 +75,13 @@
         self
     }
 
+    /// Sets the source from which the seeds are read again while no leader is reached.
+    #[must_use]
+    pub fn with_seed_source(mut self, source: Arc<dyn SeedSource>) -> Self {
+        self.seed_source = Some(source);
+        self
+    }
+
     /// Runs until `stop` is ready, then transfers leadership and shuts down.
     ///
     /// # Errors
@@ -132,7 +141,8 @@
             .mount("/", self.operator_routes);
         let founder =
             FleetBootstrap::new(control, voter.clone(), client.clone(), self.secret.clone())
-                .with_return(MemberReturn::Always);
+                .with_return(MemberReturn::Always)
+                .with_seeds(SeedList::new(config.seeds.clone()).with_source(self.seed_source));
         let dispatcher = OrderDispatcher::new(state, config.vm.clone(), config.holder_lease);
         tokio::spawn(founder.run());
         tokio::spawn(Arc::new(dispatcher).run());
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -31,7 +31,7 @@
     view::{ModelDemand, PlanView},
 };
 use crate::{
-    adapter::PlatformAdapter,
+    adapter::{PlatformAdapter, SeedList, SeedSource},
     client,
     entry::SharedAllowance,
     error::{Error, Result},
@@ -55,6 +55,7 @@
     config: GatewayConfig,
     adapter: Arc<dyn PlatformAdapter>,
     secret: String,
+    seed_source: Option<Arc<dyn SeedSource>>,
 }
 
 impl GatewayDaemon {
@@ -65,9 +66,17 @@
             config,
             adapter,
             secret,
+            seed_source: None,
         }
     }
 
+    /// Sets the source from which the addresses of coordinators are read again while none of them answers.
+    #[must_use]
+    pub fn with_seed_source(mut self, source: Arc<dyn SeedSource>) -> Self {
+        self.seed_source = Some(source);
+        self
+    }
+
     /// Serves until `stop` is ready, then shuts down after the requests in progress have ended or
     /// the grace period is over.
     ///
@@ -90,8 +99,10 @@
         let crash_watch = Arc::new(CrashWatch::new(&config.vm));
         let stream_origins = Arc::new(StreamOrigins::new());
         let (news_socket, news_address) = PlanNewsReceiver::bind(config.load_listen).await?;
+        let seeds = SeedList::new(config.coordinators.clone()).with_source(self.seed_source);
         let parts = SyncParts {
             news_address,
+            seeds,
             crash_watch: Arc::clone(&crash_watch),
             stream_origins: Arc::clone(&stream_origins),
             loads: Arc::clone(&loads),
--- a/src/gateway/sync_client.rs
+++ b/src/gateway/sync_client.rs
@@ -27,7 +27,7 @@
     view::{ModelDemand, PlanView},
 };
 use crate::{
-    adapter::PlatformAdapter,
+    adapter::{PlatformAdapter, SeedList},
     client,
     clock::BootInstant,
     entry::SharedAllowance,
@@ -80,6 +80,7 @@
 
 struct SyncState {
     peers: SyncPeers,
+    seeds: SeedList,
     /// When the leader's target list was read from the platform.
     listed_at: Option<Instant>,
     is_connected: bool,
@@ -104,6 +105,8 @@
 pub struct SyncParts {
     /// UDP address that receives news of plans.
     pub news_address: SocketAddr,
+    /// Coordinators that the platform names.
+    pub seeds: SeedList,
     pub adapter: Arc<dyn PlatformAdapter>,
     pub view: Arc<PlanView>,
     pub targets: Arc<TargetTable>,
@@ -124,6 +127,7 @@
     ) -> Self {
         let state = SyncState {
             peers: SyncPeers::new(config.vm.clone(), config.coordinators.clone()),
+            seeds: parts.seeds,
             listed_at: None,
             is_connected: false,
             absence: AbsenceWatch::new(),
@@ -299,7 +303,8 @@
             Error::NotLeader { leader } => Some(leader.as_ref().and_then(|name| name.parse().ok())),
             _ => None,
         };
-        let peers = &mut state.peers;
+        let SyncState { peers, seeds, .. } = &mut *state;
+        peers.coordinators.add(seeds.refresh().iter().copied());
         match (failed, leader) {
             (SyncPeer::Leader(failed), Some(leader)) => {
                 if peers.coordinators.record_redirect(failed, leader, now) {
