Send entries on to the leader that a control daemon follows

What callers saw: an entry whose settings name control daemons that do not lead (operators may have added the leader since) gets 421 from each of them, never a first configuration, and answers no caller. Cause: the answer "does not lead" named nobody, and entries asked the daemons of their settings in turn. Ruled out: the operators' client, which follows the leader that refusals name. Change: control daemons name the leader in a header of each 421; ControlPeers, shared by syncs, claims and crash reports, asks it next and falls back to the settings when it fails. Conclusion: an entry that reaches any member reaches the leader.

--- a/src/control/daemon.rs
+++ b/src/control/daemon.rs
@@ -115,7 +115,8 @@
                     crashes::submit_crash
                 ],
             )
-            .mount("/", raft_api::raft_routes());
+            .mount("/", raft_api::raft_routes())
+            .attach(system::name_leader());
         let admin = build_server(&config.admin_listen)
             .manage(token)
             .manage(SystemSecret(secret.clone()))
--- a/src/control/system.rs
+++ b/src/control/system.rs
@@ -3,7 +3,8 @@
 use rocket::{
     State,
     data::{Data, ToByteUnit},
-    http::Status,
+    fairing::{AdHoc, Fairing},
+    http::{Header, Status},
     post,
     request::{FromRequest, Outcome, Request},
 };
@@ -12,7 +13,7 @@
 
 use super::sync_service::SyncService;
 use crate::{
-    sync::{self, SECRET_HEADER, SyncRequest},
+    sync::{self, LEADER_HEADER, SECRET_HEADER, SyncRequest},
     voter::{LeaderLease, VoterHandle},
 };
 
@@ -45,6 +46,26 @@
     }
 }
 
+/// Names the leader that this daemon's voter follows in each answer that it does not lead. Entries may know only
+/// daemons that do not.
+pub fn name_leader() -> impl Fairing {
+    AdHoc::on_response("leader", |request, response| {
+        Box::pin(async move {
+            let voter = request.rocket().state::<VoterHandle>();
+            let leader = voter.and_then(|voter| {
+                let leader = voter.status().leader?;
+                voter.addresses().system_address(&leader.vm)
+            });
+            match leader {
+                Some(leader) if response.status() == Status::MisdirectedRequest => {
+                    response.set_header(Header::new(LEADER_HEADER, leader.to_string()));
+                }
+                _ => {}
+            }
+        })
+    })
+}
+
 /// Replies to an entry's sync at once if there is an urgent change, otherwise after the hold time.
 #[post("/sync/v1", data = "<body>")]
 pub async fn sync_entry(
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -9,6 +9,7 @@
 mod claim;
 mod context;
 mod control_client;
+mod control_peers;
 mod crash_registry;
 mod crash_snapshot;
 mod credential;
--- a/src/entry/control_client.rs
+++ b/src/entry/control_client.rs
@@ -1,12 +1,13 @@
 use std::{
     net::SocketAddr,
-    sync::atomic::{AtomicU64, AtomicUsize, Ordering},
+    sync::atomic::{AtomicU64, Ordering},
     time::{Duration, Instant},
 };
 
 use reqwest::Client;
 use serde::Serialize;
 
+use super::control_peers::{ControlPeers, check_response};
 use crate::{
     client,
     error::{Error, Result},
@@ -27,11 +28,9 @@
 /// Sends claim and crash messages to the leader.
 pub struct ControlClient {
     key: EntryKey,
-    control: Vec<SocketAddr>,
+    control: ControlPeers,
     secret: String,
     client: Client,
-    /// Index of the control daemon that replied last.
-    leader: AtomicUsize,
     attempts: AtomicU64,
 }
 
@@ -39,10 +38,9 @@
     pub fn new(key: EntryKey, control: Vec<SocketAddr>, secret: String, client: Client) -> Self {
         Self {
             key,
-            control,
+            control: ControlPeers::new(control),
             secret,
             client,
-            leader: AtomicUsize::new(0),
             attempts: AtomicU64::new(0),
         }
     }
@@ -60,7 +58,7 @@
     /// Sends a claim message repeatedly until the leader replies or `limit` has passed.
     ///
     /// # Errors
-    /// [`Error::Transport`] when no leader replied; the command may be committed later.
+    /// [`Error::Transport`] or [`Error::NotLeader`] when no leader replied; the command may be committed later.
     pub async fn send_claim(&self, message: &ClaimMessage, limit: Duration) -> Result<Outcome> {
         self.send(CLAIMS_PATH, message, MESSAGE_TIMEOUT, limit)
             .await
@@ -69,7 +67,7 @@
     /// Sends a crash message repeatedly until the leader replies or `limit` has passed.
     ///
     /// # Errors
-    /// [`Error::Transport`] when no leader replied; the command may be committed later.
+    /// [`Error::Transport`] or [`Error::NotLeader`] when no leader replied; the command may be committed later.
     pub async fn send_crash(&self, message: &CrashMessage, limit: Duration) -> Result<Outcome> {
         self.send(CRASHES_PATH, message, CRASH_TIMEOUT, limit).await
     }
@@ -84,8 +82,7 @@
         let body = sync::encode(message)?;
         let deadline = Instant::now() + limit;
         loop {
-            let index = self.leader.load(Ordering::Relaxed) % self.control.len();
-            let control = self.control[index];
+            let control = self.control.current();
             let remaining = deadline.saturating_duration_since(Instant::now());
             match self
                 .send_once(control, path, body.clone(), timeout.min(remaining))
@@ -93,8 +90,8 @@
             {
                 Ok(outcome) => return Ok(outcome),
                 Err(error) if Instant::now() + RETRY_DELAY >= deadline => return Err(error),
-                Err(_) => {
-                    self.leader.store(index + 1, Ordering::Relaxed);
+                Err(error) => {
+                    self.control.record_failure(control, &error);
                     tokio::time::sleep(RETRY_DELAY).await;
                 }
             }
@@ -120,8 +117,8 @@
             .body(body)
             .send()
             .await
-            .and_then(reqwest::Response::error_for_status)
             .map_err(transport)?;
+        let response = check_response(control, response)?;
         let peer = control.to_string();
         let bytes = client::read_body(&peer, response, client::MAX_MESSAGE_BYTES).await?;
         sync::decode::<CommandReply>("command reply", &bytes).map(|reply| reply.outcome)
--- a/src/entry/sync_follower.rs
+++ b/src/entry/sync_follower.rs
@@ -2,7 +2,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -12,7 +12,10 @@
 use tokio::sync::Semaphore;
 
 use super::{
-    allowance::SharedAllowance, demand::DemandCounter, report_poller::PolledReports,
+    allowance::SharedAllowance,
+    control_peers::{ControlPeers, check_response},
+    demand::DemandCounter,
+    report_poller::PolledReports,
     view::SharedView,
 };
 use crate::{
@@ -52,8 +55,7 @@
     client: Client,
     incarnation: Incarnation,
     serial: AtomicU64,
-    /// Index of the control daemon that replied last, modulo the number of daemons.
-    leader: AtomicUsize,
+    control: ControlPeers,
     is_shutting_down: AtomicBool,
 }
 
@@ -86,7 +88,7 @@
             client,
             incarnation: rand::random(),
             serial: AtomicU64::new(0),
-            leader: AtomicUsize::new(0),
+            control: ControlPeers::new(config.control.clone()),
             is_shutting_down: AtomicBool::new(false),
         }
     }
@@ -137,12 +139,13 @@
     /// Returns all allowance to the leader and reports that this entry shuts down.
     ///
     /// # Errors
-    /// The error of the last sync, after one attempt at each control daemon.
+    /// The error of the last sync, after one attempt at each control daemon and at a leader that they name.
     pub async fn deregister(&self) -> Result<()> {
         self.is_shutting_down.store(true, Ordering::Relaxed);
         self.allowance.begin_shutdown();
         let mut last = Ok(());
-        for _ in &self.config.control {
+        // The leader that the last one names is asked as well.
+        for _ in 0..=self.control.count() {
             last = self
                 .sync_once(Duration::ZERO, self.allowance.make_reports())
                 .await;
@@ -154,16 +157,11 @@
     }
 
     async fn sync_once(&self, hold: Duration, shares: TimedReports) -> Result<()> {
-        let index = self.leader.load(Ordering::Relaxed);
-        let control = self.config.control[index % self.config.control.len()];
+        let control = self.control.current();
         let result = self.exchange(control, hold, shares).await;
         if let Err(error) = &result {
             debug!("sync: failed, trying the next control daemon: {error}");
-            // A concurrent sync may have advanced the index already.
-            let next = index.wrapping_add(1);
-            let _ = self
-                .leader
-                .compare_exchange(index, next, Ordering::Relaxed, Ordering::Relaxed);
+            self.control.record_failure(control, error);
         }
         result
     }
@@ -228,8 +226,8 @@
             .body(sync::encode(request)?)
             .send()
             .await
-            .and_then(reqwest::Response::error_for_status)
             .map_err(transport)?;
+        let response = check_response(control, response)?;
         let peer = control.to_string();
         let body = client::read_body(&peer, response, client::MAX_MESSAGE_BYTES).await?;
         sync::decode("sync reply", &body)
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -50,6 +50,8 @@
 pub const SYNC_PATH: &str = "/sync/v1";
 /// Header that authenticates the system's own processes to each other by the system secret.
 pub const SECRET_HEADER: &str = "x-waxwing-secret";
+/// Header with the system address of the leader, in a control daemon's answer that it does not lead.
+pub const LEADER_HEADER: &str = "x-waxwing-leader";
 
 /// Encodes a message between the system's own processes as `MessagePack` with field names.
 ///
