--- a/src/adapter/seed_list.rs
+++ b/src/adapter/seed_list.rs
@@ -29,8 +29,8 @@
 
     /// Sets the source from which the seeds are read again.
     #[must_use]
-    pub fn with_source(mut self, source: Option<Arc<dyn SeedSource>>) -> Self {
-        self.source = source;
+    pub fn with_source(mut self, source: Arc<dyn SeedSource>) -> Self {
+        self.source = Some(source);
         self
     }
 
@@ -43,7 +43,7 @@
             self.read_at = BootInstant::now();
             match source.read_seeds() {
                 Ok(seeds) if seeds.is_empty() => {
-                    warn!("seeds: none are named; keeps the last ones")
+                    warn!("seeds: none are named; keeps the last ones");
                 }
                 Ok(seeds) if seeds != self.seeds => {
                     info!("seeds: others are named", kv: { seeds:? = seeds });
--- a/src/control/bootstrap.rs
+++ b/src/control/bootstrap.rs
@@ -151,9 +151,10 @@
         let id = self.voter.status().id;
         let own = self.config.system_listen.socket();
         // All founders must agree on who they are, so they go by their first settings.
-        let seeds = match self.config.join {
-            true => self.seeds.refresh().to_vec(),
-            false => self.config.seeds.clone(),
+        let seeds = if self.config.join {
+            self.seeds.refresh().to_vec()
+        } else {
+            self.config.seeds.clone()
         };
         let others = seeds.iter().copied().filter(|seed| *seed != own);
         let mut replies: FuturesUnordered<_> = others.map(|seed| self.fetch_member(seed)).collect();
--- a/src/coordinator/daemon.rs
+++ b/src/coordinator/daemon.rs
@@ -48,7 +48,7 @@
     adapter: Arc<dyn PlatformAdapter>,
     secret: String,
     operator_routes: Vec<Route>,
-    seed_source: Option<Arc<dyn SeedSource>>,
+    seeds: SeedList,
 }
 
 impl CoordinatorDaemon {
@@ -60,11 +60,11 @@
         secret: String,
     ) -> Self {
         Self {
+            seeds: SeedList::new(config.seeds.clone()),
             config,
             adapter,
             secret,
             operator_routes: Vec::new(),
-            seed_source: None,
         }
     }
 
@@ -78,7 +78,7 @@
     /// Sets the source from which the seeds are read again while no leader is reached.
     #[must_use]
     pub fn with_seed_source(mut self, source: Arc<dyn SeedSource>) -> Self {
-        self.seed_source = Some(source);
+        self.seeds = self.seeds.with_source(source);
         self
     }
 
@@ -122,8 +122,6 @@
         // The set is dropped with the daemon, which aborts the tasks and frees the port.
         let _services =
             spawn_services(control.system_listen.socket(), Arc::clone(&state), delegate).await?;
-        let plans = Arc::new(PlanStore::new(Arc::clone(&state)));
-        let evacuations = Arc::new(EvacuationStore::new(Arc::clone(&state)));
         let system = build(&control.system_listen)
             .manage(SystemSecret(self.secret.clone()))
             .manage(SyncRuntimes::new(
@@ -136,13 +134,13 @@
             .mount("/", raft_routes())
             .mount("/", routes![api::sync_gateway, api::sync_delegate]);
         let operator = build(&listen_address(config.operator_listen))
-            .manage(plans)
-            .manage(evacuations)
+            .manage(Arc::new(PlanStore::new(Arc::clone(&state))))
+            .manage(Arc::new(EvacuationStore::new(Arc::clone(&state))))
             .mount("/", self.operator_routes);
         let founder =
             FleetBootstrap::new(control, voter.clone(), client.clone(), self.secret.clone())
                 .with_return(MemberReturn::Always)
-                .with_seeds(SeedList::new(config.seeds.clone()).with_source(self.seed_source));
+                .with_seeds(self.seeds);
         let dispatcher = OrderDispatcher::new(state, config.vm.clone(), config.holder_lease);
         tokio::spawn(founder.run());
         tokio::spawn(Arc::new(dispatcher).run());
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -55,7 +55,7 @@
     config: GatewayConfig,
     adapter: Arc<dyn PlatformAdapter>,
     secret: String,
-    seed_source: Option<Arc<dyn SeedSource>>,
+    seeds: SeedList,
 }
 
 impl GatewayDaemon {
@@ -63,17 +63,17 @@
     #[must_use]
     pub fn new(config: GatewayConfig, adapter: Arc<dyn PlatformAdapter>, secret: String) -> Self {
         Self {
+            seeds: SeedList::new(config.coordinators.clone()),
             config,
             adapter,
             secret,
-            seed_source: None,
         }
     }
 
     /// Sets the source from which the addresses of coordinators are read again while none of them answers.
     #[must_use]
     pub fn with_seed_source(mut self, source: Arc<dyn SeedSource>) -> Self {
-        self.seed_source = Some(source);
+        self.seeds = self.seeds.with_source(source);
         self
     }
 
@@ -99,10 +99,9 @@
         let crash_watch = Arc::new(CrashWatch::new(&config.vm));
         let stream_origins = Arc::new(StreamOrigins::new());
         let (news_socket, news_address) = PlanNewsReceiver::bind(config.load_listen).await?;
-        let seeds = SeedList::new(config.coordinators.clone()).with_source(self.seed_source);
         let parts = SyncParts {
             news_address,
-            seeds,
+            seeds: self.seeds,
             crash_watch: Arc::clone(&crash_watch),
             stream_origins: Arc::clone(&stream_origins),
             loads: Arc::clone(&loads),
