--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -31,7 +31,7 @@
     view::{ModelDemand, PlanView},
 };
 use crate::{
-    adapter::PlatformAdapter,
+    adapter::{PlatformAdapter, SeedList, SeedSource},
     client,
     entry::SharedAllowance,
     error::{Error, Result},
@@ -55,6 +55,7 @@
     config: GatewayConfig,
     adapter: Arc<dyn PlatformAdapter>,
     secret: String,
+    seeds: SeedList,
 }
 
 impl GatewayDaemon {
@@ -62,12 +63,20 @@
     #[must_use]
     pub fn new(config: GatewayConfig, adapter: Arc<dyn PlatformAdapter>, secret: String) -> Self {
         Self {
+            seeds: SeedList::new(config.coordinators.clone()),
             config,
             adapter,
             secret,
         }
     }
 
+    /// Sets the source from which the addresses of coordinators are read again while none of them answers.
+    #[must_use]
+    pub fn with_seed_source(mut self, source: Arc<dyn SeedSource>) -> Self {
+        self.seeds = self.seeds.with_source(source);
+        self
+    }
+
     /// Serves until `stop` is ready, then shuts down after the requests in progress have ended or
     /// the grace period is over.
     ///
@@ -92,6 +101,7 @@
         let (news_socket, news_address) = PlanNewsReceiver::bind(config.load_listen).await?;
         let parts = SyncParts {
             news_address,
+            seeds: self.seeds,
             crash_watch: Arc::clone(&crash_watch),
             stream_origins: Arc::clone(&stream_origins),
             loads: Arc::clone(&loads),
