Ask the coordinators that settings name anew before the lost ones

Cause: the named coordinator was queued behind the lost ones, each of which costs a time-out and a growing delay; an empty list was never read again. Change: others that are named are asked first and at once; the file is read outside the lock of the sync state, and an unreadable one is logged once.

--- a/src/adapter/seed_list.rs
+++ b/src/adapter/seed_list.rs
@@ -14,6 +14,8 @@
     seeds: Vec<SocketAddr>,
     source: Option<Arc<dyn SeedSource>>,
     read_at: BootInstant,
+    /// Whether the last read failed, to log a change only.
+    is_unreadable: bool,
 }
 
 impl SeedList {
@@ -24,6 +26,7 @@
             seeds,
             source: None,
             read_at: BootInstant::now(),
+            is_unreadable: false,
         }
     }
 
@@ -35,24 +38,34 @@
     }
 
     /// Returns the seeds, read again if the last read was a while ago. A process calls this while it reaches no
-    /// leader. If the source cannot be read, which is logged, the last seeds stay in use.
+    /// leader. If none are named or the source cannot be read, which is logged, the last seeds stay in use.
     pub fn refresh(&mut self) -> &[SocketAddr] {
-        if let Some(source) = &self.source
-            && self.read_at.elapsed() >= READ_INTERVAL
-        {
-            self.read_at = BootInstant::now();
-            match source.read_seeds() {
-                Ok(seeds) if seeds.is_empty() => {
-                    warn!("seeds: none are named; keeps the last ones");
-                }
-                Ok(seeds) if seeds != self.seeds => {
-                    info!("seeds: others are named", kv: { seeds:? = seeds });
-                    self.seeds = seeds;
-                }
-                Ok(_) => {}
+        self.read_changed();
+        &self.seeds
+    }
+
+    /// Reads the seeds again if the last read was a while ago, and returns them if they are others now.
+    pub fn read_changed(&mut self) -> Option<&[SocketAddr]> {
+        let source = self.source.as_ref()?;
+        if self.read_at.elapsed() < READ_INTERVAL {
+            return None;
+        }
+        self.read_at = BootInstant::now();
+        let read = source.read_seeds();
+        if read.is_err() != self.is_unreadable {
+            self.is_unreadable = read.is_err();
+            match &read {
+                Ok(_) => info!("seeds: can be read again"),
                 Err(error) => warn!("seeds: cannot be read; keeps the last ones: {error}"),
             }
         }
-        &self.seeds
+        match read {
+            Ok(seeds) if !seeds.is_empty() && seeds != self.seeds => {
+                info!("seeds: others are named", kv: { seeds:? = seeds });
+                self.seeds = seeds;
+                Some(&self.seeds)
+            }
+            _ => None,
+        }
     }
 }
--- a/src/gateway/coordinator_list.rs
+++ b/src/gateway/coordinator_list.rs
@@ -37,6 +37,12 @@
         }
     }
 
+    /// Puts coordinators first, in their order. The platform names those that run, and the others do not answer.
+    pub fn put_first(&mut self, addresses: &[SocketAddr]) {
+        self.addresses.retain(|known| !addresses.contains(known));
+        self.addresses.splice(0..0, addresses.iter().copied());
+    }
+
     /// Records that a coordinator answered as the leader.
     pub fn record_answer(&mut self) {
         self.unreachable = None;
--- a/src/gateway/sync_client.rs
+++ b/src/gateway/sync_client.rs
@@ -75,12 +75,12 @@
     secret: String,
     wanted_models: Mutex<HashMap<AwaitedModel, usize>>,
     sync_requested: Notify,
+    seeds: Mutex<SeedList>,
     state: Mutex<SyncState>,
 }
 
 struct SyncState {
     peers: SyncPeers,
-    seeds: SeedList,
     /// When the leader's target list was read from the platform.
     listed_at: Option<Instant>,
     is_connected: bool,
@@ -127,7 +127,6 @@
     ) -> Self {
         let state = SyncState {
             peers: SyncPeers::new(config.vm.clone(), config.coordinators.clone()),
-            seeds: parts.seeds,
             listed_at: None,
             is_connected: false,
             absence: AbsenceWatch::new(),
@@ -160,6 +159,7 @@
             secret,
             wanted_models: Mutex::default(),
             sync_requested: Notify::new(),
+            seeds: Mutex::new(parts.seeds),
             state: Mutex::new(state),
         }
     }
@@ -266,6 +266,7 @@
             let peer = self.state().peers.next(report.needs_leader(), now);
             let Some(peer) = peer else {
                 self.put_back(report);
+                self.refresh_seeds();
                 tokio::time::sleep(self.sync_interval()).await;
                 continue;
             };
@@ -273,6 +274,11 @@
             self.record_connection(synced.as_ref().err());
             if let Err(error) = &synced {
                 let delay = self.record_failure(peer, error, started_at.elapsed());
+                let delay = if self.refresh_seeds() {
+                    MIN_SYNC_INTERVAL
+                } else {
+                    delay
+                };
                 tokio::time::sleep(delay).await;
                 continue;
             }
@@ -293,6 +299,18 @@
         }
     }
 
+    /// Reads again which coordinators the platform names, and returns whether there are others, which are asked first.
+    fn refresh_seeds(&self) -> bool {
+        let mut seeds = self.seeds.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(named) = seeds.read_changed() else {
+            return false;
+        };
+        let mut state = self.state();
+        state.peers.coordinators.put_first(named);
+        state.pacing.record_success();
+        true
+    }
+
     /// Selects the coordinator for the next sync after a failed one, and returns the delay before it.
     fn record_failure(&self, failed: SyncPeer, error: &Error, elapsed: Duration) -> Duration {
         let now = self.started_at.elapsed();
@@ -303,8 +321,7 @@
             Error::NotLeader { leader } => Some(leader.as_ref().and_then(|name| name.parse().ok())),
             _ => None,
         };
-        let SyncState { peers, seeds, .. } = &mut *state;
-        peers.coordinators.add(seeds.refresh().iter().copied());
+        let peers = &mut state.peers;
         match (failed, leader) {
             (SyncPeer::Leader(failed), Some(leader)) => {
                 if peers.coordinators.record_redirect(failed, leader, now) {
