Order the leaders that members name by their terms

Cause: the last answer won, without a term and stamped with the time of its adoption. A line says when a member names another leader, since "not the leader; leader: X" no longer tells whether X is followed. Conclusion: hearsay is ordered as the log's own messages are.

--- a/src/control/seat_search.rs
+++ b/src/control/seat_search.rs
@@ -70,6 +70,8 @@
         let end = Instant::now() + interval;
         let request = Arc::new(self.request(status));
         let mut asked = HashSet::new();
+        // What came after the last search is outdated.
+        while self.news.try_recv().is_ok() {}
         self.fetch_seeds();
         self.request_seats(&request, &mut asked);
         while let Ok(Some(known)) = tokio::time::timeout_at(end, self.news.recv()).await {
@@ -112,7 +114,8 @@
     fn request_seats(&mut self, request: &Arc<JoinRequest>, asked: &mut HashSet<SocketAddr>) {
         let known = self.voter.addresses().others();
         let known_count = known.len();
-        for member in known.into_iter().map(|member| member.system) {
+        let leader = self.voter.addresses().named_leader();
+        for member in known.into_iter().chain(leader).map(|member| member.system) {
             if !asked.insert(member) {
                 continue;
             }
--- a/src/voter/address_book.rs
+++ b/src/voter/address_book.rs
@@ -5,19 +5,33 @@
     time::Duration,
 };
 
-use crate::{clock::BootInstant, config::VoterAddress, ids::VmId};
+use spdlog::prelude::*;
+
+use crate::{
+    clock::BootInstant,
+    config::VoterAddress,
+    ids::{Term, VmId},
+};
 
 /// Time for which a daemon that follows no leader sends others to the leader that a member has named. Members are
-/// asked again several times within it.
-const LEADER_NEWS_TIME: Duration = Duration::from_secs(1);
+/// asked again within it.
+const LEADER_NEWS_TIME: Duration = Duration::from_millis(600);
+
+/// Leader that a member has named.
+#[derive(Clone, Debug)]
+struct NamedLeader {
+    address: VoterAddress,
+    /// Term of the member that named it. A leader of a later term replaces one of an earlier term.
+    term: Term,
+    named_at: BootInstant,
+}
 
 /// Addresses of the control daemons. An address that a daemon reports for itself takes precedence
 /// over one from other daemons or from the settings.
 pub struct AddressBook {
     own: VoterAddress,
     addresses: RwLock<BTreeMap<VmId, VoterAddress>>,
-    /// Leader that a member has named last, and when.
-    named_leader: Mutex<Option<(VmId, BootInstant)>>,
+    named_leader: Mutex<Option<NamedLeader>>,
 }
 
 impl AddressBook {
@@ -78,15 +92,27 @@
         self.find(vm).map(|address| address.system)
     }
 
-    /// Records the leader that a member names.
-    pub fn record_leader(&self, leader: &VoterAddress) {
-        if leader.vm != self.own.vm {
-            let named = (leader.vm.clone(), BootInstant::now());
-            *self
-                .named_leader
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner) = Some(named);
+    /// Records the leader that a member of a term names, unless one of a later term has been named.
+    pub fn record_leader(&self, leader: &VoterAddress, term: Term) {
+        let mut named = self
+            .named_leader
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let is_outdated = named.as_ref().is_some_and(|named| term < named.term);
+        if is_outdated || leader.vm == self.own.vm {
+            return;
         }
+        if named.as_ref().is_none_or(|named| named.address != *leader) {
+            info!("raft: a member names a leader", kv: {
+                leader = leader.vm.as_str(),
+                term = term,
+            });
+        }
+        *named = Some(NamedLeader {
+            address: leader.clone(),
+            term,
+            named_at: BootInstant::now(),
+        });
     }
 
     /// Returns the leader that a member has named lately. It may lead no more.
@@ -95,10 +121,12 @@
         let named = self
             .named_leader
             .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone();
-        let (vm, _) = named.filter(|(_, at)| at.elapsed() < LEADER_NEWS_TIME)?;
-        self.find(&vm)
+            .unwrap_or_else(PoisonError::into_inner);
+        let is_fresh = |named: &&NamedLeader| named.named_at.elapsed() < LEADER_NEWS_TIME;
+        named
+            .as_ref()
+            .filter(is_fresh)
+            .map(|named| named.address.clone())
     }
 
     /// Returns the known addresses of other daemons.
