Read refusals of control daemons of earlier releases

They refuse with a page for people, which was logged as a malformed answer (found by the reviewer; read, no run with two releases). Such a refusal now counts as one that names nobody; statuses other than 421 are errors again.

--- a/src/control/member_client.rs
+++ b/src/control/member_client.rs
@@ -1,6 +1,6 @@
 use std::{net::SocketAddr, time::Duration};
 
-use reqwest::{Client, Response};
+use reqwest::{Client, Response, StatusCode};
 
 use super::{
     known_members::KnownMembers,
@@ -57,7 +57,7 @@
     /// Announces the requester to a daemon and, if the request says so, asks for a seat as a learner.
     ///
     /// # Errors
-    /// [`Error::Transport`] when the daemon does not answer, [`Error::Decode`] when its answer is malformed.
+    /// [`Error::Transport`] when the daemon does not answer, or with an error other than a refusal.
     pub async fn request_seat(
         &self,
         address: SocketAddr,
@@ -72,19 +72,19 @@
             .send()
             .await
             .map_err(|error| transport(address, &error))?;
-        let is_accepted = answer.status().is_success();
+        let is_refused = answer.status() == StatusCode::MISDIRECTED_REQUEST;
+        let answer = match answer.error_for_status_ref() {
+            Err(error) if !is_refused => return Err(transport(address, &error)),
+            _ => answer,
+        };
         let peer = address.to_string();
         let body = client::read_body(&peer, answer, client::MAX_MESSAGE_BYTES).await?;
-        // Daemons of earlier releases answer without a body.
-        let known = if body.is_empty() {
-            KnownMembers::default()
+        // Daemons of earlier releases do not say whom they know; their bodies are empty or a page for people.
+        let known = sync::decode("known members", &body).unwrap_or_default();
+        Ok(if is_refused {
+            SeatAnswer::Refused(known)
         } else {
-            sync::decode("known members", &body)?
-        };
-        Ok(if is_accepted {
             SeatAnswer::Accepted(known)
-        } else {
-            SeatAnswer::Refused(known)
         })
     }
 }
