Let all but founders read the named coordinators again

Cause: a machine of the first start that is no founder kept its first seeds. Change: only founders, whose own address is among the seeds, go by the first settings.

--- a/src/control/bootstrap.rs
+++ b/src/control/bootstrap.rs
@@ -151,10 +151,11 @@
         let id = self.voter.status().id;
         let own = self.config.system_listen.socket();
         // All founders must agree on who they are, so they go by their first settings.
-        let seeds = if self.config.join {
-            self.seeds.refresh().to_vec()
-        } else {
+        let is_founder = !self.config.join && self.config.seeds.contains(&own);
+        let seeds = if is_founder {
             self.config.seeds.clone()
+        } else {
+            self.seeds.refresh().to_vec()
         };
         let others = seeds.iter().copied().filter(|seed| *seed != own);
         let mut replies: FuturesUnordered<_> = others.map(|seed| self.fetch_member(seed)).collect();
@@ -181,7 +182,7 @@
                 }
             }
         }
-        let is_founder = !self.config.join
+        let is_founder = is_founder
             && seeds.iter().min() == Some(&own)
             && membership.voters.len() == seeds.len();
         if is_founder {
