Do not return an entry to a leader that did not answer a moment ago

Followers name a lost leader until they notice, up to 1.6 s; ControlPeers went back to it each time (read by the reviewer). It is passed over for that time.

--- a/src/entry/control_peers.rs
+++ b/src/entry/control_peers.rs
@@ -1,6 +1,7 @@
 use std::{
     net::SocketAddr,
     sync::{Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
 };
 
 use reqwest::{Response, StatusCode};
@@ -10,6 +11,10 @@
     sync::LEADER_HEADER,
 };
 
+/// Time for which a daemon that did not answer is not asked again because another one names it as the leader: the
+/// longest election timeout.
+const UNREACHABLE_TIME: Duration = Duration::from_millis(1_600);
+
 /// Control daemons that an entry asks: those of its settings, and the leader that one of them names. Operators may
 /// have added the leader since the settings were written.
 #[derive(Debug)]
@@ -24,6 +29,8 @@
     current: SocketAddr,
     /// Index of the daemon of the settings that is asked after a failure.
     next: usize,
+    /// Daemon that failed to answer last, and when.
+    unreachable: Option<(SocketAddr, Instant)>,
 }
 
 impl ControlPeers {
@@ -36,7 +43,11 @@
         let current = named[0];
         Self {
             named,
-            state: Mutex::new(PeerChoice { current, next: 1 }),
+            state: Mutex::new(PeerChoice {
+                current,
+                next: 1,
+                unreachable: None,
+            }),
         }
     }
 
@@ -52,17 +63,20 @@
 
     /// Moves on after a failed request, to the leader that the daemon named or else to the next one of the settings.
     pub fn record_failure(&self, asked: SocketAddr, error: &Error) {
+        let mut state = self.state();
         let leader = match error {
             Error::NotLeader { leader } => leader.as_ref().and_then(|leader| leader.parse().ok()),
-            _ => None,
+            _ => {
+                state.unreachable = Some((asked, Instant::now()));
+                None
+            }
         };
-        let mut state = self.state();
         // A concurrent request may have moved on already.
         if state.current != asked {
             return;
         }
         state.current = match leader {
-            Some(leader) if leader != asked => leader,
+            Some(leader) if leader != asked && !state.is_unreachable(leader) => leader,
             _ => {
                 let next = self.named[state.next % self.named.len()];
                 state.next = state.next.wrapping_add(1);
@@ -76,6 +90,14 @@
     }
 }
 
+impl PeerChoice {
+    /// Returns whether a daemon did not answer a moment ago. Others may name it as the leader until they notice.
+    fn is_unreachable(&self, daemon: SocketAddr) -> bool {
+        let unreachable = self.unreachable.filter(|(known, _)| *known == daemon);
+        unreachable.is_some_and(|(_, at)| at.elapsed() < UNREACHABLE_TIME)
+    }
+}
+
 /// Returns a response unless it has an error status.
 ///
 /// # Errors
