--- a/src/entry/control_peers.rs
+++ b/src/entry/control_peers.rs
@@ -64,12 +64,11 @@
     /// Moves on after a failed request, to the leader that the daemon named or else to the next one of the settings.
     pub fn record_failure(&self, asked: SocketAddr, error: &Error) {
         let mut state = self.state();
-        let leader = match error {
-            Error::NotLeader { leader } => leader.as_ref().and_then(|leader| leader.parse().ok()),
-            _ => {
-                state.unreachable = Some((asked, Instant::now()));
-                None
-            }
+        let leader = if let Error::NotLeader { leader } = error {
+            leader.as_ref().and_then(|leader| leader.parse().ok())
+        } else {
+            state.unreachable = Some((asked, Instant::now()));
+            None
         };
         // A concurrent request may have moved on already.
         if state.current != asked {
