Pass requests on at gateways that reach no target

Cause: such a gateway had only its own way to the targets, and the balancer can't keep callers away from it (open connections stay, and with few gateways in rotation it uses all). Ruled out: readiness, for that reason; telling lost links from silence alone, since a few slow answers look the same.

Change: coordinators name up to four neighbours with each sync. A gateway that hears no target, and whose connection attempts to three of them fail, passes requests to a neighbour before it reserves anything; one that could not connect, or that sees all targets of a request as silent, does so instead of refusing the request. The neighbour serves it with the code for callers and never passes it on.

--- a/src/adapter/refusal.rs
+++ b/src/adapter/refusal.rs
@@ -15,6 +15,8 @@
     OverLimit,
     /// No target can serve the request at the moment; the request has not run.
     Unavailable,
+    /// This gateway reaches no target that can serve the request; the request has not run.
+    Unreachable,
     /// A target failed; the request may have run.
     TargetFailed,
     /// The deadline expired; the request may have run.
@@ -32,6 +34,14 @@
     pub retry_after: Option<Duration>,
 }
 
+impl RefusalKind {
+    /// Returns whether a refusal for lack of a target promises that the request has not run.
+    #[must_use]
+    pub fn is_unserved(self) -> bool {
+        matches!(self, Self::Unavailable | Self::Unreachable)
+    }
+}
+
 impl RefusalNotice {
     /// Returns a refusal without a retry delay.
     #[must_use]
--- a/src/coordinator.rs
+++ b/src/coordinator.rs
@@ -23,6 +23,7 @@
 mod load_groups;
 mod model_copies;
 mod model_waits;
+mod neighbours;
 mod order_dispatcher;
 mod order_outcomes;
 mod placement;
--- a/src/coordinator/delegate_view.rs
+++ b/src/coordinator/delegate_view.rs
@@ -106,6 +106,7 @@
                 gateway: report.gateway.clone(),
                 data_centre: report.data_centre.clone(),
                 load_address: report.load_address,
+                is_stranded: report.is_stranded,
             },
             plan_version: report.plan_version,
             first_plan: first.plan_version,
--- a/src/coordinator/delegation.rs
+++ b/src/coordinator/delegation.rs
@@ -67,6 +67,7 @@
             proof_age_ms: millis(proof_age),
             leader: self.redirect().leader,
             delegates: delegate.delegates.clone(),
+            neighbours: delegate.gateways.neighbours(&report.gateway),
         })
     }
 
--- a/src/coordinator/gateway_table.rs
+++ b/src/coordinator/gateway_table.rs
@@ -5,12 +5,12 @@
     time::Duration,
 };
 
-use super::{demand_trend::DemandTrend, load_groups::LoadGroups};
+use super::{demand_trend::DemandTrend, load_groups::LoadGroups, neighbours::choose_neighbours};
 use crate::{
     ids::{DataCentreId, EntryKey},
     sync::{
-        AwaitedModel, GatewayReport, GatewayRoster, LoadTopology, ModelRequests, RosterEntry,
-        ServedModel,
+        AwaitedModel, GatewayReport, GatewayRoster, LoadTopology, ModelRequests, Neighbour,
+        RosterEntry, ServedModel,
     },
 };
 
@@ -49,6 +49,8 @@
     last_report_at: Duration,
     pub data_centre: DataCentreId,
     pub load_address: SocketAddr,
+    /// Whether the gateway passes requests on because it does not reach targets.
+    pub is_stranded: bool,
     news_address: Option<SocketAddr>,
     awaited_models: Vec<AwaitedModel>,
     /// When the gateway last synced with this coordinator and not with another one.
@@ -61,6 +63,7 @@
             last_report_at: now,
             data_centre: entry.data_centre.clone(),
             load_address: entry.load_address,
+            is_stranded: entry.is_stranded,
             news_address: None,
             awaited_models: Vec::new(),
             synced_at: None,
@@ -78,6 +81,7 @@
         gateway: gateway.clone(),
         data_centre: state.data_centre.clone(),
         load_address: state.load_address,
+        is_stranded: state.is_stranded,
     }
 }
 
@@ -101,13 +105,18 @@
             last_report_at: now,
             data_centre: report.data_centre.clone(),
             load_address: report.load_address,
+            is_stranded: report.is_stranded,
             news_address: report.news_address,
             awaited_models: report.awaited_models().collect(),
             synced_at: Some(now),
         };
         let former = self.gateways.insert(report.gateway.clone(), state);
-        if former.is_none_or(|former| former.load_address != report.load_address) {
-            self.change_roster();
+        match former {
+            Some(former) if former.load_address == report.load_address => {
+                // The groups stay as they are.
+                self.roster_number += u64::from(former.is_stranded != report.is_stranded);
+            }
+            _ => self.change_roster(),
         }
     }
 
@@ -121,6 +130,10 @@
             return;
         };
         known.last_report_at = now;
+        if known.is_stranded != entry.is_stranded {
+            known.is_stranded = entry.is_stranded;
+            self.roster_number += 1;
+        }
         let is_recent = |at: Duration| now.saturating_sub(at) < MAX_SYNC_INTERVAL;
         if !known.synced_at.is_some_and(is_recent) {
             known.awaited_models.clear();
@@ -153,7 +166,10 @@
         for entry in roster {
             let known = former.remove(&entry.gateway);
             let known = known.filter(|known| known.load_address == entry.load_address);
-            let state = known.unwrap_or_else(|| GatewayState::new(&entry, now));
+            let mut state = known.unwrap_or_else(|| GatewayState::new(&entry, now));
+            if !state.has_synced(now) {
+                state.is_stranded = entry.is_stranded;
+            }
             self.gateways.insert(entry.gateway, state);
         }
         former.retain(|_, state| state.has_synced(now));
@@ -224,6 +240,12 @@
         groups.topology(own)
     }
 
+    /// Returns the gateways that a gateway may pass requests to.
+    #[must_use]
+    pub fn neighbours(&self, own: &EntryKey) -> Vec<Neighbour> {
+        choose_neighbours(own, &self.gateways)
+    }
+
     /// Returns the sync interval of each gateway, which grows with the number of gateways so that
     /// the leader's load is bounded.
     #[must_use]
--- a/src/coordinator/state.rs
+++ b/src/coordinator/state.rs
@@ -467,6 +467,7 @@
             proof_age_ms: 0,
             leader: None,
             delegates: tables.delegates.live(now),
+            neighbours: tables.gateways.neighbours(&report.gateway),
         }
     }
 
--- a/src/gateway/caller_server.rs
+++ b/src/gateway/caller_server.rs
@@ -10,7 +10,7 @@
     task::JoinSet,
 };
 
-use super::proxy::GatewayProxy;
+use super::proxy::{GatewayProxy, RequestOrigin};
 use crate::answer::{CallerStream, StreamAbort};
 
 /// Delay after a failed accept, which usually means that no file descriptor is free.
@@ -34,6 +34,7 @@
 pub async fn run(
     listener: TcpListener,
     proxy: Arc<GatewayProxy>,
+    origin: RequestOrigin,
     mut is_stopping: watch::Receiver<bool>,
 ) {
     let mut connections = JoinSet::new();
@@ -42,7 +43,7 @@
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
-                    connections.spawn(serve(stream, Arc::clone(&proxy), connection_stop.clone()));
+                    connections.spawn(serve(stream, Arc::clone(&proxy), origin, connection_stop.clone()));
                 }
                 Err(error) => {
                     warn!(
@@ -57,7 +58,12 @@
     }
     // Connections that the kernel has established already would be reset with the listener.
     while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
-        connections.spawn(serve(stream, Arc::clone(&proxy), connection_stop.clone()));
+        connections.spawn(serve(
+            stream,
+            Arc::clone(&proxy),
+            origin,
+            connection_stop.clone(),
+        ));
     }
     drop(listener);
     while connections.join_next().await.is_some() {}
@@ -66,6 +72,7 @@
 async fn serve(
     stream: TcpStream,
     proxy: Arc<GatewayProxy>,
+    origin: RequestOrigin,
     mut is_stopping: watch::Receiver<bool>,
 ) {
     if let Err(error) = stream.set_nodelay(true) {
@@ -82,7 +89,7 @@
         let proxy = Arc::clone(&proxy);
         seen_abort.record_request(request.version());
         request_seen.send_replace(true);
-        async move { Ok::<_, Infallible>(proxy.serve(request).await) }
+        async move { Ok::<_, Infallible>(proxy.serve(request, origin).await) }
     });
     let connection = http1::Builder::new()
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES) + HEAD_MARGIN_BYTES)
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -7,10 +7,12 @@
     time::{Duration, Instant},
 };
 
+use futures::future::{JoinAll, join_all};
 use spdlog::prelude::*;
 use tokio::{
     net::{TcpListener, UdpSocket},
     sync::watch,
+    task::JoinHandle,
 };
 
 use super::{
@@ -20,9 +22,12 @@
     connections::TargetConnections,
     crash_watch::CrashWatch,
     grants::GrantClient,
+    links,
     loads::LoadExchange,
+    neighbours::NeighbourTable,
+    passing::RequestPassing,
     plan_news::PlanNewsReceiver,
-    proxy::GatewayProxy,
+    proxy::{GatewayProxy, RequestOrigin},
     readiness::ReadinessServer,
     regions::log_regions,
     stream_origins::StreamOrigins,
@@ -77,6 +82,8 @@
         let config = self.config;
         let listener = listen(config.caller_listen).await?;
         let ready_listener = listen(config.ready_listen).await?;
+        // The port number of load messages is free for TCP.
+        let neighbour_listener = listen(config.load_listen).await?;
         let view = Arc::new(PlanView::default());
         let targets =
             TargetTable::new(&config.data_centre).with_warmup_bounds(config.warmup_bounds);
@@ -90,7 +97,9 @@
         let crash_watch = Arc::new(CrashWatch::new(&config.vm));
         let stream_origins = Arc::new(StreamOrigins::new());
         let (news_socket, news_address) = PlanNewsReceiver::bind(config.load_listen).await?;
+        let neighbours = Arc::new(NeighbourTable::new());
         let parts = SyncParts {
+            neighbours: Arc::clone(&neighbours),
             news_address,
             crash_watch: Arc::clone(&crash_watch),
             stream_origins: Arc::clone(&stream_origins),
@@ -101,6 +110,8 @@
             allowance: Arc::clone(&allowance),
             demand: Arc::clone(&demand),
         };
+        let passing = RequestPassing::new(neighbours, self.secret.clone());
+        let neighbour_connections = Arc::clone(&passing.connections);
         let http_client = client::http_client()?;
         let sync_client =
             SyncClient::new(config.clone(), incarnation, parts, http_client, self.secret);
@@ -135,6 +146,7 @@
             regions: Arc::clone(&config.regions),
             admission_order: config.admission_order,
             queues: Arc::clone(&queues),
+            passing,
             is_closing: AtomicBool::new(false),
             is_refusing,
         });
@@ -148,33 +160,79 @@
         tokio::spawn(readiness_server.run(ready_listener));
         tokio::spawn(grants.run());
         tokio::spawn(news.run());
+        tokio::spawn(close_expired(neighbour_connections));
         spawn_upkeep(sync_client, loads, queues, targets, connections);
-        let server = tokio::spawn(caller_server::run(listener, Arc::clone(&proxy), is_closing));
+        let servers = serve([listener, neighbour_listener], &proxy, &is_closing);
         info!(
             "gateway: {} accepts callers' connections at {}",
             config.vm, config.caller_listen
         );
         log_regions(&config);
         stop.await;
+        let signals = StopSignals {
+            stop: stop_sender,
+            refusal: refusal_sender,
+            close: close_sender,
+        };
+        signals
+            .shut_down(config.grace_period, &proxy, servers)
+            .await;
+        Ok(())
+    }
+}
+
+/// Signals that end the service of a gateway, in the order in which they are sent.
+struct StopSignals {
+    stop: watch::Sender<bool>,
+    refusal: watch::Sender<bool>,
+    close: watch::Sender<bool>,
+}
+
+impl StopSignals {
+    /// Stops the servers, and waits until the requests in progress have ended or the grace period is over.
+    async fn shut_down(
+        self,
+        grace_period: Duration,
+        proxy: &GatewayProxy,
+        servers: RequestServers,
+    ) {
         info!("gateway: shutting down; waiting for the load balancer and for requests in progress");
-        let deadline = Instant::now() + config.grace_period.saturating_sub(EXIT_MARGIN);
-        stop_sender.send_replace(true);
+        let deadline = Instant::now() + grace_period.saturating_sub(EXIT_MARGIN);
+        self.stop.send_replace(true);
         proxy.is_closing.store(true, Ordering::Relaxed);
-        tokio::time::sleep(ROTATION_DELAY.min(config.grace_period / 2)).await;
-        refusal_sender.send_replace(true);
+        tokio::time::sleep(ROTATION_DELAY.min(grace_period / 2)).await;
+        self.refusal.send_replace(true);
         // Until now requests were accepted, which consumes tokens.
-        allowance.begin_shutdown();
-        close_sender.send_replace(true);
-        let stopped = tokio::time::timeout_at(deadline.into(), server).await;
+        proxy.allowance.begin_shutdown();
+        self.close.send_replace(true);
+        let stopped = tokio::time::timeout_at(deadline.into(), servers).await;
         if stopped.is_ok() {
             info!("gateway: stopped; all requests have ended");
         } else {
             warn!("gateway: grace period over; stopping while requests are still running");
         }
-        Ok(())
     }
 }
 
+/// Servers of callers and of other gateways.
+type RequestServers = JoinAll<JoinHandle<()>>;
+
+/// Starts the servers of callers and of other gateways.
+fn serve(
+    [callers, neighbours]: [TcpListener; 2],
+    proxy: &Arc<GatewayProxy>,
+    is_closing: &watch::Receiver<bool>,
+) -> RequestServers {
+    let servers = [
+        (callers, RequestOrigin::Caller),
+        (neighbours, RequestOrigin::Neighbour),
+    ];
+    join_all(servers.map(|(listener, origin)| {
+        let (proxy, is_closing) = (Arc::clone(proxy), is_closing.clone());
+        tokio::spawn(caller_server::run(listener, proxy, origin, is_closing))
+    }))
+}
+
 /// Starts the tasks that keep the gateway's view of the fleet up to date.
 fn spawn_upkeep(
     sync_client: Arc<SyncClient>,
@@ -183,6 +241,7 @@
     targets: Arc<TargetTable>,
     connections: Arc<TargetConnections>,
 ) {
+    tokio::spawn(links::watch(Arc::clone(&targets), Arc::clone(&sync_client)));
     tokio::spawn(async move { sync_client.run().await });
     tokio::spawn(async move { loads.run().await });
     tokio::spawn(queues.run(Arc::clone(&targets)));
@@ -202,6 +261,14 @@
     }
 }
 
+/// Closes expired connections to neighbours until the task is dropped.
+async fn close_expired(connections: Arc<TargetConnections>) {
+    loop {
+        tokio::time::sleep(POOL_CLEANUP_INTERVAL).await;
+        connections.close_expired(|_| true);
+    }
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener> {
     TcpListener::bind(address)
         .await
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -27,6 +27,8 @@
     Answered(Box<StartedExchange>),
     /// The request has not run and will not.
     NotRun(&'static str),
+    /// The target accepts no connection, so the request has not run.
+    Unreachable,
     /// The target's data centre was evacuated after the target was chosen; nothing was sent.
     Evacuated,
     /// The target does not hold the model, or another target listens at the address.
@@ -134,7 +136,7 @@
         Ok(Err(failure)) => {
             guard.record_outcome(ExchangeOutcome::Failed);
             guard.targets.record_connect_failure(&target, failure);
-            return ExchangeStart::NotRun("the target accepts no connection");
+            return ExchangeStart::Unreachable;
         }
         Err(_) => return ExchangeStart::NotRun("the time is over"),
     };
--- a/src/gateway/liveness.rs
+++ b/src/gateway/liveness.rs
@@ -33,6 +33,7 @@
     pub fn record_activity(&self, target: &TargetId) {
         let now = self.now();
         let mut state = self.state();
+        state.record_heard(now);
         if let Some(liveness) = state.liveness.get_mut(target) {
             liveness.last_activity_at = now;
             if liveness.is_silent {
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -24,6 +24,7 @@
     crash_watch::CrashWatch,
     exchange::{self, ExchangeStart, LoadGuard, StartedExchange},
     part_watch::RequestParts,
+    passing::{OwnAnswer, RequestPassing},
     plan_lease::{PlanLease, PlanStanding},
     relay::{RelayBody, RelayedAnswer},
     request::GatewayRequest,
@@ -55,6 +56,14 @@
 /// Assumed time-out of a caller that states no deadline.
 const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Where a request comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestOrigin {
+    Caller,
+    /// Another gateway, which reaches no target.
+    Neighbour,
+}
+
 /// Proxy that forwards callers' requests to targets.
 pub struct GatewayProxy {
     pub adapter: Arc<dyn PlatformAdapter>,
@@ -73,6 +82,8 @@
     pub admission_order: AdmissionOrder,
     /// Requests that wait for capacity, if they wait in order.
     pub queues: Arc<AdmissionQueues>,
+    /// Passing of requests to other gateways.
+    pub passing: RequestPassing,
     /// Whether callers' connections are closed after the request in progress.
     pub is_closing: AtomicBool,
     /// Becomes true once new and waiting requests are refused.
@@ -80,21 +91,42 @@
 }
 
 impl GatewayProxy {
-    /// Answers a caller's request.
-    pub async fn serve(&self, request: Request<Incoming>) -> Response<CallerBody> {
+    /// Answers a request.
+    pub async fn serve(
+        &self,
+        request: Request<Incoming>,
+        origin: RequestOrigin,
+    ) -> Response<CallerBody> {
+        match origin {
+            RequestOrigin::Caller => self.answer(request, None).await,
+            RequestOrigin::Neighbour => self.serve_passed(request).await,
+        }
+    }
+
+    /// Answers a request that may be passed on, unless another gateway has passed it to this one with the time
+    /// that is left.
+    pub(super) async fn answer(
+        &self,
+        request: Request<Incoming>,
+        passed_time: Option<Duration>,
+    ) -> Response<CallerBody> {
         let arrived_at = Instant::now();
         let (parts, incoming) = request.into_parts();
-        let metadata = self.adapter.parse_request(&parts);
+        let mut metadata = self.adapter.parse_request(&parts);
+        if let Some(time_left) = passed_time {
+            let deadline = metadata.deadline;
+            metadata.deadline = Some(deadline.map_or(time_left, |time| time.min(time_left)));
+        }
         let request_id = metadata.request_id.clone().unwrap_or_default();
         let caller_timeout = metadata.deadline.unwrap_or(DEFAULT_CALLER_TIMEOUT);
         let response = match self
             .read_request(arrived_at, parts, incoming, metadata)
             .await
         {
-            Ok(mut request) => match self.resolve_origin(&mut request).await {
-                Ok(()) => self.forward(&request).await,
-                Err(notice) => Err(notice),
-            },
+            Ok(mut request) => {
+                let may_pass = passed_time.is_none();
+                self.answer_matched(&mut request, may_pass).await
+            }
             Err(notice) => Err(notice),
         };
         let mut response = response.unwrap_or_else(|notice| {
@@ -126,6 +158,9 @@
         *response.status_mut() = status;
         *response.headers_mut() = headers;
         response
+            .extensions_mut()
+            .insert(OwnAnswer { kind: notice.kind });
+        response
     }
 
     /// Reads the request in full and matches it with the plan.
@@ -203,7 +238,7 @@
         }
     }
 
-    async fn forward(
+    pub(super) async fn forward(
         &self,
         request: &GatewayRequest,
     ) -> Result<Response<CallerBody>, RefusalNotice> {
@@ -247,7 +282,7 @@
         };
         match (tokens, &response) {
             // The request did not run, so its tokens can be used again.
-            (Some(tokens), Err(notice)) if notice.kind == RefusalKind::Unavailable => {
+            (Some(tokens), Err(notice)) if notice.kind.is_unserved() => {
                 tokens.release();
             }
             (Some(tokens), _) => tokens.settle(request.token_cost()),
@@ -308,16 +343,16 @@
         let mut first_choice = Some(admitted);
         let mut possible_runs = 0;
         let mut refusals = 0;
+        let mut unreachable = 0;
         loop {
             let admitted = match first_choice.take() {
                 Some(admitted) => Some(admitted),
                 None => self.choose_again(request, pool, &tried).await,
             };
             let Some(AdmittedTarget { chosen, permit }) = admitted else {
-                return Err(Self::no_target_refusal(
-                    possible_runs,
-                    request.no_target_reason("no target can take the request"),
-                ));
+                let reason = request.no_target_reason("no target can take the request");
+                let refusal = not_run_refusal(refusals, unreachable, reason);
+                return Err(Self::no_target_refusal(possible_runs, refusal));
             };
             // The block may have begun while the request waited or ran elsewhere.
             self.check_parts(crash_parts)?;
@@ -345,6 +380,11 @@
                     refusals += 1;
                     reason
                 }
+                ExchangeStart::Unreachable => {
+                    refusals += 1;
+                    unreachable += 1;
+                    "the target accepts no connection"
+                }
                 // The target is not chosen again while its data centre is evacuated.
                 ExchangeStart::Evacuated => continue,
                 ExchangeStart::Misdirected => {
@@ -375,18 +415,19 @@
                 reason = reason,
             });
             if refusals >= MAX_REFUSED_ATTEMPTS || (refusals > 0 && !self.take_retry(&team)) {
-                return Err(Self::no_target_refusal(possible_runs, reason));
+                let refusal = not_run_refusal(refusals, unreachable, reason);
+                return Err(Self::no_target_refusal(possible_runs, refusal));
             }
             tried.push(target);
         }
     }
 
-    /// Returns the refusal of a request that no target accepts. `Unavailable` promises that the
-    /// request has not run, so it is returned only if no earlier attempt may have run it.
-    fn no_target_refusal(possible_runs: u32, reason: &'static str) -> RefusalNotice {
+    /// Returns the refusal of a request that no target accepts. `refusal` promises that the request has
+    /// not run, so it is returned only if no earlier attempt may have run it.
+    pub(super) fn no_target_refusal(possible_runs: u32, refusal: RefusalNotice) -> RefusalNotice {
         match possible_runs {
-            0 => unavailable(reason),
-            _ => RefusalNotice::new(RefusalKind::TargetFailed, reason),
+            0 => refusal,
+            _ => RefusalNotice::new(RefusalKind::TargetFailed, refusal.reason),
         }
     }
 
@@ -463,7 +504,7 @@
         Ok(Response::from_parts(parts, relay.boxed_unsync()))
     }
 
-    fn take_retry(&self, team: &TeamId) -> bool {
+    pub(super) fn take_retry(&self, team: &TeamId) -> bool {
         self.with_retry_budget(|budget, now| budget.try_withdraw(team, now))
     }
 
@@ -481,6 +522,16 @@
     matches!(status.as_u16(), 408 | 421 | 429 | 503)
 }
 
+/// Returns the refusal of a request that has not run. Another gateway may reach targets if this one could not
+/// connect to any that it tried.
+fn not_run_refusal(refusals: u32, unreachable: u32, reason: &'static str) -> RefusalNotice {
+    if unreachable > 0 && unreachable == refusals {
+        RefusalNotice::new(RefusalKind::Unreachable, reason)
+    } else {
+        unavailable(reason)
+    }
+}
+
 pub(super) fn unavailable(reason: &'static str) -> RefusalNotice {
     RefusalNotice::new(RefusalKind::Unavailable, reason)
 }
--- a/src/gateway/retry_delay.rs
+++ b/src/gateway/retry_delay.rs
@@ -15,7 +15,9 @@
 /// Adds a retry delay to the refusal of a request that has not run, unless it states one already.
 pub(super) fn add_retry_after(notice: RefusalNotice, time_left: Duration) -> RefusalNotice {
     match notice.kind {
-        RefusalKind::OverLimit | RefusalKind::Unavailable if notice.retry_after.is_none() => {
+        RefusalKind::OverLimit | RefusalKind::Unavailable | RefusalKind::Unreachable
+            if notice.retry_after.is_none() =>
+        {
             let [min, max] = RETRY_AFTER_SHARE.map(|share| time_left.mul_f64(share));
             notice.with_retry_after(random_duration(min, max))
         }
--- a/src/gateway/sync_client.rs
+++ b/src/gateway/sync_client.rs
@@ -17,6 +17,7 @@
     list_fallback::ListFallback,
     loads::LoadExchange,
     model_waiter::ModelWaiter,
+    neighbours::NeighbourTable,
     part_watch::PartReport,
     plan_lease::DoubtfulTime,
     retry_delay::random_duration,
@@ -68,6 +69,7 @@
     allowance: Arc<SharedAllowance>,
     demand: Arc<ModelDemand>,
     loads: Arc<LoadExchange>,
+    neighbours: Arc<NeighbourTable>,
     crash_watch: Arc<CrashWatch>,
     stream_origins: Arc<StreamOrigins>,
     news_address: SocketAddr,
@@ -110,6 +112,7 @@
     pub allowance: Arc<SharedAllowance>,
     pub demand: Arc<ModelDemand>,
     pub loads: Arc<LoadExchange>,
+    pub neighbours: Arc<NeighbourTable>,
     pub crash_watch: Arc<CrashWatch>,
     pub stream_origins: Arc<StreamOrigins>,
 }
@@ -149,6 +152,7 @@
             allowance: parts.allowance,
             demand: parts.demand,
             loads: parts.loads,
+            neighbours: parts.neighbours,
             crash_watch: parts.crash_watch,
             stream_origins: parts.stream_origins,
             news_address: parts.news_address,
@@ -356,6 +360,7 @@
             unresponsive: self.targets.silent_targets(),
             missing_models: unlimited.into_iter().map(|wanted| wanted.model).collect(),
             missing_regional_models: regional,
+            is_stranded: self.targets.is_cut_off() || self.neighbours.is_in_use(),
         }
     }
 
@@ -505,6 +510,7 @@
         self.stream_origins
             .apply_reply(reply.recorded_services, reply.stream_answers);
         self.loads.set_topology(reply.load_topology);
+        self.neighbours.set(reply.neighbours);
         let mut state = self.state();
         state.sync_interval = Duration::from_millis(reply.sync_interval_ms);
         state.list_fallback.set_gateways(reply.gateways);
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -10,6 +10,7 @@
 
 use super::{
     evacuations::EvacuationSet,
+    link_watch::LinkWatch,
     liveness::TargetLiveness,
     routing::{replica_spec, split_model},
 };
@@ -64,6 +65,8 @@
     pending_prefill_tokens: BTreeMap<TargetId, u32>,
     pub(super) prefill_ms_per_token: f32,
     pub(super) liveness: HashMap<TargetId, TargetLiveness>,
+    /// Links to all targets together.
+    pub(super) links: LinkWatch,
     /// Consecutive failed connection attempts by target.
     pub(super) connect_failures: HashMap<TargetId, u32>,
     pub(super) replicas: ReplicaTable,
@@ -97,6 +100,7 @@
                 pending_prefill_tokens: BTreeMap::new(),
                 prefill_ms_per_token: PREFILL_MS_PER_TOKEN,
                 liveness: HashMap::new(),
+                links: LinkWatch::new(),
                 connect_failures: HashMap::new(),
                 replicas: ReplicaTable::new(tuning, &[(data_centre.clone(), Duration::ZERO)]),
                 entries: HashMap::new(),
@@ -323,6 +327,7 @@
         let now = self.now();
         let mut state = self.state();
         let state = &mut *state;
+        state.links.record_attempt(&chosen.choice.target, now);
         chosen.prior_prefill_tokens = state.replicas.pending_prefill_tokens(&chosen.choice.target);
         let pending_tokens = state
             .pending_prefill_tokens
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -6,6 +6,7 @@
 mod delegate;
 mod gateway;
 mod load;
+mod neighbour;
 mod parts;
 mod plan_news;
 mod redirect;
@@ -27,6 +28,7 @@
     ModelRequests, PlanUpdate, PublishedPlan, ServedModel, TargetDigest, TargetList,
 };
 pub use load::{LoadMessage, LoadScope, LoadSum, LoadTopology, TargetHash, target_hash};
+pub use neighbour::Neighbour;
 pub use parts::{
     CompletedPart, CrashEvidence, CrashedPart, PartKind, PartSection, SuspectPart, TargetCrash,
 };
--- a/src/sync/delegate.rs
+++ b/src/sync/delegate.rs
@@ -100,6 +100,9 @@
     pub data_centre: DataCentreId,
     /// Its UDP address for loads.
     pub load_address: SocketAddr,
+    /// Whether it passes requests on because it does not reach targets.
+    #[serde(default)]
+    pub is_stranded: bool,
 }
 
 /// All gateways of the fleet.
--- a/src/sync/gateway.rs
+++ b/src/sync/gateway.rs
@@ -12,7 +12,8 @@
     region::RegionLimit,
     sync::{
         self, AwaitedModel, CompletedPart, CrashEvidence, EvacuationSection, LoadTopology,
-        PartSection, ServingState, StreamAnswer, StreamQuery, StreamStart, TargetHash, target_hash,
+        Neighbour, PartSection, ServingState, StreamAnswer, StreamQuery, StreamStart, TargetHash,
+        target_hash,
     },
 };
 
@@ -71,6 +72,9 @@
     /// Models that requests with allowed regions wait for, with these regions.
     #[serde(default)]
     pub missing_regional_models: Vec<AwaitedModel>,
+    /// Whether the gateway passes requests on because it does not reach targets.
+    #[serde(default)]
+    pub is_stranded: bool,
 }
 
 /// Version of the leader's target list.
@@ -181,6 +185,9 @@
     /// System addresses of the coordinators that answer syncs in the leader's place.
     #[serde(default)]
     pub delegates: Vec<SocketAddr>,
+    /// Gateways that this gateway may pass requests to; empty if none is known.
+    #[serde(default)]
+    pub neighbours: Vec<Neighbour>,
 }
 
 impl GatewayReport {
--- a/tests/delegate_view.rs
+++ b/tests/delegate_view.rs
@@ -43,6 +43,7 @@
         stream_queries: Vec::new(),
         missing_models: Vec::new(),
         missing_regional_models: Vec::new(),
+        is_stranded: false,
     }
 }
 
@@ -192,6 +193,7 @@
         gateway: key("edge-9"),
         data_centre: "b".into(),
         load_address: "10.0.0.9:7615".parse().unwrap(),
+        is_stranded: false,
     };
     let roster = GatewayRoster {
         number: 7,
--- a/tests/engine_fleet/mod.rs
+++ b/tests/engine_fleet/mod.rs
@@ -169,5 +169,6 @@
         stream_queries: Vec::new(),
         missing_models: Vec::new(),
         missing_regional_models: Vec::new(),
+        is_stranded: false,
     }
 }
--- a/tests/load_aggregator.rs
+++ b/tests/load_aggregator.rs
@@ -75,6 +75,7 @@
                 stream_queries: Vec::new(),
                 missing_models: Vec::new(),
                 missing_regional_models: Vec::new(),
+                is_stranded: false,
             };
             table.record(&report, Duration::ZERO);
         }
--- a/tests/regions.rs
+++ b/tests/regions.rs
@@ -252,6 +252,7 @@
         stream_queries: Vec::new(),
         missing_models: Vec::new(),
         missing_regional_models: missing.collect(),
+        is_stranded: false,
     }
 }
 
