Keep brittle targets from being turned over

Callers saw: while targets stated Server-Brittle, most requests were refused, since targets that had turned away too many were down (137 and 122 answers of 3,600 that there were slots for). Cause: nothing read the statement. A plain target was sent up to twice as many requests as it has slots, and gateways that saw the same free slot at the same moment all filled it. A gateway sends to a brittle target only while it has a free slot by all loads, and only its part of the free slots in 60 ms; beyond that, with a permit of the leader's ledger that is used up by a rejection and returned otherwise. Rejections withhold slots for a second, also at the other gateways, through the load messages. For tens of gateways the bound is not shown, and more than half of the slots stay empty under pressure.

--- a/src/adapter/metadata.rs
+++ b/src/adapter/metadata.rs
@@ -72,6 +72,9 @@
     pub load: Option<(u32, u32, u32)>,
     /// How long work takes at the target at the moment, relative to the usual time.
     pub pace: Option<WorkPace>,
+    /// Number of requests that the target can turn away within a second for want of room; beyond it, the target falls over.
+    /// `None` when the target can turn away any number.
+    pub rejection_limit: Option<u32>,
     /// Time for which the target keeps an idle connection open.
     pub keep_alive: Option<Duration>,
 }
--- a/src/allowance/ledger.rs
+++ b/src/allowance/ledger.rs
@@ -136,6 +136,12 @@
         self.teams.insert(team.clone(), bucket);
     }
 
+    /// Returns whether a limit was set, be it 0.
+    #[must_use]
+    pub fn has_limit(&self, team: &TeamId) -> bool {
+        self.limits.contains_key(team)
+    }
+
     /// Applies an entry's reports and returns the grants. Each grant extends the validity of the
     /// entry's tokens. A closed ledger without a reserve returns no grants, so that entries use the
     /// tokens that they still hold.
--- a/src/coordinator.rs
+++ b/src/coordinator.rs
@@ -31,6 +31,7 @@
 mod plan_pusher;
 mod plan_store;
 mod regional_needs;
+mod rejection_limits;
 mod served_list;
 mod state;
 mod stream_versions;
--- a/src/coordinator/state.rs
+++ b/src/coordinator/state.rs
@@ -368,6 +368,7 @@
         let grants = LeaderWork::timed(&self.work.grant_time_us, || {
             let mut tables = self.tables(lease);
             self.update_plan(&mut tables);
+            tables.set_rejection_limits(&request.shares, now);
             tables.ledger.expire_grants(now);
             let ledger = &mut tables.ledger;
             ledger.answer_reports(&request.gateway, &request.shares, now)
@@ -419,6 +420,7 @@
         for target in &report.unresponsive {
             tables.engines.mark_suspected(target);
         }
+        tables.set_rejection_limits(&report.shares, now);
         tables.ledger.expire_grants(now);
         let grants = tables
             .ledger
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -113,6 +113,12 @@
             let max_gap = request.route.event_gap_target;
             let has_warm = chosen.is_some();
             match chosen {
+                Some(chosen) if self.targets.is_brittle(&chosen.choice.target) => {
+                    let admitted = self.admit_brittle(request, pool, &[], chosen).await;
+                    if let Some(admitted) = admitted {
+                        return Ok(admitted);
+                    }
+                }
                 Some(chosen) if self.targets.has_room(&chosen, max_gap) => {
                     return Ok(AdmittedTarget::warm(chosen));
                 }
--- a/src/gateway/capacity_wait.rs
+++ b/src/gateway/capacity_wait.rs
@@ -67,7 +67,12 @@
             }
             let chosen = self.choose(request, pool, &[], Some(Warmth::Warm));
             let has_cold = self.targets.has_cold();
+            let mut brittle = None;
             match chosen {
+                Some(chosen) if self.targets.is_brittle(&chosen.choice.target) => {
+                    let free_slots = self.targets.free_slots(pool, max_gap);
+                    brittle = Some(chosen).filter(|_| ticket.may_take_slot(free_slots));
+                }
                 Some(chosen)
                     if self.targets.has_room(&chosen, max_gap)
                         && ticket.may_take_slot(self.targets.free_slots(pool, max_gap)) =>
@@ -79,6 +84,12 @@
                 _ => {}
             }
             ticket.pass_turn();
+            if let Some(chosen) = brittle
+                && let Some(admitted) = self.admit_brittle(request, pool, &[], chosen).await
+            {
+                ticket.admit();
+                return Ok(admitted);
+            }
             if has_cold && let Some(admitted) = self.reserve_cold(request, pool, &mut refused).await
             {
                 ticket.admit();
--- a/src/gateway/cold_choice.rs
+++ b/src/gateway/cold_choice.rs
@@ -5,7 +5,7 @@
 use smallvec::SmallVec;
 
 use super::{
-    proxy::GatewayProxy, request::GatewayRequest, targets::ChosenTarget,
+    proxy::GatewayProxy, request::GatewayRequest, send_permit::SendPermit, targets::ChosenTarget,
     warmup_permit::WarmupPermit,
 };
 use crate::{
@@ -22,8 +22,8 @@
 /// A target that a request may be sent to.
 pub struct AdmittedTarget {
     pub chosen: ChosenTarget,
-    /// Reservation at a cold target.
-    pub permit: Option<WarmupPermit>,
+    /// What the ledger has granted for a request that needs it.
+    pub permit: Option<SendPermit>,
 }
 
 impl AdmittedTarget {
@@ -47,8 +47,15 @@
         pool: &PoolId,
         tried: &[TargetId],
     ) -> Option<AdmittedTarget> {
-        if let Some(chosen) = self.choose(request, pool, tried, Some(Warmth::Warm)) {
-            return Some(AdmittedTarget::warm(chosen));
+        match self.choose(request, pool, tried, Some(Warmth::Warm)) {
+            Some(chosen) if self.targets.is_brittle(&chosen.choice.target) => {
+                let admitted = self.admit_brittle(request, pool, tried, chosen).await;
+                if admitted.is_some() {
+                    return admitted;
+                }
+            }
+            Some(chosen) => return Some(AdmittedTarget::warm(chosen)),
+            None => {}
         }
         let mut excluded = tried.into();
         self.reserve_cold(request, pool, &mut excluded).await
@@ -91,7 +98,7 @@
         };
         Some(AdmittedTarget {
             chosen,
-            permit: Some(WarmupPermit::new(tokens)),
+            permit: Some(SendPermit::Warmup(WarmupPermit::new(tokens))),
         })
     }
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -11,7 +11,9 @@
     connections::{TargetConnection, TargetConnections},
     crash_watch::CrashWatch,
     part_watch::RequestParts,
+    rejection_permit::RejectionPermit,
     request::GatewayRequest,
+    send_permit::SendPermit,
     targets::{ChosenTarget, TargetTable},
     warmup_permit::WarmupPermit,
 };
@@ -122,9 +124,10 @@
     connections: &TargetConnections,
     request: &GatewayRequest,
     mut guard: LoadGuard,
-    permit: Option<WarmupPermit>,
+    permit: Option<SendPermit>,
 ) -> ExchangeStart {
     let target = guard.chosen.choice.target.clone();
+    let (warmup_permit, mut rejection_permit) = SendPermit::split(permit);
     let connection = tokio::time::timeout(
         request.time_left(),
         connections.take(&target, guard.chosen.address),
@@ -150,17 +153,28 @@
         return ExchangeStart::Evacuated;
     }
     // The target may have turned cold since it was chosen.
-    if guard.targets.is_cold(&target) && !permit.is_some_and(WarmupPermit::try_use) {
+    if guard.targets.is_cold(&target) && !warmup_permit.is_some_and(WarmupPermit::try_use) {
         connections.put_back(&target, connection);
         return ExchangeStart::NotRun("the target is cold");
     }
+    if rejection_permit
+        .as_mut()
+        .is_some_and(|permit| !permit.record_write())
+    {
+        connections.put_back(&target, connection);
+        return ExchangeStart::NotRun("the permit for a brittle target is too old");
+    }
     let outgoing = build_request(adapter, request, &guard.chosen, time_left);
     let response = connection.sender.try_send_request(outgoing);
-    let response = match tokio::time::timeout(time_left, response).await {
+    let response = tokio::time::timeout(time_left, response);
+    let response = match RejectionPermit::hold(&mut rejection_permit, response).await {
         Ok(Ok(response)) => response,
         Ok(Err(mut error)) => {
             // Hyper returns the request only if the connection closed before any byte was written.
             if error.take_message().is_some() {
+                rejection_permit
+                    .into_iter()
+                    .for_each(RejectionPermit::release);
                 return ExchangeStart::NotRun("the connection was closed");
             }
             guard.record_outcome(ExchangeOutcome::Failed);
@@ -189,9 +203,20 @@
         guard.targets.record_pace(&target, pace);
     }
     connection.set_keep_alive(metadata.keep_alive);
+    if !metadata.is_misdirected {
+        let limit = metadata.rejection_limit;
+        guard.targets.record_rejection_limit(&target, limit);
+    }
+    if metadata.is_not_executed && !metadata.is_misdirected {
+        guard.targets.record_rejection(&target);
+        // Dropping the permit uses it up.
+        return ExchangeStart::NotRun("the target is full");
+    }
+    rejection_permit
+        .into_iter()
+        .for_each(RejectionPermit::release);
     match () {
         () if metadata.is_misdirected => ExchangeStart::Misdirected,
-        () if metadata.is_not_executed => ExchangeStart::NotRun("the target is full"),
         () => ExchangeStart::Answered(Box::new(StartedExchange {
             response,
             metadata,
--- a/src/gateway/room.rs
+++ b/src/gateway/room.rs
@@ -8,6 +8,8 @@
 /// Maximum number of requests per slot of a plain service. Its requests are short, so it may queue
 /// some.
 const PLAIN_REQUESTS_PER_SLOT: f32 = 2.0;
+/// Maximum number of requests per slot of a plain service whose targets are brittle.
+const BRITTLE_REQUESTS_PER_SLOT: f32 = 1.0;
 /// Share of an engine's slots that a gateway fills. The rest is headroom for requests that several
 /// gateways send at the same moment, which would otherwise queue at the engine behind all others.
 const ADMITTED_SLOT_SHARE: f32 = 0.85;
@@ -49,10 +51,14 @@
     /// [`has_room`](Self::has_room) counts them.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // The cast saturates.
     pub fn free_slots(&self, pool: &PoolId, max_gap: Option<Duration>) -> u32 {
+        let now = self.now();
         let state = self.state();
-        let share = match max_gap {
-            Some(_) => ADMITTED_SLOT_SHARE,
-            None => PLAIN_REQUESTS_PER_SLOT,
+        let share = match (max_gap, pool) {
+            (Some(_), _) => ADMITTED_SLOT_SHARE,
+            (None, PoolId::Service(service)) if state.brittle.limit(service, now).is_some() => {
+                BRITTLE_REQUESTS_PER_SLOT
+            }
+            (None, _) => PLAIN_REQUESTS_PER_SLOT,
         };
         let targets = state.replicas.pool_slots(pool);
         let free = targets.map(|(slots, load)| (slots * share - load).max(0.0).ceil() as u32);
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -15,6 +15,7 @@
 };
 use crate::{
     adapter::TargetEntry,
+    brittle::BrittleTable,
     error::Result,
     ids::{DataCentreId, ServiceId, SoftwareVersion, TargetId},
     plan::PlanIndex,
@@ -55,7 +56,7 @@
     /// Wakes requests that wait for a model.
     list_changed: Notify,
     /// Wakes the task that sends this gateway's load to other gateways.
-    own_load_changed: Notify,
+    pub(super) own_load_changed: Notify,
     /// Wakes requests that wait for free capacity.
     capacity_freed: Notify,
 }
@@ -73,6 +74,7 @@
     list_version: ListVersion,
     /// Number of changes of the list that the leader did not make.
     local_changes: u64,
+    pub(super) brittle: BrittleTable,
     pub(super) warmth: WarmthTable,
     /// Bounds on requests to cold targets; `None` if there is no limit.
     pub(super) warmup_bounds: Option<WarmupBounds>,
@@ -104,6 +106,7 @@
                 evacuations: EvacuationSet::default(),
                 list_version: ListVersion::default(),
                 local_changes: 0,
+                brittle: BrittleTable::new(),
                 warmth: WarmthTable::new(),
                 warmup_bounds: None,
                 announced_software: HashSet::new(),
@@ -257,7 +260,8 @@
 
     /// Returns the load that this gateway causes at each target.
     pub fn own_loads(&self) -> HashMap<TargetHash, LoadSum> {
-        let state = self.state();
+        let now = self.now();
+        let mut state = self.state();
         let loads = state.running_requests.iter().map(|(target, running)| {
             let sum = LoadSum {
                 running: *running,
@@ -269,7 +273,9 @@
             };
             (target_hash(target), sum)
         });
-        loads.collect()
+        let mut loads = loads.collect();
+        state.add_withheld_slots(&mut loads, now);
+        loads
     }
 
     /// Waits until the load of this gateway changes.
@@ -330,6 +336,7 @@
         *pending_tokens.or_default() += chosen.choice.prefill_tokens;
         self.own_load_changed.notify_one();
         state.replicas.record_send(&chosen.choice, now);
+        state.brittle.record_send(&chosen.choice.target);
         state
             .replicas
             .record_prefixes(&chosen.choice.target, prefix, now);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod answer;
 #[rustfmt::skip] // Generated; a test compares it with the output of the generator.
 pub mod border;
+pub mod brittle;
 pub mod clap_app;
 pub mod client;
 pub mod clock;
