--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -121,7 +121,7 @@
             demand: Arc::clone(&demand),
         };
         let passing = RequestPassing::new(neighbours, self.secret.clone());
-        let neighbour_connections = Arc::clone(&passing.connections);
+        tokio::spawn(close_expired(Arc::clone(&passing.connections)));
         let http_client = client::http_client()?;
         let sync_client =
             SyncClient::new(config.clone(), incarnation, parts, http_client, self.secret);
@@ -170,7 +170,6 @@
         tokio::spawn(readiness_server.run(ready_listener));
         tokio::spawn(grants.run());
         tokio::spawn(news.run());
-        tokio::spawn(close_expired(neighbour_connections));
         spawn_upkeep(sync_client, loads, queues, targets, connections);
         let servers = serve([listener, neighbour_listener], &proxy, &is_closing);
         info!(
