--- a/src/control/bootstrap.rs
+++ b/src/control/bootstrap.rs
@@ -11,6 +11,7 @@
     seat_search::{MemberReturn, SeatSearch},
 };
 use crate::{
+    adapter::SeedList,
     config::ControlConfig,
     error::Result,
     raft::Membership,
@@ -34,11 +35,13 @@
     voter: VoterHandle,
     client: MemberClient,
     member_return: MemberReturn,
+    seeds: SeedList,
 }
 
 impl FleetBootstrap {
     pub fn new(config: ControlConfig, voter: VoterHandle, client: Client, secret: String) -> Self {
         Self {
+            seeds: SeedList::new(config.seeds.clone()),
             config,
             voter,
             client: MemberClient::new(client, secret),
@@ -53,8 +56,15 @@
         self
     }
 
+    /// Sets the seeds of a daemon whose settings may name others later.
+    #[must_use]
+    pub fn with_seeds(mut self, seeds: SeedList) -> Self {
+        self.seeds = seeds;
+        self
+    }
+
     /// Runs until the task is dropped or the voter has stopped.
-    pub async fn run(self) {
+    pub async fn run(mut self) {
         while self.voter.status().phase == VoterPhase::Uninitialized {
             if let Some(membership) = self.find_membership().await {
                 let result = self.voter.initialize(membership).await;
@@ -73,7 +83,9 @@
                 return;
             }
             if status.leader.is_none() || !status.membership.contains(&status.id) {
-                search.ask_all(&status);
+                search.ask_all(&status, ANNOUNCE_INTERVAL).await;
+            } else {
+                tokio::time::sleep(ANNOUNCE_INTERVAL).await;
             }
             let known_addresses = self.voter.addresses().others();
             if saved_addresses != known_addresses
@@ -81,13 +93,12 @@
             {
                 saved_addresses = known_addresses;
             }
-            tokio::time::sleep(ANNOUNCE_INTERVAL).await;
         }
     }
 
     /// Returns the membership to start with, which is empty for a daemon that joins a fleet, or
     /// `None` if the attempt must be repeated.
-    async fn find_membership(&self) -> Option<Membership> {
+    async fn find_membership(&mut self) -> Option<Membership> {
         if !self.config.seeds.is_empty() {
             return self.find_membership_by_seeds().await;
         }
@@ -136,10 +147,15 @@
     /// Does the same as [`Self::find_membership`] for a daemon whose settings contain only
     /// addresses. The daemon at the lowest address founds the fleet with all of them as voters; any
     /// other daemon joins.
-    async fn find_membership_by_seeds(&self) -> Option<Membership> {
+    async fn find_membership_by_seeds(&mut self) -> Option<Membership> {
         let id = self.voter.status().id;
         let own = self.config.system_listen.socket();
-        let seeds = &self.config.seeds;
+        // All founders must agree on who they are, so they go by their first settings.
+        let seeds = if self.config.join {
+            self.seeds.refresh().to_vec()
+        } else {
+            self.config.seeds.clone()
+        };
         let others = seeds.iter().copied().filter(|seed| *seed != own);
         let mut replies: FuturesUnordered<_> = others.map(|seed| self.fetch_member(seed)).collect();
         let mut membership = Membership::of_voters([id.clone()]);
@@ -147,6 +163,7 @@
         while let Some(reply) = replies.next().await {
             let Ok(reply) = reply else { continue };
             self.voter.addresses().update(&reply.address);
+            reply.known.adopt(&self.voter);
             match reply.founding {
                 Some(founding) if founding.voters.contains(&id) => {
                     info!(
@@ -178,10 +195,8 @@
     }
 
     fn seat_search(&self) -> SeatSearch {
-        let own = self.config.system_listen.socket();
-        let seeds = self.config.seeds.iter().copied();
         SeatSearch::new(
-            seeds.filter(|seed| *seed != own).collect(),
+            self.seeds.clone(),
             self.voter.clone(),
             self.client.clone(),
             self.member_return,
