Look up the followed leader and log changed answers in one place

Cause: each answer of a control daemon, those to the log's messages among them, copied the voter's status for a header that only a 421 gets; a redirect of a coordinator copied it twice. Change: VoterHandle::followed_leader, asked only for a 421; ChangeLog; one MemberClient::fetch. No behaviour changed.

--- a/src/control.rs
+++ b/src/control.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod bootstrap;
+mod change_log;
 mod claims;
 mod commands;
 mod crashes;
--- a/src/control/bootstrap.rs
+++ b/src/control/bootstrap.rs
@@ -1,4 +1,4 @@
-use std::{net::SocketAddr, time::Duration};
+use std::time::Duration;
 
 use futures::{StreamExt, stream::FuturesUnordered};
 use reqwest::Client;
@@ -13,7 +13,6 @@
 use crate::{
     adapter::SeedList,
     config::ControlConfig,
-    error::Result,
     raft::Membership,
     voter::{VoterHandle, VoterPhase},
 };
@@ -108,7 +107,7 @@
         }
         let id = self.voter.status().id;
         let others = self.config.voters.iter().filter(|voter| voter.vm != id.vm);
-        let requests = others.map(|voter| self.fetch_member(voter.system));
+        let requests = others.map(|voter| self.client.fetch(voter.system));
         let replies = futures::future::join_all(requests).await;
         let mut has_unreachable = false;
         let mut membership = Membership::of_voters([id.clone()]);
@@ -151,14 +150,14 @@
         let id = self.voter.status().id;
         let own = self.config.system_listen.socket();
         // All founders must agree on who they are, so they go by their first settings.
-        let is_founder = !self.config.join && self.config.seeds.contains(&own);
-        let seeds = if is_founder {
+        let may_found = !self.config.join && self.config.seeds.contains(&own);
+        let seeds = if may_found {
             self.config.seeds.clone()
         } else {
             self.seeds.refresh().to_vec()
         };
         let others = seeds.iter().copied().filter(|seed| *seed != own);
-        let mut replies: FuturesUnordered<_> = others.map(|seed| self.fetch_member(seed)).collect();
+        let mut replies: FuturesUnordered<_> = others.map(|seed| self.client.fetch(seed)).collect();
         let mut membership = Membership::of_voters([id.clone()]);
         // One reply may be enough, and a seed that does not answer must not delay it.
         while let Some(reply) = replies.next().await {
@@ -182,19 +181,14 @@
                 }
             }
         }
-        let is_founder = is_founder
-            && seeds.iter().min() == Some(&own)
-            && membership.voters.len() == seeds.len();
+        let is_founder =
+            may_found && seeds.iter().min() == Some(&own) && membership.voters.len() == seeds.len();
         if is_founder {
             info!("raft: founds a fleet of {} voters", membership.voters.len());
         }
         is_founder.then_some(membership)
     }
 
-    async fn fetch_member(&self, address: SocketAddr) -> Result<MemberReply> {
-        self.client.fetch(address).await
-    }
-
     fn seat_search(&self) -> SeatSearch {
         SeatSearch::new(
             self.seeds.clone(),
--- a/src/control/member_client.rs
+++ b/src/control/member_client.rs
@@ -51,7 +51,18 @@
     /// # Errors
     /// [`Error::Transport`] when the daemon does not answer, [`Error::Decode`] when its answer is malformed.
     pub async fn fetch(&self, address: SocketAddr) -> Result<MemberReply> {
-        fetch_member(&self.client, &self.secret, address).await
+        let answer = self
+            .client
+            .get(format!("http://{address}{MEMBER_PATH}"))
+            .header(SECRET_HEADER, &self.secret)
+            .timeout(REQUEST_TIMEOUT)
+            .send()
+            .await
+            .and_then(Response::error_for_status)
+            .map_err(|error| transport(address, &error))?;
+        let peer = address.to_string();
+        let body = client::read_body(&peer, answer, client::MAX_MESSAGE_BYTES).await?;
+        sync::decode("member reply", &body)
     }
 
     /// Announces the requester to a daemon and, if the request says so, asks for a seat as a learner.
@@ -89,28 +100,6 @@
     }
 }
 
-/// Fetches the identity and state of the control daemon at an address.
-///
-/// # Errors
-/// [`Error::Transport`] when the daemon does not answer, [`Error::Decode`] when its answer is malformed.
-pub async fn fetch_member(
-    client: &Client,
-    secret: &str,
-    address: SocketAddr,
-) -> Result<MemberReply> {
-    let answer = client
-        .get(format!("http://{address}{MEMBER_PATH}"))
-        .header(SECRET_HEADER, secret)
-        .timeout(REQUEST_TIMEOUT)
-        .send()
-        .await
-        .and_then(Response::error_for_status)
-        .map_err(|error| transport(address, &error))?;
-    let peer = address.to_string();
-    let body = client::read_body(&peer, answer, client::MAX_MESSAGE_BYTES).await?;
-    sync::decode("member reply", &body)
-}
-
 fn transport(peer: SocketAddr, error: &reqwest::Error) -> Error {
     Error::Transport {
         peer: peer.to_string(),
--- a/src/control/members.rs
+++ b/src/control/members.rs
@@ -4,7 +4,7 @@
 use rocket::{State, get, http::Status, post, serde::json::Json};
 use serde::{Deserialize, Serialize};
 
-use super::{admin::Operator, member_client::fetch_member, system::SystemSecret};
+use super::{admin::Operator, member_client::MemberClient, system::SystemSecret};
 use crate::{
     code::ResultCode,
     error::Error,
@@ -127,7 +127,8 @@
     client: &State<Client>,
     secret: &State<SystemSecret>,
 ) -> Answer {
-    match fetch_member(client, &secret.0, member.system).await {
+    let client = MemberClient::new(client.inner().clone(), secret.0.clone());
+    match client.fetch(member.system).await {
         Ok(reply) => {
             voter.addresses().update(&reply.address);
             propose_change(voter, MemberChange::AddLearner(reply.id)).await
--- a/src/control/seat_search.rs
+++ b/src/control/seat_search.rs
@@ -1,15 +1,11 @@
-use std::{
-    collections::{HashMap, HashSet},
-    net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
-    time::Duration,
-};
+use std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use compact_str::{CompactString, ToCompactString, format_compact};
 use spdlog::prelude::*;
 use tokio::{sync::mpsc, time::Instant};
 
 use super::{
+    change_log::ChangeLog,
     known_members::KnownMembers,
     member_calls::MemberCalls,
     member_client::{MemberClient, SeatAnswer},
@@ -39,7 +35,7 @@
     client: MemberClient,
     member_return: MemberReturn,
     calls: MemberCalls,
-    answers: Arc<AnswerLog>,
+    answers: Arc<ChangeLog<SocketAddr>>,
     news_sender: mpsc::UnboundedSender<KnownMembers>,
     news: mpsc::UnboundedReceiver<KnownMembers>,
 }
@@ -124,7 +120,7 @@
             // Members that do not lead refuse to add a learner; all are asked again.
             self.calls.start((JOIN_PATH, member), async move {
                 let answer = client.request_seat(member, &request).await;
-                answers.record(member, &answer, known_count);
+                log_answer(&answers, member, &answer, known_count);
                 if let Ok(answer) = answer {
                     // Fails only once the search has ended.
                     let _ = news.send(answer.known().clone());
@@ -134,28 +130,24 @@
     }
 }
 
-/// Last answer of each member, so that a line is logged only when it changes.
-#[derive(Default)]
-struct AnswerLog {
-    last: Mutex<HashMap<SocketAddr, CompactString>>,
-}
-
-impl AnswerLog {
-    fn record(&self, member: SocketAddr, answer: &Result<SeatAnswer>, known_count: usize) {
-        let text = match answer {
-            Ok(SeatAnswer::Accepted(known)) => describe("accepted", known),
-            Ok(SeatAnswer::Refused(known)) => describe("refused", known),
-            Err(error) => error.to_compact_string(),
-        };
-        let mut last = self.last.lock().unwrap_or_else(PoisonError::into_inner);
-        if last.get(&member) != Some(&text) {
-            info!("raft: asked a member for a seat", kv: {
-                member:? = member,
-                answer = text.as_str(),
-                known = known_count,
-            });
-            last.insert(member, text);
-        }
+/// Logs the answer of a member if it differs from its last one.
+fn log_answer(
+    answers: &ChangeLog<SocketAddr>,
+    member: SocketAddr,
+    answer: &Result<SeatAnswer>,
+    known_count: usize,
+) {
+    let text = match answer {
+        Ok(SeatAnswer::Accepted(known)) => describe("accepted", known),
+        Ok(SeatAnswer::Refused(known)) => describe("refused", known),
+        Err(error) => error.to_compact_string(),
+    };
+    if answers.is_new(member, &text) {
+        info!("raft: asked a member for a seat", kv: {
+            member:? = member,
+            answer = text.as_str(),
+            known = known_count,
+        });
     }
 }
 
--- a/src/control/system.rs
+++ b/src/control/system.rs
@@ -51,16 +51,13 @@
 pub fn name_leader() -> impl Fairing {
     AdHoc::on_response("leader", |request, response| {
         Box::pin(async move {
+            // All messages of the log pass here as well.
+            if response.status() != Status::MisdirectedRequest {
+                return;
+            }
             let voter = request.rocket().state::<VoterHandle>();
-            let leader = voter.and_then(|voter| {
-                let leader = voter.status().leader?;
-                voter.addresses().system_address(&leader.vm)
-            });
-            match leader {
-                Some(leader) if response.status() == Status::MisdirectedRequest => {
-                    response.set_header(Header::new(LEADER_HEADER, leader.to_string()));
-                }
-                _ => {}
+            if let Some(leader) = voter.and_then(VoterHandle::followed_leader) {
+                response.set_header(Header::new(LEADER_HEADER, leader.to_string()));
             }
         })
     })
--- a/src/coordinator/delegate_client.rs
+++ b/src/coordinator/delegate_client.rs
@@ -56,7 +56,7 @@
             };
             // An early report confirms a plan.
             let _ = tokio::time::timeout(interval, self.state.delegate_due.notified()).await;
-            let leader = self.state.followed_leader();
+            let leader = self.state.voter.followed_leader();
             if leader != followed.0 {
                 followed = (leader, Instant::now());
             }
--- a/src/coordinator/state.rs
+++ b/src/coordinator/state.rs
@@ -233,7 +233,7 @@
     pub(super) fn redirect(&self) -> LeaderRedirect {
         let addresses = self.voter.addresses();
         let leader = match self.voter.status().leader {
-            Some(_) => self.followed_leader(),
+            Some(leader) => addresses.system_address(&leader.vm),
             None => addresses.named_leader().map(|leader| leader.system),
         };
         LeaderRedirect {
@@ -242,12 +242,6 @@
         }
     }
 
-    /// Returns the system address of the leader that this coordinator's voter follows.
-    pub(super) fn followed_leader(&self) -> Option<SocketAddr> {
-        let leader = self.voter.status().leader?;
-        self.voter.addresses().system_address(&leader.vm)
-    }
-
     /// Publishes changed targets to gateways.
     pub(super) fn publish_targets(&self, tables: &mut LeaderTables) {
         match tables.engines.take_unpublished() {
--- a/src/voter/handle.rs
+++ b/src/voter/handle.rs
@@ -1,4 +1,5 @@
 use std::{
+    net::SocketAddr,
     sync::{Arc, atomic::Ordering, mpsc},
     thread,
     time::{Duration, Instant},
@@ -159,6 +160,13 @@
         self.shared.lease().filter(LeaderLease::is_valid)
     }
 
+    /// Returns the system address of the leader that this voter follows, or its own if it leads.
+    #[must_use]
+    pub fn followed_leader(&self) -> Option<SocketAddr> {
+        let leader = self.status().leader?;
+        self.addresses.system_address(&leader.vm)
+    }
+
     /// Returns what this voter can say of a time without a leader; `None` while it leads, may support a
     /// leader, or is not a voter.
     #[must_use]
