--- a/src/coordinator/neighbours.rs
+++ b/src/coordinator/neighbours.rs
@@ -25,9 +25,13 @@
     let others = gateways.iter();
     let others = others.filter(|(key, state)| key.vm != own.vm && !state.is_stranded);
     let mut ranked: Vec<_> = others.map(|(key, state)| (rank(key), state)).collect();
+    // Each sync of hundreds of gateways asks for them, so only the nearest ones are sorted.
+    if ranked.len() > MAX_NEIGHBOURS {
+        ranked.select_nth_unstable_by_key(MAX_NEIGHBOURS, |(rank, _)| *rank);
+        ranked.truncate(MAX_NEIGHBOURS);
+    }
     ranked.sort_unstable_by_key(|(rank, _)| *rank);
-    let nearest = ranked.iter().take(MAX_NEIGHBOURS);
-    let nearest = nearest.map(|(_, state)| Neighbour {
+    let nearest = ranked.iter().map(|(_, state)| Neighbour {
         address: state.load_address,
         data_centre: state.data_centre.clone(),
     });
