Share the removal of connection headers and the check of another run

Cause: the hop between gateways listed the headers of a connection and read the connection header as the platform's translator does; the condition for sending a request that may have run once more stood three times. Change: adapter::remove_connection_headers serves both; answers of neighbours, which name no further headers, pass it as well. GatewayProxy::may_run_again. Each by itself was not run. No behaviour changed.

--- a/src/adapter.rs
+++ b/src/adapter.rs
@@ -1,6 +1,7 @@
 //! Interface to the platform that a fleet runs on, for gateways and coordinators. An adapter crate
 //! implements [`PlatformAdapter`] for each platform; see docs/platform.md.
 
+mod connection_headers;
 mod engine_order;
 mod engine_status;
 mod metadata;
@@ -10,6 +11,7 @@
 mod seed_source;
 mod target_entry;
 
+pub use connection_headers::remove_connection_headers;
 pub use engine_order::{EngineOrder, OrderAction, OrderResponse};
 pub use engine_status::EngineStatus;
 pub use metadata::{ForwardMetadata, PromptPart, RequestMetadata, ResponseMetadata};
--- a/src/gateway/hop.rs
+++ b/src/gateway/hop.rs
@@ -4,31 +4,16 @@
 
 use hyper::{
     HeaderMap,
-    header::{
-        CONNECTION, CONTENT_LENGTH, EXPECT, HeaderName, HeaderValue, TE, TRAILER,
-        TRANSFER_ENCODING, UPGRADE,
-    },
+    header::{CONTENT_LENGTH, HeaderName, HeaderValue},
 };
 use subtle::ConstantTimeEq;
 
-use crate::sync::SECRET_HEADER;
+use crate::{adapter::remove_connection_headers, sync::SECRET_HEADER};
 
 /// Time left for a passed request, in milliseconds.
 const TIME_LEFT_HEADER: HeaderName = HeaderName::from_static("x-waxwing-time-left");
 /// Marks an answer that the neighbour itself gives.
 const ANSWER_HEADER: HeaderName = HeaderName::from_static("x-waxwing-hop");
-/// Headers that apply to a single connection.
-const CONNECTION_HEADERS: [HeaderName; 8] = [
-    CONNECTION,
-    HeaderName::from_static("keep-alive"),
-    TE,
-    TRAILER,
-    TRANSFER_ENCODING,
-    UPGRADE,
-    EXPECT,
-    CONTENT_LENGTH,
-];
-
 /// What a neighbour itself answers to a passed request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HopAnswer {
@@ -92,16 +77,8 @@
 
 /// Prepares the headers of a request for the way to a neighbour.
 pub fn prepare_request(headers: &mut HeaderMap, secret: &str, time_left: Duration) {
-    let named: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named.iter().chain(&CONNECTION_HEADERS) {
-        headers.remove(name);
-    }
+    remove_connection_headers(headers);
+    headers.remove(CONTENT_LENGTH);
     let time_left = time_left.as_millis().max(1).to_string();
     for (name, value) in [
         (HeaderName::from_static(SECRET_HEADER), secret),
@@ -125,12 +102,3 @@
     let millis = time_left.to_str().ok()?.parse().ok()?;
     Some(Duration::from_millis(millis))
 }
-
-/// Removes the headers that apply to the connection of a hop from an answer.
-pub fn remove_connection_headers(headers: &mut HeaderMap) {
-    for name in CONNECTION_HEADERS {
-        if name != CONTENT_LENGTH {
-            headers.remove(name);
-        }
-    }
-}
--- a/src/gateway/passing.rs
+++ b/src/gateway/passing.rs
@@ -17,7 +17,7 @@
     request::GatewayRequest,
 };
 use crate::{
-    adapter::{RefusalKind, RefusalNotice},
+    adapter::{RefusalKind, RefusalNotice, remove_connection_headers},
     entry::body,
 };
 
@@ -170,10 +170,7 @@
                 PassStart::MayHaveRun(reason) => {
                     self.passing.neighbours.record_failure(neighbour);
                     possible_runs += 1;
-                    if !request.route.kind.is_repeatable()
-                        || possible_runs >= request.route.max_attempts
-                        || !self.take_retry(&team)
-                    {
+                    if !self.may_run_again(request, &team, possible_runs) {
                         return Err(RefusalNotice::new(RefusalKind::TargetFailed, reason));
                     }
                     reason
@@ -253,7 +250,7 @@
             own = answer.own.map_or("-", HopAnswer::name),
             held_ms = request.arrived_at.elapsed().as_millis(),
         });
-        hop::remove_connection_headers(&mut parts.headers);
+        remove_connection_headers(&mut parts.headers);
         let body = PassedBody::new(
             incoming,
             answer.connection,
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -364,9 +364,7 @@
             let reason = match started {
                 ExchangeStart::Answered(started)
                     if started.response.status().is_server_error()
-                        && request.route.kind.is_repeatable()
-                        && possible_runs + 1 < request.route.max_attempts
-                        && self.take_retry(&team) =>
+                        && self.may_run_again(request, &team, possible_runs + 1) =>
                 {
                     possible_runs += 1;
                     "the target failed"
@@ -396,10 +394,7 @@
                 }
                 ExchangeStart::MayHaveRun(reason) => {
                     possible_runs += 1;
-                    if !request.route.kind.is_repeatable()
-                        || possible_runs >= request.route.max_attempts
-                        || !self.take_retry(&team)
-                    {
+                    if !self.may_run_again(request, &team, possible_runs) {
                         return Err(RefusalNotice::new(RefusalKind::TargetFailed, reason));
                     }
                     reason
@@ -504,7 +499,20 @@
         Ok(Response::from_parts(parts, relay.boxed_unsync()))
     }
 
-    pub(super) fn take_retry(&self, team: &TeamId) -> bool {
+    /// Returns whether a request that may have run this many times may be sent once more, and takes the retry from the
+    /// team's budget if so.
+    pub(super) fn may_run_again(
+        &self,
+        request: &GatewayRequest,
+        team: &TeamId,
+        possible_runs: u32,
+    ) -> bool {
+        request.route.kind.is_repeatable()
+            && possible_runs < request.route.max_attempts
+            && self.take_retry(team)
+    }
+
+    fn take_retry(&self, team: &TeamId) -> bool {
         self.with_retry_budget(|budget, now| budget.try_withdraw(team, now))
     }
 
