Reserve sends to cold and to brittle targets by one function

Cause: both asked the leader's ledger with the same patience and their own copy of the time by which it should grant. Change: GatewayProxy::reserve_send. No behaviour changed.

--- a/src/gateway/brittle_choice.rs
+++ b/src/gateway/brittle_choice.rs
@@ -1,7 +1,5 @@
 //! Choice of a target for a request while targets are brittle; see docs/design/brittle.md.
 
-use std::time::{Duration, Instant};
-
 use super::{
     cold_choice::{AdmittedTarget, RefusedTargets},
     proxy::GatewayProxy,
@@ -12,14 +10,10 @@
 };
 use crate::{
     brittle::{RejectionLimit, SendAdmission},
-    entry::TokenPatience,
     ids::TargetId,
     route::{PoolId, Warmth},
-    warmup::{MAX_RESERVATION_WAIT, REQUEST_TOKENS},
 };
 
-/// Part of the wait for a permit by which the leader should have granted it.
-const GRANT_WAIT: Duration = Duration::from_millis(40);
 /// Maximum number of targets that are tried for one request at a time.
 const MAX_TRIED_TARGETS: usize = 8;
 
@@ -67,18 +61,8 @@
         limit: RejectionLimit,
     ) -> Option<AdmittedTarget> {
         let target = &chosen.choice.target;
-        let now = Instant::now();
-        let patience = TokenPatience {
-            shortage: now + GRANT_WAIT,
-            answer: now + MAX_RESERVATION_WAIT,
-        };
-        let id = limit.ledger_id(target);
-        let priority = 9 - request.rank();
-        let reserved = self
-            .allowance
-            .reserve(&id, REQUEST_TOKENS, priority, patience);
-        let reserved = tokio::time::timeout(MAX_RESERVATION_WAIT, reserved).await;
-        let tokens = reserved.ok()?.ok()?;
+        let limit_id = limit.ledger_id(target);
+        let tokens = self.reserve_send(request, &limit_id).await?;
         let permit = RejectionPermit::new(tokens);
         // The target may have been filled since.
         let is_admitted = self.targets.admit_with_permit(target);
--- a/src/gateway/cold_choice.rs
+++ b/src/gateway/cold_choice.rs
@@ -9,8 +9,8 @@
     warmup_permit::WarmupPermit,
 };
 use crate::{
-    entry::TokenPatience,
-    ids::TargetId,
+    entry::{ReservedTokens, TokenPatience},
+    ids::{TargetId, TeamId},
     route::{PoolId, Warmth},
     warmup::{MAX_RESERVATION_WAIT, REQUEST_TOKENS, limit_id},
 };
@@ -36,7 +36,7 @@
     }
 }
 
-/// Cold targets that a request could not get a reservation at.
+/// Cold or brittle targets that a request could not be admitted to.
 pub type RefusedTargets = SmallVec<[TargetId; 4]>;
 
 impl GatewayProxy {
@@ -81,24 +81,32 @@
             excluded.push(target);
             return None;
         }
+        let Some(tokens) = self.reserve_send(request, &limit_id(&target)).await else {
+            excluded.push(target);
+            return None;
+        };
+        Some(AdmittedTarget {
+            chosen,
+            permit: Some(SendPermit::Warmup(WarmupPermit::new(tokens))),
+        })
+    }
+
+    /// Reserves one request under a target's limit in the leader's ledger; `None` if it is not granted in time.
+    pub(super) async fn reserve_send(
+        &self,
+        request: &GatewayRequest,
+        limit: &TeamId,
+    ) -> Option<ReservedTokens> {
         let now = Instant::now();
         let patience = TokenPatience {
             shortage: now + GRANT_WAIT,
             answer: now + MAX_RESERVATION_WAIT,
         };
-        let id = limit_id(&target);
         let priority = 9 - request.rank();
         let reserved = self
             .allowance
-            .reserve(&id, REQUEST_TOKENS, priority, patience);
+            .reserve(limit, REQUEST_TOKENS, priority, patience);
         let reserved = tokio::time::timeout(MAX_RESERVATION_WAIT, reserved).await;
-        let Ok(Ok(tokens)) = reserved else {
-            excluded.push(target);
-            return None;
-        };
-        Some(AdmittedTarget {
-            chosen,
-            permit: Some(SendPermit::Warmup(WarmupPermit::new(tokens))),
-        })
+        reserved.ok()?.ok()
     }
 }
