Forget coordinators that are no longer members

Cause: address books and the lists of gateways only grew. A gateway asked the lost machines first, with time-outs of 0.6, 1.2, 2.4 and 4 s. Ruled out: shorter time-outs, since they are what lets a busy leader recover; asking all at once, which hundreds of gateways would do at the same moment. A gateway replaces its list by what the last answer names, and asks its seeds as well once all of these are silent.

--- a/src/control/bootstrap.rs
+++ b/src/control/bootstrap.rs
@@ -84,6 +84,10 @@
             if status.leader.is_none() || !status.membership.contains(&status.id) {
                 search.ask_all(&status, ANNOUNCE_INTERVAL).await;
             } else {
+                // A change that is not committed yet may still be undone.
+                if status.is_membership_committed {
+                    self.voter.addresses().forget_others(&status.membership);
+                }
                 tokio::time::sleep(ANNOUNCE_INTERVAL).await;
             }
             let known_addresses = self.voter.addresses().others();
--- a/src/gateway/coordinator_list.rs
+++ b/src/gateway/coordinator_list.rs
@@ -8,6 +8,10 @@
 #[derive(Debug)]
 pub struct CoordinatorList {
     addresses: Vec<SocketAddr>,
+    /// Coordinators that the platform names. They are asked again once no other one answers.
+    seeds: Vec<SocketAddr>,
+    /// Number of coordinators in turn that did not answer.
+    silent: usize,
     /// Coordinator that did not answer last, and when.
     unreachable: Option<(SocketAddr, Duration)>,
 }
@@ -15,9 +19,11 @@
 impl CoordinatorList {
     /// Returns a list that starts with the coordinators known at start-up.
     #[must_use]
-    pub fn new(addresses: Vec<SocketAddr>) -> Self {
+    pub fn new(seeds: Vec<SocketAddr>) -> Self {
         Self {
-            addresses,
+            addresses: seeds.clone(),
+            seeds,
+            silent: 0,
             unreachable: None,
         }
     }
@@ -28,30 +34,39 @@
         self.addresses.first().copied()
     }
 
-    /// Adds coordinators that are not known yet.
-    pub fn add(&mut self, addresses: impl IntoIterator<Item = SocketAddr>) {
-        for address in addresses {
-            if !self.addresses.contains(&address) {
-                self.addresses.push(address);
-            }
+    /// Replaces the coordinators by those that one of them names; the known ones keep their order. Each of the others
+    /// may be gone, and would cost a time-out when a leader is looked for.
+    pub fn replace(&mut self, named: &[SocketAddr]) {
+        if named.is_empty() {
+            return;
         }
+        self.addresses.retain(|known| named.contains(known));
+        self.add(named);
     }
 
     /// Puts coordinators first, in their order. The platform names those that run, and the others do not answer.
-    pub fn put_first(&mut self, addresses: &[SocketAddr]) {
-        self.addresses.retain(|known| !addresses.contains(known));
-        self.addresses.splice(0..0, addresses.iter().copied());
+    pub fn put_first(&mut self, seeds: &[SocketAddr]) {
+        self.seeds = seeds.to_vec();
+        self.addresses.retain(|known| !seeds.contains(known));
+        self.addresses.splice(0..0, seeds.iter().copied());
+        self.silent = 0;
     }
 
     /// Records that a coordinator answered as the leader.
     pub fn record_answer(&mut self) {
         self.unreachable = None;
+        self.silent = 0;
     }
 
     /// Records that a coordinator did not answer, and moves on to the next one.
     pub fn record_failure(&mut self, failed: SocketAddr, now: Duration) {
         self.unreachable = Some((failed, now));
         self.rotate(failed);
+        self.silent += 1;
+        if self.silent >= self.addresses.len() {
+            let seeds = self.seeds.clone();
+            self.add(&seeds);
+        }
     }
 
     /// Records that a coordinator does not lead and may have named the leader. Returns whether the
@@ -62,6 +77,7 @@
         leader: Option<SocketAddr>,
         now: Duration,
     ) -> bool {
+        self.silent = 0;
         self.rotate(asked);
         let is_unreachable = |leader: &SocketAddr| {
             let unreachable = self.unreachable.filter(|(known, _)| known == leader);
@@ -75,6 +91,14 @@
         true
     }
 
+    fn add(&mut self, named: &[SocketAddr]) {
+        for address in named {
+            if !self.addresses.contains(address) {
+                self.addresses.push(*address);
+            }
+        }
+    }
+
     fn rotate(&mut self, asked: SocketAddr) {
         if self.first() == Some(asked) {
             self.addresses.rotate_left(1);
--- a/src/gateway/sync_client.rs
+++ b/src/gateway/sync_client.rs
@@ -542,7 +542,7 @@
         }
         let now = self.started_at.elapsed();
         let peers = &mut state.peers;
-        peers.coordinators.add(reply.coordinators);
+        peers.coordinators.replace(&reply.coordinators);
         peers.set_delegates(reply.delegates);
         // A coordinator that names a leader does not lead, whatever it was asked for.
         let address = peer.address();
--- a/tests/coordinator_list.rs
+++ b/tests/coordinator_list.rs
@@ -59,3 +59,39 @@
     list.record_answer();
     assert!(list.record_redirect(address(2), Some(address(1)), later));
 }
+
+/// Guards against a gateway that asks coordinators which were replaced long ago, each for longer than the one before,
+/// when the leader is lost (issue 49).
+#[test]
+fn coordinators_that_are_no_longer_named_are_not_asked() {
+    let now = Duration::from_secs(10);
+    let mut list = list();
+    list.record_answer();
+    list.replace(&[address(1), address(4), address(5)]);
+    let mut asked = Vec::new();
+    for _ in 0..3 {
+        let next = list.first().unwrap();
+        asked.push(next);
+        list.record_failure(next, now);
+    }
+    assert_eq!(asked, [1, 4, 5].map(address));
+}
+
+/// Guards against a gateway that can no longer be told of others by its settings, since all coordinators that it was
+/// told of by another one are lost.
+#[test]
+fn seeds_are_asked_again_once_no_coordinator_answers() {
+    let now = Duration::from_secs(10);
+    let mut list = list();
+    list.replace(&[address(4)]);
+    list.record_failure(address(4), now);
+    let mut asked = Vec::new();
+    for _ in 0..4 {
+        let next = list.first().unwrap();
+        asked.push(next);
+        list.record_failure(next, now);
+    }
+    for seed in [1, 2, 3].map(address) {
+        assert!(asked.contains(&seed), "{asked:?}");
+    }
+}
