Return only unused permits in the simulation of brittle targets

Cause: the simulation released each permit a second time 150 ms after the send, also one that a rejection had used up, so the leader granted more than its limit. Change: a permit is returned once, and not after a rejection.

--- a/tests/brittle_simulation/gateway.rs
+++ b/tests/brittle_simulation/gateway.rs
@@ -23,7 +23,6 @@
     pub number: u64,
     pub arrived_at: Duration,
     pub sent_at: Duration,
-    pub has_permit: bool,
     tried: Vec<usize>,
     /// Target at which it waits for a permit, and until when.
     asking: Option<(usize, Duration)>,
@@ -39,7 +38,7 @@
     published: Vec<Vec<u32>>,
     waiting: Vec<WaitingRequest>,
     /// Requests with a permit that run: target and time of the send.
-    permitted: Vec<(usize, Duration)>,
+    permitted: Vec<(u64, usize, Duration)>,
 }
 
 impl GatewayNode {
@@ -64,7 +63,6 @@
             number,
             arrived_at: now,
             sent_at: now,
-            has_permit: false,
             tried: Vec::new(),
             asking: None,
         });
@@ -196,18 +194,23 @@
         }
         let mut request = self.waiting.remove(index);
         request.asking = None;
-        request.has_permit = true;
-        self.permitted.push((target, now));
+        self.permitted.push((number, target, now));
         Some(request)
     }
 
-    /// Returns the targets of requests with a permit that run for longer than a time.
+    /// Ends the use of a request's permit, and returns whether there was one.
+    pub fn take_permit(&mut self, number: u64) -> bool {
+        let held = self.permitted.len();
+        self.permitted.retain(|(known, ..)| *known != number);
+        self.permitted.len() < held
+    }
+
     pub fn take_early_releases(&mut self, after: Duration, now: Duration) -> Vec<usize> {
-        let is_due = |(_, at): &(usize, Duration)| now >= *at + after;
+        let is_due = |(.., at): &(u64, usize, Duration)| now >= *at + after;
         let (due, permitted): (Vec<_>, Vec<_>) = std::mem::take(&mut self.permitted)
             .into_iter()
             .partition(is_due);
         self.permitted = permitted;
-        due.into_iter().map(|(target, _)| target).collect()
+        due.into_iter().map(|(_, target, _)| target).collect()
     }
 }
--- a/tests/brittle_simulation/mod.rs
+++ b/tests/brittle_simulation/mod.rs
@@ -250,15 +250,14 @@
         &mut self,
         gateway: usize,
         target: usize,
-        mut request: WaitingRequest,
+        request: WaitingRequest,
         answer: TargetAnswer,
     ) {
         let node = &mut self.gateways[gateway];
         node.record_end(target);
-        if answer != TargetAnswer::Rejected && request.has_permit {
+        if node.take_permit(request.number) && answer != TargetAnswer::Rejected {
             self.schedule(Event::Release { target });
         }
-        request.has_permit = false;
         let node = &mut self.gateways[gateway];
         match answer {
             TargetAnswer::Served => {
