Say what an admission by a gateway's part means

A comment still promised a slot whatever other gateways send, which holds for own slots only. No behaviour changed; clippy and the formatter are clean.

--- a/src/brittle/brittle_table.rs
+++ b/src/brittle/brittle_table.rs
@@ -9,14 +9,13 @@
 const STATEMENT_VALIDITY: Duration = Duration::from_secs(10);
 /// Time for which a larger number of gateways holds. A coordinator that has just started knows few of them.
 const COUNT_VALIDITY: Duration = Duration::from_secs(10);
-
 /// Weight of a new sample in the moving average of the time for which requests occupy a slot.
 const SAMPLE_WEIGHT: f64 = 0.1;
 
 /// Whether a request may be sent to a brittle target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SendAdmission {
-    /// It finds a slot whatever other gateways send at this moment.
+    /// It is within the part of this gateway, so that it finds a slot although others send at this moment.
     Admitted,
     /// It may be turned away, so it needs a permit.
     NeedsPermit(RejectionLimit),
--- a/src/brittle/target_sends.rs
+++ b/src/brittle/target_sends.rs
@@ -15,7 +15,7 @@
 pub struct TargetSends {
     /// Admissions that the gateway's own load does not contain yet.
     unsent: SmallVec<[Duration; 4]>,
-    /// Mean number of requests that the gateway may send to shared slots now, and when that was so.
+    /// Mean number of requests that the gateway may send to shared slots after its last draw, and when it drew.
     credit: Option<(f64, Duration)>,
     rejections: SmallVec<[(Duration, RejectionLimit); 2]>,
 }
