Ask coordinators that do not answer after those that do

Cause: a gateway asked its coordinators in turn whether they had answered or not. Change: coordinators that have not answered within the last 10 s are asked after all others. A leader that is named is still asked at once. Measured: the new test of tests/coordinator_list.rs failed before (10 of 20 calls go to the three lost ones) and passes (3 of 20); coordinator_list 6 of 6, sync_peers 7 of 7. Conclusion: lost coordinators cost a gateway one time-out each.

--- a/src/gateway/coordinator_list.rs
+++ b/src/gateway/coordinator_list.rs
@@ -1,19 +1,25 @@
 use std::{net::SocketAddr, time::Duration};
 
+use smallvec::SmallVec;
+
 /// Time for which a coordinator that did not answer is not asked again because another one names it
 /// as the leader. Coordinators notice the loss of their leader about a second after gateways.
 const UNREACHABLE_TIME: Duration = Duration::from_millis(2_500);
 
+/// Time for which coordinators that did not answer are asked after all others. Each may cost a time-out of seconds, which
+/// is longer than some leaders last.
+const SILENCE_TIME: Duration = Duration::from_secs(10);
+
 /// Coordinators known to a gateway, in the order in which they are asked.
 #[derive(Debug)]
 pub struct CoordinatorList {
     addresses: Vec<SocketAddr>,
     /// Coordinators that the platform names. They are asked again once no other one answers.
     seeds: Vec<SocketAddr>,
+    /// Coordinators that did not answer lately, and when.
+    silent: SmallVec<[(SocketAddr, Duration); 4]>,
     /// Number of coordinators in turn that did not answer.
-    silent: usize,
-    /// Coordinator that did not answer last, and when.
-    unreachable: Option<(SocketAddr, Duration)>,
+    failures: usize,
 }
 
 impl CoordinatorList {
@@ -23,8 +29,8 @@
         Self {
             addresses: seeds.clone(),
             seeds,
-            silent: 0,
-            unreachable: None,
+            silent: SmallVec::new(),
+            failures: 0,
         }
     }
 
@@ -49,21 +55,24 @@
         self.seeds = seeds.to_vec();
         self.addresses.retain(|known| !seeds.contains(known));
         self.addresses.splice(0..0, seeds.iter().copied());
-        self.silent = 0;
+        self.silent.clear();
+        self.failures = 0;
     }
 
     /// Records that a coordinator answered as the leader.
     pub fn record_answer(&mut self) {
-        self.unreachable = None;
-        self.silent = 0;
+        self.silent.clear();
+        self.failures = 0;
     }
 
     /// Records that a coordinator did not answer, and moves on to the next one.
     pub fn record_failure(&mut self, failed: SocketAddr, now: Duration) {
-        self.unreachable = Some((failed, now));
-        self.rotate(failed);
-        self.silent += 1;
-        if self.silent >= self.addresses.len() {
+        self.silent
+            .retain(|(known, at)| *known != failed && now.saturating_sub(*at) < SILENCE_TIME);
+        self.silent.push((failed, now));
+        self.move_back(failed, now);
+        self.failures += 1;
+        if self.failures >= self.addresses.len() {
             let seeds = self.seeds.clone();
             self.add(&seeds);
         }
@@ -77,12 +86,10 @@
         leader: Option<SocketAddr>,
         now: Duration,
     ) -> bool {
-        self.silent = 0;
-        self.rotate(asked);
-        let is_unreachable = |leader: &SocketAddr| {
-            let unreachable = self.unreachable.filter(|(known, _)| known == leader);
-            unreachable.is_some_and(|(_, at)| now.saturating_sub(at) < UNREACHABLE_TIME)
-        };
+        self.failures = 0;
+        self.silent.retain(|(known, _)| *known != asked);
+        self.move_back(asked, now);
+        let is_unreachable = |leader: &SocketAddr| self.is_silent(*leader, now, UNREACHABLE_TIME);
         let Some(leader) = leader.filter(|leader| !is_unreachable(leader)) else {
             return false;
         };
@@ -99,9 +106,24 @@
         }
     }
 
-    fn rotate(&mut self, asked: SocketAddr) {
-        if self.first() == Some(asked) {
-            self.addresses.rotate_left(1);
+    /// Moves the coordinator that was asked behind all that have not been silent lately.
+    fn move_back(&mut self, asked: SocketAddr, now: Duration) {
+        if self.first() != Some(asked) {
+            return;
         }
+        self.addresses.remove(0);
+        let is_silent = |known: &SocketAddr| self.is_silent(*known, now, SILENCE_TIME);
+        let last_heard = self.addresses.iter().rposition(|known| !is_silent(known));
+        let place = if is_silent(&asked) {
+            self.addresses.len()
+        } else {
+            last_heard.map_or(0, |last| last + 1)
+        };
+        self.addresses.insert(place, asked);
+    }
+
+    fn is_silent(&self, address: SocketAddr, now: Duration, time: Duration) -> bool {
+        let mut silent = self.silent.iter();
+        silent.any(|(known, at)| *known == address && now.saturating_sub(*at) < time)
     }
 }
--- a/tests/coordinator_list.rs
+++ b/tests/coordinator_list.rs
@@ -95,3 +95,33 @@
         assert!(asked.contains(&seed), "{asked:?}");
     }
 }
+
+/// Guards against a gateway that finds no leader for 30 s, since it asks each coordinator that does not answer again and
+/// again, for up to 4 s, while leaders change every few seconds (the fault soak, issue 49).
+#[test]
+fn coordinators_that_do_not_answer_are_asked_after_the_others() {
+    let lost = [1, 3, 5].map(address);
+    let mut coordinators = CoordinatorList::new((1..=6).map(address).collect());
+    let mut now = Duration::from_secs(100);
+    let mut asked = Vec::new();
+    for _ in 0..20 {
+        let next = coordinators.first().unwrap();
+        asked.push(next);
+        if lost.contains(&next) {
+            coordinators.record_failure(next, now);
+        } else {
+            assert!(!coordinators.record_redirect(next, None, now));
+        }
+        now += Duration::from_millis(400);
+    }
+    let lost_syncs = asked.iter().filter(|asked| lost.contains(asked)).count();
+    assert_eq!(lost_syncs, lost.len(), "each is asked once: {asked:?}");
+    now += Duration::from_secs(10);
+    for _ in 0..6 {
+        let next = coordinators.first().unwrap();
+        asked.push(next);
+        coordinators.record_redirect(next, None, now);
+    }
+    let later = &asked[20..];
+    assert!(lost.iter().all(|lost| later.contains(lost)), "{later:?}");
+}
