Add a review case: a lost disk after a removal ends the core for good

Cause: the successor of a removed machine stays a learner until the machine has been silent for half of the catch-up time, however long the successor has run.

--- a/review/kit-2/kit.rs
+++ b/review/kit-2/kit.rs
@@ -333,6 +333,10 @@
     control_port: u16,
     list: SocketAddr,
     processes: Vec<(String, Child)>,
+    /// Machines of the core that the settings name.
+    seeds: Vec<usize>,
+    /// Whether the whole system starts for the first time.
+    is_first: bool,
 }
 
 impl Fleet {
@@ -371,6 +375,8 @@
             control_port: ports[4],
             list: list.address,
             processes: Vec::new(),
+            seeds: (0..cores.min(3)).collect(),
+            is_first: true,
         })
     }
 
@@ -401,6 +407,7 @@
         for number in 0..self.edge.len() {
             self.start_process("gateway", &format!("edge-z-{}", number + 1), number, log)?;
         }
+        self.is_first = false;
         Ok(())
     }
 
@@ -445,16 +452,18 @@
         } else {
             &self.edge[number]
         };
-        let seeds: Vec<String> = (0..self.core.len().min(3))
-            .map(|core| format!("\"{}\"", self.control(core)))
+        let seeds = self.seeds.iter().take(3);
+        let seeds: Vec<String> = seeds
+            .map(|core| format!("\"{}\"", self.control(*core)))
             .collect();
         let mut text = format!(
             "Node = \"{name}\"\nRole = \"{role}\"\nClass = \"{class}\"\nServes = [\"{serves}\"]\n\
              Ip = \"{ip}\"\nZone = \"z\"\nRegion = \"r\"\nPortRange = [{},{}]\nSeeds = [{}]\n\
-             Bootstrap = true\nCountsAsLoss = {is_core}\n",
+             Bootstrap = {}\nCountsAsLoss = {is_core}\n",
             self.system_port,
             self.load_port,
-            seeds.join(",")
+            seeds.join(","),
+            self.is_first
         );
         if is_core {
             let data = self.folder.join(format!("{name}-data"));
@@ -497,42 +506,84 @@
         named.filter(move |(name, _)| name.starts_with(prefix))
     }
 
+    /// Adds a machine of the core with an empty disk.
+    pub fn add_core(&mut self, number: usize) -> io::Result<String> {
+        self.core.push(format!("{}.{number}", self.net));
+        let name = format!("core-z-{}", self.core.len());
+        self.seeds.push(self.core.len() - 1);
+        self.start_process("coordinator", &name, self.core.len() - 1, &LogTarget::File)?;
+        Ok(name)
+    }
+
+    /// Ends a process at once and waits until it is gone.
+    pub fn kill(&mut self, name: &str) -> io::Result<()> {
+        let process = self.processes.iter_mut().find(|(known, _)| known == name);
+        let (_, child) = process.ok_or(io::ErrorKind::NotFound)?;
+        child.kill()?;
+        child.wait().map(drop)
+    }
+
+    /// Empties the disk of a machine whose process has ended.
+    pub fn wipe(&self, name: &str) -> io::Result<()> {
+        let data = self.folder.join(format!("{name}-data"));
+        fs::remove_dir_all(&data)?;
+        fs::create_dir_all(&data)
+    }
+
+    /// Returns the address of the operator's API of a machine.
+    pub fn operator(&self, core: usize) -> String {
+        self.control(core)
+    }
+
+    /// Returns the log of a process.
+    pub fn log(&self, name: &str) -> String {
+        let path = self.folder.join(format!("{name}.log"));
+        fs::read_to_string(path).unwrap_or_default()
+    }
+
     /// Returns the id of a process.
     pub fn process_id(&self, name: &str) -> u32 {
         let process = self.processes.iter().find(|(known, _)| known == name);
         process.map_or(0, |(_, child)| child.id())
     }
 
-    /// Starts a process again that has ended, with the settings that it had and without `Bootstrap`.
+    /// Starts a process again that has ended. Its settings name the machines of the core that run now.
     pub fn restart(&mut self, name: &str) -> io::Result<()> {
         let path = self.folder.join(format!("{name}.toml"));
-        let text = fs::read_to_string(&path)?;
-        fs::write(&path, text.replace("Bootstrap = true", "Bootstrap = false"))?;
         let role = if name.starts_with("core") {
             "coordinator"
         } else {
             "gateway"
         };
-        let process = self.processes.iter_mut().find(|(known, _)| known == name);
-        let (_, child) = process.ok_or(io::ErrorKind::NotFound)?;
-        child.wait()?;
-        let mut started = STARTED.lock().expect("the lock is sound");
-        started.retain(|process| *process != child.id());
+        let number = name.rsplit('-').next().and_then(|text| text.parse().ok());
+        let number: usize = number.ok_or(io::ErrorKind::InvalidInput)?;
+        fs::write(&path, self.settings(role, name, number - 1)?)?;
         let log = File::options()
             .append(true)
             .create(true)
             .open(path.with_extension("log"))?;
-        *child = Command::new(PROGRAM)
+        let started = Command::new(PROGRAM)
             .arg(role)
             .env(SETTINGS_VARIABLE, &path)
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
-        started.push(child.id());
+        let process = self.processes.iter_mut().find(|(known, _)| known == name);
+        let (_, child) = process.ok_or(io::ErrorKind::NotFound)?;
+        child.wait()?;
+        let mut running = STARTED.lock().expect("the lock is sound");
+        running.retain(|process| *process != child.id());
+        running.push(started.id());
+        *child = started;
         Ok(())
     }
 
+    /// Takes a machine of the core out of the seeds of settings that are written from now on.
+    pub fn remove_seed(&mut self, core: usize) {
+        self.seeds.retain(|seed| *seed != core);
+    }
+
     /// Publishes a configuration as the operator does, and returns whether it was acknowledged.
     pub fn publish(&self, document: &str, limit: Duration) -> bool {
         let end = Instant::now() + limit;
