--- a/src/control/raft_api.rs
+++ b/src/control/raft_api.rs
@@ -109,6 +109,7 @@
         .await
         .map_err(|status| (status, Vec::new()))?;
     voter.addresses().update(&request.address);
+    voter.sight(request.id.clone());
     let added = add_learner(voter, &request, refused).await;
     let known = sync::encode(&KnownMembers::of_voter(voter));
     let known = known.map_err(|_| (Status::InternalServerError, Vec::new()))?;
--- a/src/control/seat.rs
+++ b/src/control/seat.rs
@@ -27,13 +27,17 @@
 /// back, and another one may be lost right after it; see docs/design.md, section 5.
 pub async fn hand_over_seat(voter: &VoterHandle, client: &Client, secret: &str, limit: Duration) {
     let deadline = Instant::now() + limit;
+    let status = voter.status();
+    let membership = &status.membership;
+    // An even number of voters includes a successor, which has its seat already.
+    let has_successor =
+        !membership.learners.is_empty() || membership.voters.len().is_multiple_of(2);
+    if !membership.voters.contains(&status.id) || !has_successor {
+        return;
+    }
     let handover = async {
         loop {
             let status = voter.status();
-            let membership = &status.membership;
-            if !membership.voters.contains(&status.id) || membership.learners.is_empty() {
-                return;
-            }
             match leave(voter, client, secret, &status, deadline).await {
                 LeaveAnswer::Removed => {
                     return info!("raft: a learner has taken this voter's seat");
--- a/src/coordinator/daemon.rs
+++ b/src/coordinator/daemon.rs
@@ -142,7 +142,7 @@
                 .with_return(MemberReturn::Always)
                 .with_seeds(self.seeds);
         let dispatcher = OrderDispatcher::new(state, config.vm.clone(), config.holder_lease);
-        tokio::spawn(founder.run());
+        let founding = tokio::spawn(founder.run());
         tokio::spawn(Arc::new(dispatcher).run());
         let (close, closing) = watch::channel(false);
         let serve = |rocket: Rocket<Build>, runtime: &Handle| {
@@ -176,6 +176,8 @@
             return ended;
         }
         info!("coordinator: shutting down");
+        // A voter hears of its removal, and would ask for a seat again.
+        founding.abort();
         if voter.status().membership.voters.len() > 1 {
             voter.transfer_leadership(TRANSFER_TIMEOUT).await;
             hand_over_seat(&voter, &client, &self.secret, HANDOVER_TIMEOUT).await;
--- a/src/raft.rs
+++ b/src/raft.rs
@@ -34,6 +34,7 @@
 mod member;
 mod message;
 mod progress;
+mod quorum;
 mod replacement;
 mod restored;
 mod role;
--- a/src/raft/contacts.rs
+++ b/src/raft/contacts.rs
@@ -4,6 +4,7 @@
 };
 
 use super::{RaftCore, RaftMessage, RaftRole, VoterId};
+use crate::ids::VmId;
 
 /// When a member last heard from each other member, across elections: a new leader that began to count at its own
 /// election would hold a lost voter for present all that time anew.
@@ -16,6 +17,9 @@
     /// Time since which this member asks all voters, as a candidate and then as the leader.
     asking_since: Option<Duration>,
     leaving: BTreeSet<VoterId>,
+    /// VMs with members while the fleet was set up, or when this member started.
+    founding_vms: BTreeSet<VmId>,
+    is_set_up: bool,
 }
 
 impl MemberContacts {
@@ -36,6 +40,10 @@
                 self.heard.insert(member.clone(), now);
             }
         }
+        if !self.is_set_up {
+            let vms = membership.members().map(|member| member.vm.clone());
+            self.founding_vms.extend(vms);
+        }
         self.asking_since = match core.role() {
             RaftRole::Follower => None,
             _ => self.asking_since.or(Some(now)),
@@ -46,6 +54,18 @@
         }
     }
 
+    /// Ends the time in which the fleet is set up: machines that join from now on are additional.
+    pub fn end_setup(&mut self) {
+        self.is_set_up = !self.founding_vms.is_empty();
+    }
+
+    /// Returns the number of VMs that the fleet was set up with, as far as this member knows; 0 while it is set up.
+    #[must_use]
+    pub fn fleet_size(&self) -> usize {
+        let founding_vms = Some(&self.founding_vms).filter(|_| self.is_set_up);
+        founding_vms.map_or(0, BTreeSet::len)
+    }
+
     /// Marks a member that stops as planned; it counts as lost from now on.
     pub fn add_leaving(&mut self, member: VoterId) {
         self.leaving.insert(member);
--- a/src/raft/core.rs
+++ b/src/raft/core.rs
@@ -1,9 +1,9 @@
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use super::{
     Membership, MessageBody, RaftEffect, RaftInput, RaftLimits, RaftMessage, RaftRole, RaftTiming,
     RefusalReason, RestoredState, SnapshotMeta, VoteKind, VoterId, follower::IncomingSnapshot,
-    log::LogTail, role::RoleState, timer::ElectionTimer,
+    log::LogTail, quorum::QuorumRule, role::RoleState, timer::ElectionTimer,
 };
 use crate::ids::{LogIndex, Term};
 
@@ -25,6 +25,11 @@
     /// Time until which this member refuses votes, because a lease that it confirmed may be valid.
     pub(super) refuse_votes_until: Duration,
     pub(super) incoming: Option<IncomingSnapshot>,
+    /// Voters whose data folders are known to be gone.
+    pub(super) lost: BTreeSet<VoterId>,
+    /// Number of VMs that the fleet was set up with, as this member proposes it; 0 while it may not propose half
+    /// quorums.
+    pub(super) proposed_fleet_size: usize,
 }
 
 impl RaftCore {
@@ -61,9 +66,17 @@
             timer: ElectionTimer::new(&timing, seed, now),
             refuse_votes_until,
             incoming: None,
+            lost: BTreeSet::new(),
+            proposed_fleet_size: 0,
         }
     }
 
+    /// Lets the memberships that this member proposes from now on allow half quorums, which every member must know.
+    /// `fleet_size` is the number of VMs that the fleet was set up with.
+    pub fn permit_half_quorums(&mut self, fleet_size: usize) {
+        self.proposed_fleet_size = fleet_size;
+    }
+
     /// Handles one input and returns the effects for the driver, in order.
     ///
     /// # Panics
@@ -87,6 +100,7 @@
                 bytes,
                 last,
             } => self.send_chunk(&to, meta, offset, bytes, last, &mut out),
+            RaftInput::Sighted { member } => self.record_sighting(&member),
             RaftInput::Transfer => self.start_transfer(now),
         }
         let after = (self.role(), self.term, self.leader.clone());
@@ -114,6 +128,7 @@
         let RaftMessage {
             from, term, body, ..
         } = message;
+        self.lost.remove(&from);
         match body {
             MessageBody::VoteRequest {
                 kind,
@@ -141,7 +156,7 @@
             body,
             MessageBody::AppendReply { .. } | MessageBody::SnapshotReply { .. }
         );
-        if is_reply && !self.log.membership().contains(from) {
+        if is_reply && !self.is_open_member(from) {
             return;
         }
         if term > self.term {
@@ -211,6 +226,32 @@
         self.send(from, MessageBody::AppendReply { round, outcome }, out);
     }
 
+    /// Records the voters that another data folder on their VM replaces.
+    fn record_sighting(&mut self, member: &VoterId) {
+        let memberships = self.log.open_memberships(self.commit);
+        let voters = memberships.iter().flat_map(|open| &open.voters);
+        let lost = voters.filter(|id| id.vm == member.vm && *id != member && **id != self.id);
+        self.lost.extend(lost.cloned());
+    }
+
+    /// Returns whether a member belongs to a membership of which a quorum may be needed.
+    fn is_open_member(&self, member: &VoterId) -> bool {
+        let memberships = self.log.open_memberships(self.commit);
+        memberships.iter().any(|open| open.contains(member))
+    }
+
+    /// Returns whether a member votes in a membership of which a quorum may be needed.
+    pub(super) fn is_open_voter(&self, member: &VoterId) -> bool {
+        let memberships = self.log.open_memberships(self.commit);
+        memberships.iter().any(|open| open.voters.contains(member))
+    }
+
+    /// Returns the rule of quorums for this member's log. `lost` are the voters whose loss was known before the votes
+    /// or acknowledgements were requested.
+    pub(super) fn quorum_rule<'a>(&'a self, lost: &'a BTreeSet<VoterId>) -> QuorumRule<'a> {
+        QuorumRule::new(self.log.open_memberships(self.commit), lost)
+    }
+
     pub(super) fn send(&self, to: &VoterId, body: MessageBody, out: &mut Vec<RaftEffect>) {
         self.send_with_term(self.term, to, body, out);
     }
@@ -288,6 +329,12 @@
         self.log.membership()
     }
 
+    /// Returns the voters whose data folders are known to be gone.
+    #[must_use]
+    pub fn lost_voters(&self) -> &BTreeSet<VoterId> {
+        &self.lost
+    }
+
     /// Returns whether the membership in force is committed.
     #[must_use]
     pub fn is_membership_committed(&self) -> bool {
--- a/src/raft/effect.rs
+++ b/src/raft/effect.rs
@@ -1,3 +1,5 @@
+use std::collections::BTreeSet;
+
 use bytes::Bytes;
 
 use super::{LogEntry, RaftMessage, RaftRole, SnapshotMeta, VoterId};
@@ -85,6 +87,13 @@
         /// Maximum number of bytes.
         limit: usize,
     },
+    /// An election of this member has ended without a quorum; for logs.
+    ElectionFailed {
+        /// Voters that agreed, this member included.
+        granted: BTreeSet<VoterId>,
+        /// Voters whose data folders were known to be gone.
+        lost: BTreeSet<VoterId>,
+    },
     /// The role, the term or the known leader has changed; for logs, metrics and waiting clients.
     RoleChanged {
         /// New role.
--- a/src/raft/election.rs
+++ b/src/raft/election.rs
@@ -12,10 +12,19 @@
     /// Asks the voters whether a campaign could succeed. Without the pre-vote, a member that
     /// returns from a network partition would depose a working leader with its higher term.
     pub(super) fn start_pre_vote(&mut self, now: Duration, out: &mut Vec<RaftEffect>) {
+        let failed = match &self.role {
+            RoleState::PreCandidate { granted } => Some((granted, &self.lost)),
+            RoleState::Candidate { granted, lost, .. } => Some((granted, lost)),
+            RoleState::Follower | RoleState::Leader(_) => None,
+        };
+        if let Some((granted, lost)) = failed {
+            let (granted, lost) = (granted.clone(), lost.clone());
+            out.push(RaftEffect::ElectionFailed { granted, lost });
+        }
         self.leader = None;
         self.timer.restart_randomized(&self.timing, now);
         let granted = BTreeSet::from([self.id.clone()]);
-        if self.is_quorum(&granted) {
+        if self.is_quorum(&granted, &self.lost) {
             return self.campaign(now, VoteKind::Campaign, out);
         }
         self.role = RoleState::PreCandidate { granted };
@@ -29,16 +38,23 @@
         self.voted_for = Some(self.id.clone());
         self.save_vote(out);
         let granted = BTreeSet::from([self.id.clone()]);
-        if self.is_quorum(&granted) {
-            return self.become_leader(now, out);
+        // A loss that becomes known later does not count: its voter may have voted for another candidate before.
+        let lost = self.lost.clone();
+        if self.is_quorum(&granted, &lost) {
+            return self.become_leader(now, lost, out);
         }
-        self.role = RoleState::Candidate { kind, granted };
+        self.role = RoleState::Candidate {
+            kind,
+            granted,
+            lost,
+        };
         self.request_votes(kind, self.term, out);
     }
 
     fn request_votes(&self, kind: VoteKind, term: Term, out: &mut Vec<RaftEffect>) {
-        let voters = &self.log.membership().voters;
-        for voter in voters.iter().filter(|voter| **voter != self.id) {
+        let memberships = self.log.open_memberships(self.commit);
+        let voters: BTreeSet<&VoterId> = memberships.iter().flat_map(|open| &open.voters).collect();
+        for voter in voters.into_iter().filter(|voter| **voter != self.id) {
             let body = MessageBody::VoteRequest {
                 kind,
                 last_index: self.log.last_index(),
@@ -107,37 +123,39 @@
         granted: bool,
         out: &mut Vec<RaftEffect>,
     ) {
-        if !self.log.membership().voters.contains(from) {
+        if !self.is_open_voter(from) {
             return;
         }
         let is_pre_vote_grant = kind == VoteKind::PreVote && granted;
         if term > self.term && !is_pre_vote_grant {
             return self.become_follower(now, term, out);
         }
-        let granted_by = match &mut self.role {
+        let (granted_by, lost) = match &mut self.role {
             RoleState::PreCandidate { granted } if is_pre_vote_grant && term == self.term + 1 => {
-                granted
+                (granted, self.lost.clone())
             }
             RoleState::Candidate {
                 kind: own_kind,
                 granted: granted_by,
-            } if granted && *own_kind == kind && term == self.term => granted_by,
+                lost,
+            } if granted && *own_kind == kind && term == self.term => (granted_by, lost.clone()),
             _ => return,
         };
         granted_by.insert(from.clone());
         let granted_by = granted_by.clone();
-        if !self.is_quorum(&granted_by) {
+        if !self.is_quorum(&granted_by, &lost) {
             return;
         }
         match kind {
             VoteKind::PreVote => self.campaign(now, VoteKind::Campaign, out),
-            VoteKind::Campaign | VoteKind::Transfer => self.become_leader(now, out),
+            VoteKind::Campaign | VoteKind::Transfer => self.become_leader(now, lost, out),
         }
     }
 
-    fn become_leader(&mut self, now: Duration, out: &mut Vec<RaftEffect>) {
+    fn become_leader(&mut self, now: Duration, lost: BTreeSet<VoterId>, out: &mut Vec<RaftEffect>) {
         let first_index = self.log.last_index() + 1;
-        self.role = RoleState::Leader(Box::new(LeaderState::new(first_index, now)));
+        let state = LeaderState::new(first_index, now).with_lost(lost);
+        self.role = RoleState::Leader(Box::new(state));
         self.leader = Some(self.id.clone());
         // Entries of earlier terms can only be committed together with an entry of this term.
         self.append_entry(EntryPayload::Noop, out);
@@ -172,7 +190,7 @@
         let entries = vec![entry];
         self.log.append(&entries);
         if let RoleState::Leader(state) = &mut self.role {
-            state.update_members(&self.id, &self.log);
+            state.update_members(&self.id, &self.log, self.commit);
         }
         out.push(RaftEffect::Append { entries });
     }
@@ -184,9 +202,8 @@
         });
     }
 
-    fn is_quorum(&self, granted: &BTreeSet<VoterId>) -> bool {
-        let membership = self.log.membership();
-        let votes = granted.intersection(&membership.voters).count();
-        votes >= membership.quorum()
+    fn is_quorum(&self, granted: &BTreeSet<VoterId>, lost: &BTreeSet<VoterId>) -> bool {
+        self.quorum_rule(lost)
+            .is_met(|voter| granted.contains(voter))
     }
 }
--- a/src/raft/input.rs
+++ b/src/raft/input.rs
@@ -59,6 +59,11 @@
         /// Whether this is the last chunk.
         last: bool,
     },
+    /// A daemon has announced itself as this member. A voter of another data folder on the same VM has lost its own.
+    Sighted {
+        /// Identity of the daemon's data folder.
+        member: VoterId,
+    },
     /// The daemon shuts down, and a leader transfers leadership to an up-to-date voter. It waits
     /// until its lease has expired, because a copy may still be in use elsewhere in the process.
     Transfer,
--- a/src/raft/leader.rs
+++ b/src/raft/leader.rs
@@ -105,7 +105,8 @@
             .log
             .membership()
             .with_change(change)
-            .ok_or(RefusalReason::ChangeInvalid)?;
+            .ok_or(RefusalReason::ChangeInvalid)?
+            .with_fleet_size(self.proposed_fleet_size);
         match change {
             MemberChange::AddLearner(_) => Ok(next),
             MemberChange::Promote(learner) => Some(next)
@@ -148,12 +149,31 @@
         Some(progress.match_index)
     }
 
-    /// Returns the largest value that a quorum of the voters has reached or exceeded.
+    /// Returns the largest value that a quorum of the voters has reached or exceeded; `None` when this member is not
+    /// the leader.
     fn quorum_value<T: Ord>(&self, value: impl Fn(&VoterId) -> T) -> Option<T> {
-        let membership = self.log.membership();
-        let mut values: Vec<T> = membership.voters.iter().map(value).collect();
-        values.sort_unstable_by(|a, b| b.cmp(a));
-        values.into_iter().nth(membership.quorum() - 1)
+        let RoleState::Leader(leader) = &self.role else {
+            return None;
+        };
+        self.quorum_rule(&leader.lost).value(value)
+    }
+
+    /// Returns whether the latest membership is committed and all voters of it that answer know so. A voter that is
+    /// removed may stop then: the others elect a leader without it.
+    #[must_use]
+    pub fn is_membership_settled(&self, now: Duration) -> bool {
+        let RoleState::Leader(leader) = &self.role else {
+            return false;
+        };
+        let index = self.log.membership_index();
+        let mut voters = self.log.membership().voters.iter();
+        index <= self.commit
+            && voters.all(|voter| match leader.progress.get(voter) {
+                Some(progress) if self.is_active(leader, voter, now) => {
+                    progress.acked_round >= leader.membership_round && progress.match_index >= index
+                }
+                _ => true,
+            })
     }
 
     /// Borrows the leader state and the context for sending; `None` when this member is not the
--- a/src/raft/leader/replacement.rs
+++ b/src/raft/leader/replacement.rs
@@ -1,6 +1,6 @@
 //! Replacement of members, decided from what the log's own messages show; see docs/design.md, section 5.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use super::super::{
     MemberChange, MemberContacts, Membership, RaftCore, ReplacementCause, ReplacementObstacle,
@@ -79,6 +79,7 @@
             (_, Some(_), _) => Some((ReplacementCause::Silent, silent)),
             (_, _, Some(_)) => Some((ReplacementCause::Leaving, leaving)),
             _ if too_few => Some((ReplacementCause::TooFewVoters, None)),
+            _ if self.has_successor(view) => Some((ReplacementCause::Successor, None)),
             _ if silent_learner.is_some() => {
                 Some((ReplacementCause::SilentLearner, silent_learner))
             }
@@ -86,6 +87,27 @@
         }
     }
 
+    /// Returns whether a learner is ready for a seat beside the intended voters: more machines answer than the fleet
+    /// was set up with, so that one of them is about to go. Its seat has to be settled before that, since two losses
+    /// at once leave no quorum to settle it.
+    fn has_successor(&self, view: &ReplacementView<'_>) -> bool {
+        let membership = self.log.membership();
+        let is_active = |id: &&VoterId| self.is_active(view.leader, id, view.now);
+        // A machine that has lost its disk has two members for a moment.
+        let active_vms = membership.members().filter(is_active).map(|id| &id.vm);
+        let active_vms: BTreeSet<_> = active_vms.collect();
+        let intended = view.policy.voter_count;
+        // One more than an even number would be a tolerance that the policy does not ask for, and two voters instead
+        // of one have no quorum once either is lost.
+        let takes_one_more = intended >= 3 && !intended.is_multiple_of(2);
+        let next = membership.clone().with_fleet_size(self.proposed_fleet_size);
+        next.allows_half_quorums()
+            && active_vms.len() > next.fleet_size
+            && takes_one_more
+            && membership.voters.len() == intended
+            && self.promotion(view).is_ok()
+    }
+
     fn replacement_change(
         &self,
         view: &ReplacementView<'_>,
@@ -123,12 +145,14 @@
         Ok(change)
     }
 
-    /// Returns whether a member with another data folder answers on the VM of a voter: its own folder is gone.
+    /// Returns whether a daemon with another data folder has announced itself or answers on the VM of a voter: its own
+    /// folder is gone.
     fn is_superseded(&self, view: &ReplacementView<'_>, voter: &VoterId) -> bool {
         let is_active = |id: &VoterId| self.is_active(view.leader, id, view.now);
         let mut others = self.log.membership().members();
         !is_active(voter)
-            && others.any(|other| other.vm == voter.vm && other != voter && is_active(other))
+            && (self.lost.contains(voter)
+                || others.any(|other| other.vm == voter.vm && other != voter && is_active(other)))
     }
 
     /// Returns the promotion of a learner that answers and has every committed entry.
--- a/src/raft/leader/replicate.rs
+++ b/src/raft/leader/replicate.rs
@@ -74,12 +74,23 @@
         if up_to <= self.commit || self.log.term_at(up_to) != Some(self.term) {
             return;
         }
+        let had_open_change = self.log.membership_index() > self.commit;
         self.set_commit(up_to, out);
         self.start_early_reads(now, out);
-        let is_removed = !self.log.membership().contains(&self.id);
-        if is_removed && self.log.membership_index() <= self.commit {
-            // Sends the new commit index to the other members before they elect another leader.
-            self.start_round(now, out);
+        if had_open_change && self.log.membership_index() <= self.commit {
+            self.finish_change(now, out);
+        }
+    }
+
+    /// Tells the members at once that a change of the membership is committed: until they know, they need a quorum of
+    /// the membership before it as well to elect a leader.
+    fn finish_change(&mut self, now: Duration, out: &mut Vec<RaftEffect>) {
+        self.start_round(now, out);
+        if let RoleState::Leader(leader) = &mut self.role {
+            leader.membership_round = leader.rounds.current();
+            leader.update_members(&self.id, &self.log, self.commit);
+        }
+        if !self.log.membership().contains(&self.id) {
             self.become_follower(now, self.term, out);
         }
     }
--- a/src/raft/leader_state.rs
+++ b/src/raft/leader_state.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     time::Duration,
 };
 
@@ -66,6 +66,10 @@
     pub(super) next_heartbeat: Duration,
     /// Index of the first entry of the term.
     pub(super) first_index: LogIndex,
+    /// Voters whose loss was known before the election, so that each vote and each acknowledgement is later.
+    pub(super) lost: BTreeSet<VoterId>,
+    /// Round that has told the members of the last committed change of the membership.
+    pub(super) membership_round: u64,
 }
 
 impl LeaderState {
@@ -78,16 +82,24 @@
             elected_at: now,
             next_heartbeat: now,
             first_index,
+            lost: BTreeSet::new(),
+            membership_round: 0,
         }
     }
 
-    /// Adopts the latest membership after an entry was appended, which is the first entry to send
-    /// to new members.
-    pub(super) fn update_members(&mut self, id: &VoterId, log: &LogTail) {
-        let membership = log.membership();
+    /// Sets the voters whose loss was known before the election.
+    pub(super) fn with_lost(self, lost: BTreeSet<VoterId>) -> Self {
+        Self { lost, ..self }
+    }
+
+    /// Adopts the open memberships after an entry was appended, which is the first entry to send to new members, or
+    /// after one was committed. A removed voter counts until its removal is committed, so it gets entries until then.
+    pub(super) fn update_members(&mut self, id: &VoterId, log: &LogTail, commit: LogIndex) {
+        let memberships = log.open_memberships(commit);
         self.progress
-            .retain(|member, _| membership.contains(member));
-        for member in membership.members().filter(|member| *member != id) {
+            .retain(|member, _| memberships.iter().any(|open| open.contains(member)));
+        let members = memberships.iter().flat_map(|open| open.members());
+        for member in members.filter(|member| *member != id) {
             self.progress
                 .entry(member.clone())
                 .or_insert_with(|| MemberProgress::new(log.last_index()));
--- a/src/raft/log.rs
+++ b/src/raft/log.rs
@@ -1,6 +1,6 @@
 use std::collections::VecDeque;
 
-use super::{EntryPayload, LogEntry, Membership, SnapshotMeta};
+use super::{EntryPayload, LogEntry, Membership, SnapshotMeta, quorum::OpenMemberships};
 use crate::ids::{LogIndex, Term};
 
 /// The log since the last compaction, in memory.
@@ -149,6 +149,22 @@
             .map_or(&self.base.membership, |(_, membership)| membership)
     }
 
+    /// Returns the latest membership, and the one before it if the latest one is not committed and one of the two
+    /// allows half quorums. Still earlier ones are committed: a leader changes a membership only once it is.
+    pub(super) fn open_memberships(&self, commit: LogIndex) -> OpenMemberships<'_> {
+        let latest = self.membership();
+        let mut open = OpenMemberships::new();
+        open.push(latest);
+        if self.membership_index() > commit {
+            let before = self.memberships.iter().rev().nth(1);
+            let before = before.map_or(&self.base.membership, |(_, membership)| membership);
+            if latest.allows_half_quorums() || before.allows_half_quorums() {
+                open.push(before);
+            }
+        }
+        open
+    }
+
     /// Returns the index from which the latest membership is in force.
     pub(super) fn membership_index(&self) -> LogIndex {
         self.memberships
--- a/src/raft/member.rs
+++ b/src/raft/member.rs
@@ -31,6 +31,15 @@
     pub voters: BTreeSet<VoterId>,
     /// Members that receive the log but do not vote.
     pub learners: BTreeSet<VoterId>,
+    /// Number of VMs that the fleet was set up with; 0 while daemons of earlier releases, which do not know half
+    /// quorums, may take part. See docs/design.md, section 5.
+    #[serde(default, skip_serializing_if = "is_unknown")]
+    pub fleet_size: usize,
+}
+
+#[allow(clippy::trivially_copy_pass_by_ref)] // The signature that serde calls.
+fn is_unknown(fleet_size: &usize) -> bool {
+    *fleet_size == 0
 }
 
 impl Membership {
@@ -38,11 +47,11 @@
     pub fn of_voters(voters: impl IntoIterator<Item = VoterId>) -> Self {
         Self {
             voters: voters.into_iter().collect(),
-            learners: BTreeSet::new(),
+            ..Self::default()
         }
     }
 
-    /// Returns the number of voters that form a quorum.
+    /// Returns the number of voters that form a majority.
     #[must_use]
     pub fn quorum(&self) -> usize {
         self.voters.len() / 2 + 1
@@ -54,6 +63,21 @@
         self.voters.contains(member) || self.learners.contains(member)
     }
 
+    /// Sets the number of VMs that the fleet was set up with, unless it is known already.
+    #[must_use]
+    pub fn with_fleet_size(self, fleet_size: usize) -> Self {
+        match self.fleet_size {
+            0 => Self { fleet_size, ..self },
+            _ => self,
+        }
+    }
+
+    /// Returns whether half of an even number of voters may be a quorum once another voter has lost its data folder.
+    #[must_use]
+    pub fn allows_half_quorums(&self) -> bool {
+        self.fleet_size > 0
+    }
+
     /// Iterates over voters and learners.
     pub fn members(&self) -> impl Iterator<Item = &VoterId> {
         self.voters.iter().chain(&self.learners)
--- a/src/raft/replacement.rs
+++ b/src/raft/replacement.rs
@@ -5,7 +5,7 @@
 /// When the leader replaces members by itself; see docs/design.md, section 5.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ReplacementPolicy {
-    /// Intended number of voters.
+    /// Intended number of voters while no successor waits.
     pub voter_count: usize,
     /// Silence after which a voter counts as lost.
     pub voter_silence: Duration,
@@ -40,6 +40,8 @@
     Leaving,
     /// There are fewer voters than intended.
     TooFewVoters,
+    /// A machine was added to the fleet, and is the successor of whichever machine is lost next.
+    Successor,
     /// A learner has been silent for too long.
     SilentLearner,
 }
--- a/src/raft/role.rs
+++ b/src/raft/role.rs
@@ -25,6 +25,8 @@
     Candidate {
         kind: VoteKind,
         granted: BTreeSet<VoterId>,
+        /// Voters whose loss was known when the votes were requested.
+        lost: BTreeSet<VoterId>,
     },
     Leader(Box<LeaderState>),
 }
--- a/src/voter/driver.rs
+++ b/src/voter/driver.rs
@@ -1,4 +1,5 @@
 use std::{
+    collections::BTreeSet,
     sync::Arc,
     time::{Instant, SystemTime, UNIX_EPOCH},
 };
@@ -10,8 +11,10 @@
     applier::StateApplier,
     driver_replacement::VoterDeparture,
     level_reports::LevelReports,
+    member_name,
     pending::{PendingStage, PendingTable, send_answer},
     request::{AnswerSender, VoterRequest},
+    settings::HALF_QUORUM_LEVEL,
     shared::SharedVoter,
     snapshot_buffers::SnapshotBuffers,
 };
@@ -63,6 +66,8 @@
     /// The last step of a replacement, to log each once.
     pub replacement: ReplacementStep,
     pub departures: Vec<VoterDeparture>,
+    /// Votes and lost voters of the last failed election, to log equal ones once.
+    pub failed_election: Option<(BTreeSet<VoterId>, BTreeSet<VoterId>)>,
     /// Term and level of the last proposal to raise the command level.
     pub raised_level: Option<(Term, CommandLevel)>,
 }
@@ -126,6 +131,7 @@
                 deadline,
                 answer,
             } => self.release_seat(id, deadline, answer),
+            VoterRequest::Sighted(member) => self.record_sighting(member),
             VoterRequest::Messages(batch) => self.receive(*batch),
             VoterRequest::Initialize { membership, answer } => {
                 let result = self.initialize(membership);
@@ -180,6 +186,18 @@
         }
     }
 
+    fn record_sighting(&mut self, member: VoterId) {
+        let known = self.core.lost_voters().clone();
+        let found = member_name(&member);
+        self.step(RaftInput::Sighted { member });
+        for lost in self.core.lost_voters().difference(&known) {
+            info!("raft: a voter has lost its data folder", kv: {
+                voter = member_name(lost).as_str(),
+                found = found.as_str(),
+            });
+        }
+    }
+
     /// Starts to participate in the log.
     fn initialize(&mut self, membership: Membership) -> Result<()> {
         if self.snapshot.is_some() {
@@ -219,6 +237,12 @@
         self.pending.expire(now);
         self.snapshots.expire();
         self.contacts.observe(&self.core, self.started.elapsed());
+        if self.shared.state().plan_version() > 0 {
+            self.contacts.end_setup();
+        }
+        if self.shared.state().level() >= HALF_QUORUM_LEVEL {
+            self.core.permit_half_quorums(self.contacts.fleet_size());
+        }
         self.step(RaftInput::Tick);
         if let Some((index, state)) = self.snapshots.encoded()? {
             self.save_snapshot(index, state)?;
--- a/src/voter/driver_effects.rs
+++ b/src/voter/driver_effects.rs
@@ -1,10 +1,12 @@
+use std::collections::BTreeSet;
+
 use spdlog::prelude::*;
 
-use super::{driver::VoterDriver, entry_codec};
+use super::{driver::VoterDriver, entry_codec, member_name};
 use crate::{
     error::Result,
     journal::VoteRecord,
-    raft::{LogEntry, RaftEffect, RaftInput},
+    raft::{LogEntry, RaftEffect, RaftInput, VoterId},
 };
 
 impl VoterDriver {
@@ -113,7 +115,11 @@
                     self.step(chunk);
                 }
             }
+            RaftEffect::ElectionFailed { granted, lost } => self.log_failed_election(granted, lost),
             RaftEffect::RoleChanged { role, term, leader } => {
+                if leader.is_some() {
+                    self.failed_election = None;
+                }
                 let name = leader
                     .as_ref()
                     .map_or("unknown", |leader| leader.vm.as_str());
@@ -126,4 +132,27 @@
         }
         Ok(())
     }
+
+    /// Logs who agreed to an election and who is missing, unless the last one lacked the same votes.
+    fn log_failed_election(&mut self, granted: BTreeSet<VoterId>, lost: BTreeSet<VoterId>) {
+        let names = |ids: &BTreeSet<VoterId>| {
+            let names: Vec<String> = ids.iter().map(member_name).collect();
+            names.join(" ")
+        };
+        let failed = Some((granted, lost));
+        if self.failed_election == failed {
+            return;
+        }
+        if let Some((granted, lost)) = &failed {
+            let membership = self.core.membership();
+            info!("raft: an election lacks votes", kv: {
+                granted = names(granted).as_str(),
+                voters = names(&membership.voters).as_str(),
+                learners = names(&membership.learners).as_str(),
+                lost = names(lost).as_str(),
+                is_committed = self.core.is_membership_committed(),
+            });
+        }
+        self.failed_election = failed;
+    }
 }
--- a/src/voter/driver_replacement.rs
+++ b/src/voter/driver_replacement.rs
@@ -112,7 +112,7 @@
             if self.core.role() != RaftRole::Leader {
                 self.contacts.remove_leaving(&departure.id);
                 self.refuse(departure.answer);
-            } else if !is_member && self.core.is_membership_committed() {
+            } else if !is_member && self.core.is_membership_settled(self.started.elapsed()) {
                 send_answer(departure.answer, Ok(Outcome::Done));
             } else if is_member && is_refused {
                 self.contacts.remove_leaving(&departure.id);
--- a/src/voter/handle.rs
+++ b/src/voter/handle.rs
@@ -204,6 +204,12 @@
         &self.addresses
     }
 
+    /// Tells the voter that a daemon has announced itself: a voter of another data folder on its VM has lost its own.
+    pub fn sight(&self, member: VoterId) {
+        // Fails only once the voter has stopped.
+        let _ = self.queue.send(VoterRequest::Sighted(member));
+    }
+
     /// Queues messages of a peer for the voter. They are dropped when the queue is full.
     pub fn receive(&self, messages: PeerMessages) {
         self.addresses.update(&messages.sender);
--- a/src/voter/request.rs
+++ b/src/voter/request.rs
@@ -56,6 +56,8 @@
         deadline: Instant,
         answer: AnswerSender,
     },
+    /// A daemon has announced itself as this member.
+    Sighted(VoterId),
     /// Handle messages of a peer.
     Messages(Box<PeerMessages>),
     /// Start to participate, with the founding membership or, when joining, an empty one.
--- a/src/voter/settings.rs
+++ b/src/voter/settings.rs
@@ -7,7 +7,10 @@
 };
 
 /// Highest command level that this release supports.
-pub const SUPPORTED_LEVEL: CommandLevel = 5;
+pub const SUPPORTED_LEVEL: CommandLevel = 6;
+
+/// Command level from which on all members know half quorums; see docs/design.md, section 5.
+pub const HALF_QUORUM_LEVEL: CommandLevel = 6;
 
 /// Settings of one voter.
 #[derive(Clone, Debug)]
--- a/src/voter/thread.rs
+++ b/src/voter/thread.rs
@@ -120,6 +120,7 @@
             contacts: MemberContacts::default(),
             replacement: ReplacementStep::Settled,
             departures: Vec::new(),
+            failed_election: None,
             raised_level: None,
         };
         let thread = Self {
--- a/tests/model/member.rs
+++ b/tests/model/member.rs
@@ -27,6 +27,10 @@
     CatchUpSkipped,
     /// A voter grants votes directly after a restart.
     VotesAfterRestart,
+    /// A voter counts as lost though it has its disk.
+    FalseSighting,
+    /// A change of the membership is committed by a majority of the new voters alone.
+    NewMembersAlone,
 }
 
 /// Minimum election timeout, in units of local time.
@@ -81,6 +85,7 @@
     Tick,
     Propose,
     Change(MemberChange),
+    Sight(VoterId),
 }
 
 /// Result of a step.
@@ -98,6 +103,7 @@
 /// Runs the members and caches the result of each step.
 pub struct Members {
     pub fault: Fault,
+    voters: usize,
     interned: RefCell<Interner<Member>>,
     messages: RefCell<Interner<RaftMessage>>,
     cache: RefCell<HashMap<(u32, u64, Step), Outcome>>,
@@ -111,9 +117,11 @@
     id.vm.parse().expect("the VM name is not a number")
 }
 
-/// Returns the disk of a founding voter.
-pub fn founding() -> RestoredState {
-    let membership = Membership::of_voters((0..3).map(|vm| id(vm, 1)));
+/// Returns the disk of a founding voter. An even number of voters allows half quorums.
+pub fn founding(voters: usize) -> RestoredState {
+    let membership = Membership::of_voters((0..voters).map(|vm| id(vm, 1)));
+    let fleet_size = if voters.is_multiple_of(2) { voters } else { 0 };
+    let membership = membership.with_fleet_size(fleet_size);
     RestoredState {
         snapshot: SnapshotMeta::founding(membership),
         ..RestoredState::default()
@@ -121,9 +129,10 @@
 }
 
 impl Members {
-    pub fn new(fault: Fault) -> Self {
+    pub fn new(fault: Fault, voters: usize) -> Self {
         Self {
             fault,
+            voters,
             interned: Interner::new(),
             messages: Interner::new(),
             cache: RefCell::new(HashMap::new()),
@@ -157,7 +166,10 @@
         } else {
             local
         });
-        let core = RaftCore::new(id, disk.clone(), timing, limits, 0, now);
+        let mut core = RaftCore::new(id, disk.clone(), timing, limits, 0, now);
+        if self.voters.is_multiple_of(2) {
+            core.permit_half_quorums(self.voters);
+        }
         let unsynced = None;
         let member = Member {
             core,
@@ -195,6 +207,7 @@
                 payload: Bytes::new(),
             },
             Step::Change(change) => RaftInput::Change { token, change },
+            Step::Sight(member) => RaftInput::Sighted { member },
         }];
         let now = Duration::from_nanos(local);
         let mut next = (*self.member(member)).clone();
@@ -204,7 +217,13 @@
             }
         }
         let core = &next.core;
-        if self.fault == Fault::EarlierTermCounted && next.leads() {
+        let counts_alone = match self.fault {
+            Fault::EarlierTermCounted => true,
+            // The old voters are the only ones left out: entries of earlier terms are not counted.
+            Fault::NewMembersAlone => next.log_terms().last() == Some(&core.term()),
+            _ => false,
+        };
+        if counts_alone && next.leads() {
             let voters = &core.membership().voters;
             let mut match_indexes: Vec<_> =
                 voters.iter().map(|voter| core.match_index(voter)).collect();
--- a/tests/model/voters.rs
+++ b/tests/model/voters.rs
@@ -1,6 +1,6 @@
-//! Specification of three voters that run the production step functions.
+//! Specification of voters that run the production step functions.
 
-use std::rc::Rc;
+use std::{array::from_fn, rc::Rc};
 
 use waxwinglatch::{
     ids::Term,
@@ -32,36 +32,56 @@
     /// Elections before the search, as candidate and the only voter that it reaches. Messages that
     /// the new leader sends are lost.
     pub elections: &'static [(usize, usize)],
-    /// Whether the search starts with voter 0 as leader and with its first entry committed.
+    /// Whether the search starts with voter 0 as leader and with its first entry committed. Links are blocked only
+    /// after that.
     pub starts_with_leader: bool,
+    /// Voters that may lose their disks.
+    pub fragile: &'static [usize],
+    /// Announcements of daemons with new data folders, and how many of them the search may deliver.
+    pub sightings: u8,
+    /// Changes that leaders may make.
+    pub change_kinds: &'static [Change],
 }
 
 #[derive(Clone, PartialEq, Eq, Hash)]
-pub struct State {
-    members: [u32; 3],
+pub struct State<const N: usize> {
+    members: [u32; N],
     messages: Vec<u32>,
     time: u8,
-    /// Number of proposals, crashes, lost disks and changes so far.
-    used: [u8; 4],
+    /// Number of proposals, crashes, lost disks, changes and sightings so far.
+    used: [u8; 5],
+    /// Whether the search has begun, so that links are blocked.
+    is_begun: bool,
     /// Leader of each term.
     leaders: Vec<Option<usize>>,
     /// Term of each committed entry, and the term in which it was committed.
     committed: Vec<(Term, Term)>,
     /// Local time at which the lease of each member expires.
-    leases: [u64; 3],
+    leases: [u64; N],
     violation: Option<&'static str>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Action {
     Deliver(u32),
-    Campaign(usize, [bool; 3]),
+    /// Candidate, and bits of the voters that it reaches.
+    Campaign(usize, u8),
     Tick(usize),
     Time,
     Propose(usize),
-    Change(usize, u8),
+    Change(usize, Change),
     Crash(usize),
     LoseDisk(usize),
+    /// Voter that hears of the other one's lost disk.
+    Sight(usize, usize),
+}
+
+/// A change of the membership.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Change {
+    AddLearner(usize),
+    Promote(usize),
+    Remove(usize),
 }
 
 /// Kind of step, which determines its local time in an untimed model.
@@ -72,18 +92,18 @@
     Campaign(u64),
 }
 
-pub struct Voters {
+pub struct Voters<const N: usize = 3> {
     bounds: Bounds,
     members: Members,
 }
 
 /// Local time per step of the global clock. Voter 0 is slow, and the ratio is the bound on clock
 /// drift.
-const RATES: [u64; 3] = [4, 5, 5];
+const RATES: [u64; 4] = [4, 5, 5, 5];
 
 /// Returns whether a log has every entry that was committed before a term, or, without a term,
 /// every committed entry.
-fn holds_committed(state: &State, log: &[Term], before: Option<Term>) -> bool {
+fn holds_committed<const N: usize>(state: &State<N>, log: &[Term], before: Option<Term>) -> bool {
     let mut entries = state.committed.iter().enumerate();
     entries.all(|(index, (term, committed_in))| {
         before.is_some_and(|before| *committed_in >= before) || log.get(index) == Some(term)
@@ -100,28 +120,31 @@
     )
 }
 
-fn change(number: u8) -> MemberChange {
-    match number {
-        0 => MemberChange::AddLearner(id(2, 2)),
-        1 => MemberChange::Promote(id(2, 2)),
-        _ => MemberChange::Remove(id(2, 1)),
+impl Change {
+    /// Returns the change, in which a machine joins with its second data folder.
+    fn of_members(self) -> MemberChange {
+        match self {
+            Self::AddLearner(vm) => MemberChange::AddLearner(id(vm, 2)),
+            Self::Promote(vm) => MemberChange::Promote(id(vm, 2)),
+            Self::Remove(vm) => MemberChange::Remove(id(vm, 1)),
+        }
     }
 }
 
-impl Voters {
+impl<const N: usize> Voters<N> {
     pub fn new(bounds: Bounds, fault: Fault) -> Self {
-        let members = Members::new(fault);
+        let members = Members::new(fault, N);
         Self { bounds, members }
     }
 
-    fn member(&self, state: &State, vm: usize) -> Rc<Member> {
+    fn member(&self, state: &State<N>, vm: usize) -> Rc<Member> {
         self.members.member(state.members[vm])
     }
 
     /// Returns the local time of a member. In an untimed model each kind of step has its own time,
     /// at which no timer prevents it: votes are handled later than other messages, campaigns
     /// before and after votes, and steps of higher terms after those of lower terms.
-    fn local(&self, state: &State, vm: usize, slot: Slot) -> u64 {
+    fn local(&self, state: &State<N>, vm: usize, slot: Slot) -> u64 {
         let term = self.member(state, vm).core.term();
         match slot {
             // The clocks start at 100, because `Fault::VotesAfterRestart` starts one in the past.
@@ -134,7 +157,7 @@
     }
 
     /// Applies the outcome of a step and checks the properties in the new state.
-    fn apply(&self, state: &State, vm: usize, outcome: &Outcome) -> State {
+    fn apply(&self, state: &State<N>, vm: usize, outcome: &Outcome) -> State<N> {
         let mut next = state.clone();
         next.members[vm] = outcome.member;
         next.messages.extend(&outcome.sends);
@@ -171,7 +194,7 @@
     }
 
     /// Returns whether a quorum of the voters has every committed entry.
-    fn quorum_holds(&self, state: &State, membership: &Membership) -> bool {
+    fn quorum_holds(&self, state: &State<N>, membership: &Membership) -> bool {
         let holds = |voter: &&VoterId| {
             let member = self.member(state, vm(voter));
             member.core.id() == *voter && holds_committed(state, &member.log_terms(), None)
@@ -179,9 +202,9 @@
         membership.voters.iter().filter(holds).count() >= membership.quorum()
     }
 
-    fn logs_match(&self, state: &State, vm: usize) -> bool {
+    fn logs_match(&self, state: &State<N>, vm: usize) -> bool {
         let own = self.member(state, vm);
-        (0..3).filter(|other| *other != vm).all(|other| {
+        (0..N).filter(|other| *other != vm).all(|other| {
             let other = self.member(state, other);
             let pairs = own.disk.entries.iter().zip(&other.disk.entries);
             let agreed = pairs.clone().rposition(|(a, b)| a.term == b.term);
@@ -194,14 +217,14 @@
     /// Checks the leases and removes messages and leases without further effect. At most one member
     /// has a lease, and its commit index covers every committed entry. Otherwise an entry daemon
     /// that queries it would accept an outdated configuration as current.
-    fn normalize(&self, mut state: State) -> State {
-        let members = [0, 1, 2].map(|vm| self.member(&state, vm));
-        for vm in 0..3 {
+    fn normalize(&self, mut state: State<N>) -> State<N> {
+        let members: [_; N] = from_fn(|vm| self.member(&state, vm));
+        for vm in 0..N {
             if self.local(&state, vm, Slot::Other) >= state.leases[vm] {
                 state.leases[vm] = 0;
             }
         }
-        let holders: Vec<usize> = (0..3).filter(|vm| state.leases[*vm] > 0).collect();
+        let holders: Vec<usize> = (0..N).filter(|vm| state.leases[*vm] > 0).collect();
         let committed = state.committed.len() as u64;
         if holders.len() > 1 {
             state.violation = Some("lease exclusivity");
@@ -218,7 +241,7 @@
             let is_ahead = message.term > receiver.term();
             let is_current = message.term == receiver.term();
             *receiver.id() == message.to
-                && !self.bounds.blocked_links.contains(&(from, to))
+                && !(state.is_begun && self.bounds.blocked_links.contains(&(from, to)))
                 && match &message.body {
                     MessageBody::VoteReply { granted: false, .. } => is_ahead,
                     MessageBody::VoteReply { .. } => {
@@ -236,7 +259,7 @@
         state
     }
 
-    fn step_member(&self, state: &State, vm: usize, step: Step) -> State {
+    fn step_member(&self, state: &State<N>, vm: usize, step: Step) -> State<N> {
         let is_vote_request = |number| {
             let message = self.members.message(number);
             matches!(message.body, MessageBody::VoteRequest { .. })
@@ -253,16 +276,32 @@
         )
     }
 
-    fn deliver(&self, state: &State, number: u32) -> State {
+    fn deliver(&self, state: &State<N>, number: u32) -> State<N> {
         let mut rest = state.clone();
         rest.messages.retain(|other| *other != number);
         let to = vm(&self.members.message(number).to);
         self.step_member(&rest, to, Step::Deliver(number))
     }
 
+    /// Returns whom a daemon with a new data folder may tell of itself, with the voter that lost its own.
+    fn sightings(&self, state: &State<N>) -> Vec<(usize, usize)> {
+        let is_lost = |vm: &usize| {
+            let has_new_folder = self.member(state, *vm).core.id().incarnation > 1;
+            has_new_folder || self.members.fault == Fault::FalseSighting
+        };
+        let fragile = self.bounds.fragile.iter().copied();
+        let lost = fragile.filter(is_lost);
+        lost.flat_map(|lost| {
+            (0..N)
+                .filter(move |to| *to != lost)
+                .map(move |to| (to, lost))
+        })
+        .collect()
+    }
+
     /// Runs the pre-vote among the reachable voters in one step, because it changes nothing
     /// durable, until the candidate requests votes.
-    fn campaign(&self, state: &State, candidate: usize, reachable: [bool; 3]) -> Option<State> {
+    fn campaign(&self, state: &State<N>, candidate: usize, reachable: u8) -> Option<State<N>> {
         let mut member = state.members[candidate];
         for attempt in 0..6 {
             let local = self.local(state, candidate, Slot::Campaign(attempt));
@@ -271,7 +310,7 @@
             for request in ticked.sends {
                 let message = self.members.message(request);
                 let to = vm(&message.to);
-                if !is_pre_vote(&message) || !reachable[to] {
+                if !is_pre_vote(&message) || reachable & (1 << to) == 0 {
                     continue;
                 }
                 let at = self.local(state, to, Slot::Vote);
@@ -291,7 +330,7 @@
     }
 
     /// Restarts a member, with its disk or a new one.
-    fn restart(&self, state: &State, vm: usize, budget: usize) -> State {
+    fn restart(&self, state: &State<N>, vm: usize, budget: usize) -> State<N> {
         let mut next = state.clone();
         let ignores_incarnation = self.members.fault == Fault::IncarnationIgnored;
         let (id, disk) = match budget {
@@ -299,7 +338,7 @@
                 let member = self.member(state, vm);
                 (member.core.id().clone(), member.disk.clone())
             }
-            _ if ignores_incarnation => (id(vm, 1), founding()),
+            _ if ignores_incarnation => (id(vm, 1), founding(N)),
             _ => (id(vm, 2), waxwinglatch::raft::RestoredState::default()),
         };
         next.members[vm] = self
@@ -314,26 +353,27 @@
 const CRASHES: usize = 1;
 const LOST_DISKS: usize = 2;
 const CHANGES: usize = 3;
+const SIGHTINGS: usize = 4;
 
-impl Specification for Voters {
-    type State = State;
+impl<const N: usize> Specification for Voters<N> {
+    type State = State<N>;
     type Action = Action;
 
-    fn initial(&self) -> State {
+    fn initial(&self) -> State<N> {
         let mut state = State {
-            members: [0, 1, 2].map(|vm| self.members.start(id(vm, 1), founding(), 75)),
+            members: from_fn(|vm| self.members.start(id(vm, 1), founding(N), 75)),
             messages: Vec::new(),
             time: 0,
-            used: [0; 4],
+            used: [0; 5],
+            is_begun: !self.bounds.starts_with_leader,
             leaders: Vec::new(),
             committed: Vec::new(),
-            leases: [0; 3],
+            leases: [0; N],
             violation: None,
         };
         for (candidate, voter) in self.bounds.elections {
-            let reachable = [0, 1, 2].map(|vm| vm == *voter);
             state = self
-                .campaign(&state, *candidate, reachable)
+                .campaign(&state, *candidate, 1 << voter)
                 .expect("no candidate");
             for to in [*voter, *candidate] {
                 let sent = |number: &&u32| vm(&self.members.message(**number).to) == to;
@@ -343,44 +383,47 @@
             state.messages.clear();
         }
         if self.bounds.starts_with_leader {
-            state = self.campaign(&state, 0, [true; 3]).expect("no candidate");
+            state = self.campaign(&state, 0, u8::MAX).expect("no candidate");
             while let Some(number) = state.messages.first() {
                 state = self.deliver(&state, *number);
             }
+            state.is_begun = true;
         }
         state
     }
 
-    fn next(&self, state: &State) -> Vec<(Action, State)> {
+    fn next(&self, state: &State<N>) -> Vec<(Action, State<N>)> {
         let bounds = &self.bounds;
-        let mut next: Vec<(Action, State)> = Vec::new();
-        let mut spend = |budget: usize, limit: u8, action, after: &dyn Fn() -> State| {
+        let mut next: Vec<(Action, State<N>)> = Vec::new();
+        let mut spend = |budget: usize, limit: u8, action, after: &dyn Fn() -> State<N>| {
             if state.used[budget] < limit {
                 let mut after = after();
                 after.used[budget] += 1;
                 next.push((action, after));
             }
         };
-        for vm in 0..3 {
+        for vm in 0..N {
             if self.member(state, vm).leads() {
                 let propose = || self.step_member(state, vm, Step::Propose);
                 spend(PROPOSALS, bounds.proposals, Action::Propose(vm), &propose);
-                for number in 0..3 {
-                    let changed = || self.step_member(state, vm, Step::Change(change(number)));
-                    spend(
-                        CHANGES,
-                        bounds.changes,
-                        Action::Change(vm, number),
-                        &changed,
-                    );
+                for kind in bounds.change_kinds {
+                    let step = Step::Change(kind.of_members());
+                    let changed = || self.step_member(state, vm, step.clone());
+                    spend(CHANGES, bounds.changes, Action::Change(vm, *kind), &changed);
                 }
             }
             let crash = || self.restart(state, vm, CRASHES);
             spend(CRASHES, bounds.crashes, Action::Crash(vm), &crash);
         }
-        let lose = || self.restart(state, 2, LOST_DISKS);
-        spend(LOST_DISKS, bounds.lost_disks, Action::LoseDisk(2), &lose);
-        for vm in 0..3 {
+        for vm in bounds.fragile {
+            let lose = || self.restart(state, *vm, LOST_DISKS);
+            spend(LOST_DISKS, bounds.lost_disks, Action::LoseDisk(*vm), &lose);
+        }
+        for (to, lost) in self.sightings(state) {
+            let sight = || self.step_member(state, to, Step::Sight(id(lost, 2)));
+            spend(SIGHTINGS, bounds.sightings, Action::Sight(to, lost), &sight);
+        }
+        for vm in 0..N {
             let member = self.member(state, vm);
             if member.leads() && bounds.time > 0 {
                 next.push((Action::Tick(vm), self.step_member(state, vm, Step::Tick)));
@@ -388,8 +431,8 @@
             if !bounds.candidates.contains(&vm) || member.core.term() >= bounds.term {
                 continue;
             }
-            let only = |other: usize| [0, 1, 2].map(|vm| vm == other);
-            for reachable in [[true; 3], only((vm + 1) % 3), only((vm + 2) % 3)] {
+            let others = (1..N).map(|distance| 1 << ((vm + distance) % N));
+            for reachable in std::iter::once(u8::MAX).chain(others) {
                 let campaign = self.campaign(state, vm, reachable);
                 next.extend(campaign.map(|after| (Action::Campaign(vm, reachable), after)));
             }
@@ -409,7 +452,7 @@
         next
     }
 
-    fn violation(&self, state: &State) -> Option<&'static str> {
+    fn violation(&self, state: &State<N>) -> Option<&'static str> {
         state.violation
     }
 }
--- a/tests/model_raft.rs
+++ b/tests/model_raft.rs
@@ -9,7 +9,7 @@
 
 use model::{assert_holds, assert_violates};
 use rstest::rstest;
-use voters::{Bounds, Fault, Voters};
+use voters::{Bounds, Change, Fault, Voters};
 
 /// Two candidates in an untimed model.
 const LOG: Bounds = Bounds {
@@ -24,6 +24,9 @@
     blocked_links: &[],
     elections: &[],
     starts_with_leader: false,
+    fragile: &[2],
+    sightings: 0,
+    change_kinds: &[Change::AddLearner(2), Change::Promote(2), Change::Remove(2)],
 };
 const CANDIDATES: Bounds = Bounds {
     candidates: &[0, 1, 2],
@@ -98,10 +101,10 @@
 #[case::old_entries("old entries", OLD_ENTRIES, 56_904)]
 #[case::lease_proposal("lease and proposal", LEASE_PROPOSAL, 132_402)]
 #[case::lease_crash("lease and crash", LEASE_CRASH, 126_729)]
-#[case::repair("repair", REPAIR, 30_432)]
-#[case::repair_crash("repair and crash", REPAIR_CRASH, 21_154)]
+#[case::repair("repair", REPAIR, 73_776)]
+#[case::repair_crash("repair and crash", REPAIR_CRASH, 62_411)]
 fn the_properties_hold(#[case] name: &str, #[case] bounds: Bounds, #[case] min_states: usize) {
-    assert_holds(name, &Voters::new(bounds, Fault::None), min_states);
+    assert_holds(name, &Voters::<3>::new(bounds, Fault::None), min_states);
 }
 
 /// Checks the same properties as [`the_properties_hold`] with wider bounds.
@@ -115,7 +118,94 @@
     #[case] bounds: Bounds,
     #[case] min_states: usize,
 ) {
-    assert_holds(name, &Voters::new(bounds, Fault::None), min_states);
+    assert_holds(name, &Voters::<3>::new(bounds, Fault::None), min_states);
+}
+
+/// Four voters, of which two may lose their disks while two others campaign.
+const HALVES: Bounds = Bounds {
+    term: 1,
+    lost_disks: 2,
+    fragile: &[2, 3],
+    sightings: 2,
+    candidates: &[0, 1],
+    ..LOG
+};
+/// The same, where each candidate reaches one other voter only.
+const CUT_HALVES: Bounds = Bounds {
+    term: 2,
+    blocked_links: &[
+        (0, 1),
+        (1, 0),
+        (0, 3),
+        (3, 0),
+        (2, 1),
+        (1, 2),
+        (2, 3),
+        (3, 2),
+    ],
+    ..HALVES
+};
+/// The leader 0 of four voters removes voter 1, and voter 2 loses its disk.
+const REMOVAL: Bounds = Bounds {
+    term: 2,
+    lost_disks: 1,
+    fragile: &[2],
+    sightings: 2,
+    changes: 1,
+    change_kinds: &[Change::Remove(1)],
+    messages: 3,
+    candidates: &[3],
+    starts_with_leader: true,
+    ..LOG
+};
+/// The same, where voters 0 and 2 are cut off from voters 1 and 3.
+const CUT_REMOVAL: Bounds = Bounds {
+    blocked_links: &[
+        (0, 1),
+        (1, 0),
+        (0, 3),
+        (3, 0),
+        (2, 1),
+        (1, 2),
+        (2, 3),
+        (3, 2),
+    ],
+    messages: 4,
+    ..REMOVAL
+};
+/// The same, where the leader and voter 3 have a proposal and voter 1 is cut off.
+const REMOVAL_PROPOSAL: Bounds = Bounds {
+    proposals: 1,
+    blocked_links: &[(0, 1), (1, 0), (2, 1), (1, 2)],
+    ..REMOVAL
+};
+
+/// Guards against two leaders and lost commits with half quorums.
+#[rstest]
+#[case::elections("half elections", HALVES, 50_488)]
+#[case::cut("cut half elections", CUT_HALVES, 25_738)]
+#[case::removal("removal", REMOVAL, 10_371)]
+#[case::cut_removal("cut removal", CUT_REMOVAL, 276)]
+#[case::proposal("removal and proposal", REMOVAL_PROPOSAL, 200_655)]
+fn the_properties_hold_with_half_quorums(
+    #[case] name: &str,
+    #[case] bounds: Bounds,
+    #[case] min_states: usize,
+) {
+    assert_holds(name, &Voters::<4>::new(bounds, Fault::None), min_states);
+}
+
+/// Guards against a check of half quorums that cannot fail.
+#[rstest]
+#[case::false_sighting(Fault::FalseSighting, CUT_HALVES, "election safety")]
+#[case::new_members(Fault::NewMembersAlone, CUT_REMOVAL, "leader completeness")]
+fn a_seeded_fault_of_half_quorums_is_detected(
+    #[case] fault: Fault,
+    #[case] bounds: Bounds,
+    #[case] property: &str,
+) {
+    let name = format!("half quorums, {fault:?}");
+    assert_violates(&name, &Voters::<4>::new(bounds, fault), property);
 }
 
 /// Guards against a check that cannot fail: each seeded fault must lead to a violation.
@@ -131,5 +221,9 @@
     #[case] bounds: Bounds,
     #[case] property: &str,
 ) {
-    assert_violates(&format!("{fault:?}"), &Voters::new(bounds, fault), property);
+    assert_violates(
+        &format!("{fault:?}"),
+        &Voters::<3>::new(bounds, fault),
+        property,
+    );
 }
--- a/tests/raft_replacement.rs
+++ b/tests/raft_replacement.rs
@@ -7,7 +7,7 @@
 use raft_sim::{Fleet, MS, ReplacementRule};
 use rand::Rng;
 use rstest::rstest;
-use waxwinglatch::raft::{RaftInput, ReplacementPolicy};
+use waxwinglatch::raft::{RaftInput, ReplacementPolicy, VoterId};
 
 /// Time after the start of a successor by which another machine may be lost, in the fleets checked here.
 const CATCH_UPS: [Duration; 2] = [Duration::from_secs(4), Duration::from_secs(6)];
@@ -52,6 +52,8 @@
     CountsAnew,
     /// Voters that stop as planned keep their seats.
     NoHandover,
+    /// Successors wait for a loss, and half of the voters is no quorum, as before issue 56.
+    NoSuccessor,
 }
 
 fn rule(voters: usize, catch_up: Duration, fault: Fault) -> ReplacementRule {
@@ -87,6 +89,7 @@
 impl Chain {
     fn new(voters: usize, spares: usize, catch_up: Duration, fault: Fault, seed: u64) -> Self {
         let mut fleet = Fleet::new(voters, seed);
+        fleet.half_quorums = fault == Fault::None;
         fleet.replacement = Some(rule(voters, catch_up, fault));
         let mut chain = Self {
             fleet,
@@ -100,6 +103,7 @@
         }
         chain.fleet.run_to_leader();
         chain.fleet.run(catch_up);
+        chain.fleet.is_set_up = true;
         chain
     }
 
@@ -145,6 +149,18 @@
         }
     }
 
+    /// Draws the voter that is removed for good.
+    fn removed(&mut self, victim: Victim) -> usize {
+        let leader = self.fleet.run_to_leader();
+        if victim == Victim::Leader {
+            return leader;
+        }
+        let voters = &self.fleet.core(leader).membership().voters;
+        let is_follower = |vm: &usize| *vm != leader && voters.contains(&self.fleet.nodes[*vm].id);
+        let followers: Vec<usize> = self.running().into_iter().filter(is_follower).collect();
+        followers[self.fleet.rng.random_range(0..followers.len())]
+    }
+
     fn delay(&mut self, most: u32) -> Duration {
         self.fleet.rng.random_range(0..=most) * MS
     }
@@ -160,7 +176,7 @@
         let end = self.fleet.now + 1_500 * MS;
         while self.fault != Fault::NoHandover && self.fleet.now < end {
             match self.fleet.leader().filter(|leader| *leader != vm) {
-                Some(leader) if !self.fleet.core(leader).membership().contains(&id) => break,
+                Some(leader) if self.has_given_seat(leader, &id) => break,
                 Some(leader) => self.fleet.nodes[leader].contacts.add_leaving(id.clone()),
                 None => {}
             }
@@ -172,6 +188,12 @@
         self.fleet.crash(vm);
     }
 
+    /// Returns whether a leader tells a voter that stops as planned that its seat is given away.
+    fn has_given_seat(&self, leader: usize, id: &VoterId) -> bool {
+        let core = self.fleet.core(leader);
+        !core.membership().contains(id) && core.is_membership_settled(self.fleet.clock(leader))
+    }
+
     /// Loses a node. Returns when it no longer counts as lost.
     fn lose(&mut self, loss: Loss, vm: usize, delay: Duration) -> Duration {
         self.history
@@ -275,6 +297,79 @@
     }
 }
 
+/// Removes a machine whose successor has had its time, and loses a disk up to 3 s later, in turn. Returns whether the
+/// fleet still commits.
+fn survives_removals(chain: &mut Chain, at_once: usize, victim: Victim) -> bool {
+    for _ in 0..LOSSES {
+        chain.start_new();
+        chain.fleet.run(chain.catch_up);
+        if !chain.commit() {
+            return false;
+        }
+        let removed = chain.removed(victim);
+        chain.fleet.crash(removed);
+        let delay = chain.delay(3_000);
+        chain.history.push(format!(
+            "{:?}: {removed} is removed, {delay:?}",
+            chain.fleet.now
+        ));
+        chain.fleet.run(delay);
+        let mut lost = vec![removed];
+        let mut until = chain.fleet.now;
+        for _ in 0..at_once {
+            let vm = chain.victim(&lost);
+            lost.push(vm);
+            let down_time = chain.delay(2_000);
+            until = until.max(chain.lose(Loss::LostDisk, vm, down_time));
+        }
+        let rest = until.saturating_sub(chain.fleet.now);
+        chain.fleet.run(rest);
+    }
+    chain.commit()
+}
+
+/// Which machine is removed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Victim {
+    Leader,
+    Follower,
+}
+
+fn first_removal_failure(
+    (voters, spares): (usize, usize),
+    victim: Victim,
+    fault: Fault,
+    seeds: u64,
+) -> Option<(u64, Vec<String>)> {
+    (0..seeds).find_map(|seed| {
+        let catch_up = CATCH_UPS[usize::from(seed % 2 == 1)];
+        let mut chain = Chain::new(voters, spares, catch_up, fault, seed);
+        let survived = survives_removals(&mut chain, voters / 2, victim);
+        (!survived).then_some((seed, chain.history))
+    })
+}
+
+/// Guards against a core without a leader for good after a machine is removed without a word, its successor up for
+/// `CatchUpS`, and as many machines as may be lost at once lose their disks up to 3 s later (review/6).
+#[rstest]
+fn a_disk_lost_right_after_a_removal_leaves_a_quorum(
+    #[values((3, 0), (3, 1), (3, 2), (5, 0), (5, 1))] size: (usize, usize),
+    #[values(Victim::Leader, Victim::Follower)] victim: Victim,
+) {
+    let failure = first_removal_failure(size, victim, Fault::None, 20);
+    assert_eq!(failure, None, "{size:?} voters and learners");
+}
+
+/// Guards against a check that cannot fail: without the successor's seat and half quorums there is no leader again.
+#[rstest]
+fn the_rule_before_issue_56_loses_the_quorum(
+    #[values((3, 0), (5, 0))] size: (usize, usize),
+    #[values(Victim::Leader, Victim::Follower)] victim: Victim,
+) {
+    let failure = first_removal_failure(size, victim, Fault::NoSuccessor, 20);
+    assert!(failure.is_some());
+}
+
 /// Guards against a check that cannot fail: the former rules lose the quorum.
 #[rstest]
 #[case::former_rule(Fault::FormerRule, &[Loss::Replaced])]
--- a/tests/raft_schedule.rs
+++ b/tests/raft_schedule.rs
@@ -7,6 +7,7 @@
 
 use rand::Rng;
 use rstest::rstest;
+use waxwinglatch::raft::VoterId;
 
 /// Guards against any violation of election safety, log matching, leader completeness, state
 /// machine safety, lease exclusivity and read linearizability that a schedule can reach, and
@@ -54,6 +55,45 @@
     );
 }
 
+/// Guards against the same with half quorums: of an even number of voters, half may lose their disks at once, and the
+/// losses become known at any time.
+#[rstest]
+fn a_random_schedule_with_half_quorums_is_safe_and_the_fleet_recovers(
+    #[values(2, 3, 4, 6)] voters: usize,
+    #[values(0, 100, 200, 300)] first_seed: u64,
+) {
+    let (mut elections, mut committed) = (0, 0);
+    for seed in first_seed..first_seed + 6 {
+        let mut fleet = Fleet::new(voters, seed).with_half_quorums();
+        schedule(&mut fleet, voters);
+        elections += fleet.leader().map_or(0, |vm| fleet.core(vm).term());
+        committed += fleet.committed.len();
+    }
+    println!("{voters} voters, seeds {first_seed}..: {elections} terms, {committed} entries");
+    assert!(committed > 1_000 && elections > 40);
+}
+
+/// Returns whether another disk may be lost: without half quorums one at a time, with them as many as leave half of
+/// the voters.
+fn may_lose_disk(fleet: &Fleet, voters: usize) -> bool {
+    if !fleet.half_quorums {
+        return fleet.has_current_voters();
+    }
+    let Some(leader) = fleet.leader() else {
+        return false;
+    };
+    if !fleet
+        .core(leader)
+        .is_membership_settled(fleet.clock(leader))
+    {
+        return false;
+    }
+    let membership = fleet.core(leader).membership();
+    let current = |id: &&VoterId| fleet.nodes.iter().any(|node| node.id == **id);
+    let kept = membership.voters.iter().filter(current).count();
+    membership.voters.len() == voters && kept > voters.div_ceil(2)
+}
+
 fn schedule(fleet: &mut Fleet, voters: usize) {
     for vm in 0..voters {
         let is_slow = fleet.rng.random();
@@ -71,7 +111,7 @@
         let vm = fleet.rng.random_range(0..voters);
         match fleet.rng.random_range(0..1_000) {
             0..4 => fleet.crash(vm),
-            4..7 if fleet.has_current_voters() => fleet.lose_disk(vm),
+            4..7 if may_lose_disk(fleet, voters) => fleet.lose_disk(vm),
             7..13 => {
                 let until = fleet.now + fleet.rng.random_range(200..3_000) * MS;
                 fleet.nodes[vm].frozen_until = until;
--- a/tests/raft_sim/mod.rs
+++ b/tests/raft_sim/mod.rs
@@ -93,6 +93,10 @@
 pub struct Fleet {
     pub now: Duration,
     pub replacement: Option<ReplacementRule>,
+    /// Whether half quorums are permitted once the fleet is set up, and daemons without a leader announce themselves.
+    pub half_quorums: bool,
+    /// Whether machines that join from now on are additional.
+    pub is_set_up: bool,
     pub nodes: Vec<Node>,
     pub network: Network,
     pub blocked_links: BTreeSet<(usize, usize)>,
@@ -139,6 +143,8 @@
         let mut fleet = Self {
             now: Duration::from_secs(1),
             replacement: None,
+            half_quorums: false,
+            is_set_up: false,
             nodes: nodes.collect(),
             network: Network::default(),
             blocked_links: BTreeSet::new(),
@@ -168,6 +174,19 @@
         fleet
     }
 
+    /// Permits half quorums, also of the founding membership.
+    #[must_use]
+    pub fn with_half_quorums(mut self) -> Self {
+        (self.half_quorums, self.is_set_up) = (true, true);
+        let fleet_size = self.nodes.len();
+        for vm in 0..self.nodes.len() {
+            let snapshot = &mut self.nodes[vm].disk.restored.snapshot;
+            snapshot.membership.fleet_size = fleet_size;
+            self.start(vm);
+        }
+        self
+    }
+
     pub fn start(&mut self, vm: usize) {
         let seed = self.rng.random();
         let node = &mut self.nodes[vm];
@@ -188,6 +207,11 @@
         self.nodes.len() - 1
     }
 
+    /// Returns the present time on a node's clock.
+    pub fn clock(&self, vm: usize) -> Duration {
+        self.nodes[vm].clock(self.now)
+    }
+
     /// Changes the rate of a node's clock.
     pub fn set_clock_rate(&mut self, vm: usize, rate: f64) {
         let value = self.nodes[vm].clock(self.now);
@@ -236,7 +260,15 @@
         };
         match &input {
             RaftInput::Message(message) => contacts.record(message, now),
-            RaftInput::Tick => contacts.observe(core, now),
+            RaftInput::Tick => {
+                contacts.observe(core, now);
+                if self.is_set_up {
+                    contacts.end_setup();
+                }
+                if self.half_quorums {
+                    core.permit_half_quorums(contacts.fleet_size());
+                }
+            }
             _ => {}
         }
         let mut effects = core.step(now, input);
@@ -349,7 +381,7 @@
             } => {
                 self.check_leader(vm, term);
             }
-            RaftEffect::RoleChanged { .. } => {}
+            RaftEffect::RoleChanged { .. } | RaftEffect::ElectionFailed { .. } => {}
         }
     }
 
@@ -463,10 +495,34 @@
                     }
                 }
             }
+            self.announce();
             self.advance_replacement();
         }
     }
 
+    /// Lets daemons that follow no leader announce themselves to all others.
+    fn announce(&mut self) {
+        if !self.half_quorums || !self.now.as_millis().is_multiple_of(400) {
+            return;
+        }
+        let is_up = |node: &Node| node.core.is_some() && node.frozen_until <= self.now;
+        let up = (0..self.nodes.len()).filter(|vm| is_up(&self.nodes[*vm]));
+        let up: Vec<usize> = up.collect();
+        let lost = |vm: &&usize| {
+            let core = self.core(**vm);
+            core.leader().is_none() || !core.membership().contains(core.id())
+        };
+        let announcing: Vec<usize> = up.iter().filter(lost).copied().collect();
+        for from in announcing {
+            for to in up.iter().filter(|to| **to != from) {
+                if !self.blocked_links.contains(&(from, *to)) {
+                    let member = self.nodes[from].id.clone();
+                    self.input(*to, RaftInput::Sighted { member });
+                }
+            }
+        }
+    }
+
     /// Lets nodes join and the leader replace members, where a rule for it is set.
     fn advance_replacement(&mut self) {
         let (Some(rule), Some(leader)) = (self.replacement, self.leader()) else {
--- a/tests/raft_votes.rs
+++ b/tests/raft_votes.rs
@@ -191,3 +191,65 @@
     };
     assert!(core.step(now, RaftInput::Message(message)).is_empty());
 }
+
+/// When a candidate hears that voter 3 has lost its data folder.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Sighting {
+    Never,
+    BeforeRequests,
+    AfterRequests,
+    /// Voter 3 has sent a message since.
+    Withdrawn,
+}
+
+/// Guards against two leaders in a term: half of the voters is a quorum only if the membership allows it, if the number
+/// of voters is even, and if the loss of another voter was known before the votes were requested.
+#[rstest]
+#[case::known_loss(4, 4, Sighting::BeforeRequests, true)]
+#[case::no_loss(4, 4, Sighting::Never, false)]
+#[case::late(4, 4, Sighting::AfterRequests, false)]
+#[case::withdrawn(4, 4, Sighting::Withdrawn, false)]
+#[case::earlier_release(4, 0, Sighting::BeforeRequests, false)]
+#[case::odd(5, 4, Sighting::BeforeRequests, false)]
+fn half_of_the_voters_elects_a_leader_only_beside_a_known_loss(
+    #[case] voters: u8,
+    #[case] fleet_size: usize,
+    #[case] sighting: Sighting,
+    #[case] leads: bool,
+) {
+    let membership = Membership::of_voters((0..voters).map(voter)).with_fleet_size(fleet_size);
+    let restored = RestoredState {
+        snapshot: SnapshotMeta::founding(membership),
+        ..RestoredState::default()
+    };
+    let (timing, limits) = (RaftTiming::default(), RaftLimits::default());
+    let mut core = RaftCore::new(voter(0), restored, timing, limits, 1, Duration::ZERO);
+    let sight = |core: &mut RaftCore| {
+        let member = VoterId::new("vm3", 2);
+        core.step(Duration::from_secs(1), RaftInput::Sighted { member });
+    };
+    let reply = |kind| MessageBody::VoteReply {
+        kind,
+        granted: true,
+    };
+    if matches!(sighting, Sighting::BeforeRequests | Sighting::Withdrawn) {
+        sight(&mut core);
+    }
+    if sighting == Sighting::Withdrawn {
+        let denied = MessageBody::VoteReply {
+            kind: VoteKind::PreVote,
+            granted: false,
+        };
+        receive(&mut core, 1_000, voter(3), 0, denied);
+    }
+    core.step(Duration::from_secs(2), RaftInput::Tick);
+    for other in [1, 2] {
+        receive(&mut core, 2_000, voter(other), 1, reply(VoteKind::PreVote));
+    }
+    assert_eq!(core.role(), RaftRole::Candidate);
+    if sighting == Sighting::AfterRequests {
+        sight(&mut core);
+    }
+    receive(&mut core, 2_001, voter(1), 1, reply(VoteKind::Campaign));
+    assert_eq!(core.role() == RaftRole::Leader, leads);
+}
