Refuse answers whose status is no final one

Cause: gateways checked the classes 2xx and 5xx and the statuses that promise that a request has not run, and took everything else for a final answer. Entries refused interim statuses alone.

Ruled out: that the HTTP library lets 000 through (a run of 000, 000 X and 099 X on three routes).

Change: answer::is_final_status (200 to 599) decides at gateways, for answers of neighbours, which may run an earlier release, and at entries. The caller gets 502, or the request is sent again if it may be.

Conclusion: statuses outside 200 to 599 reach no caller from gateways and entries.

--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -7,7 +7,7 @@
     outgoing_request::OutgoingRequest, stream_guard::StreamGuard, target_slot::TargetSlot,
 };
 use crate::{
-    answer::{AnswerFraming, EndCheck},
+    answer::{AnswerFraming, EndCheck, is_final_status},
     code::ResultCode,
 };
 
@@ -116,8 +116,10 @@
         let message = format!("target {target} did not start the request");
         return Err(CallerError::not_run(ResultCode::TargetRefused, message, id));
     }
-    if response.status().is_informational() {
-        let message = format!("target {target} switched protocols, which is not supported");
+    if !is_final_status(response.status()) {
+        let status = response.status();
+        let message =
+            format!("target {target} answered with status {status}, which is no final answer");
         return Err(CallerError::may_have_run(
             ResultCode::AnswerMismatch,
             message,
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -19,6 +19,7 @@
 };
 use crate::{
     adapter::{ForwardMetadata, PlatformAdapter, PromptPart, ResponseMetadata},
+    answer::is_final_status,
     route::ExchangeOutcome,
     warmup::ColdSource,
 };
@@ -194,6 +195,10 @@
     };
     guard.targets.record_activity(&target);
     connection.record_content();
+    if !is_final_status(response.status()) {
+        guard.record_outcome(ExchangeOutcome::Failed);
+        return ExchangeStart::MayHaveRun("the status is no final answer");
+    }
     let metadata = adapter.parse_response(response.status(), response.headers());
     if !is_own_answer(request, &metadata, &connection) {
         // A late answer to an earlier request: this connection can no longer be trusted.
--- a/src/gateway/passing.rs
+++ b/src/gateway/passing.rs
@@ -18,6 +18,7 @@
 };
 use crate::{
     adapter::{RefusalKind, RefusalNotice, remove_connection_headers},
+    answer::is_final_status,
     entry::body,
 };
 
@@ -222,6 +223,10 @@
             Err(_) => return PassStart::TimedOut,
         };
         connection.record_content();
+        // A neighbour of an earlier release relays any status of its target.
+        if !is_final_status(response.status()) {
+            return PassStart::MayHaveRun("the neighbour's status is no final answer");
+        }
         let own = HopAnswer::take(response.headers_mut());
         if let Some(own) = own.filter(|own| !own.is_final()) {
             drop(response);
--- a/tests/entry_broken_answers.rs
+++ b/tests/entry_broken_answers.rs
@@ -77,6 +77,23 @@
     assert_eq!(body["not_run"], false);
 }
 
+/// Guards against issue 56: a status that is no final answer reached callers as the target's answer.
+#[rstest]
+#[case::protocol("HTTP/1.1 101 Switching Protocols\r\ncontent-length: 4\r\n\r\nbody")]
+#[case::none("HTTP/1.1 000 X\r\ncontent-length: 4\r\n\r\nbody")]
+#[case::beyond("HTTP/1.1 600 X\r\ncontent-length: 4\r\n\r\nbody")]
+#[case::last("HTTP/1.1 999 X\r\ncontent-length: 4\r\n\r\nbody")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_status_that_is_no_answer_is_not_relayed(#[case] answer: &'static str) {
+    let fleet = start_fleet(answer).await;
+    let call = fleet.client.get(fleet.url("/stock/a"));
+    let response = call.bearer_auth(CALLER_KEY).send().await;
+    let response = response.expect("the entry replies");
+    assert_eq!(response.status().as_u16(), 502);
+    let body: serde_json::Value = response.json().await.expect("errors are JSON");
+    assert_eq!(body["not_run"], false, "{body}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_whole_document_that_ends_with_its_connection_is_delivered() {
     let fleet = start_fleet(WHOLE_DOCUMENT).await;
