Log who is counted at an acknowledgement and by which proof a request runs

Now the leader's 'plan: confirmed' names the number of leases and the gateways without one, and says when it takes a first plan for lost; a gateway's 'answered' has the age of the plan's proof, and each change of the plan's standing is a line, with whether it rests on the lack of a leader.

No change of behaviour. Whether a leader lacks committed entries when it gets its lease is not logged yet.

--- a/src/coordinator/acknowledgement.rs
+++ b/src/coordinator/acknowledgement.rs
@@ -1,8 +1,12 @@
 use std::time::Duration;
 
+use compact_str::CompactString;
+
 use super::{
-    gateway_table::GatewayTable, plan_confirmations::PlanConfirmations,
-    plan_pusher::LaggingGateway, state::CoordinatorState,
+    gateway_table::GatewayTable,
+    plan_confirmations::PlanConfirmations,
+    plan_pusher::LaggingGateway,
+    state::{CoordinatorState, LeaderTables},
 };
 use crate::{
     error::{Error, Result},
@@ -19,15 +23,29 @@
 /// Maximum size of news. A datagram of this size fits one packet, whose other bytes are headers.
 const MAX_NEWS_BYTES: usize = 1_350;
 
+/// What an acknowledgement rests on, for its log line.
+#[derive(Clone, Debug)]
+pub(super) struct AcknowledgementBasis {
+    /// How long gateways took.
+    pub waited: Duration,
+    /// Number of gateways and delegates with a lease, all of which have the plan or evacuation.
+    pub leased: usize,
+    /// VMs of gateways that have lately synced and have no lease, separated by commas.
+    pub unleased: CompactString,
+}
+
 /// Acknowledgement of plans and evacuations by the leader; see docs/design.md, section 18.
 impl CoordinatorState {
     /// Waits until each gateway has what the log contains or newer in force, or has no lease on older, and returns
-    /// how long that took.
+    /// who was counted.
     ///
     /// # Errors
     /// [`Error::Unconfirmed`] when this daemon does not lead or gateways renew their leases without the plan. The
     /// change is in the log, so the operator must never be sent on as if nothing had happened.
-    pub(super) async fn await_confirmation(&self, needed: ServingState) -> Result<Duration> {
+    pub(super) async fn await_confirmation(
+        &self,
+        needed: ServingState,
+    ) -> Result<AcknowledgementBasis> {
         let began_at = self.now();
         let deadline = began_at + self.plan_lease + CONFIRMATION_MARGIN;
         loop {
@@ -40,7 +58,8 @@
                 let mut tables = self.tables(lease);
                 tables.confirmations.expire(now);
                 if tables.confirmations.is_confirmed(needed, now) {
-                    break;
+                    let waited = self.now().saturating_sub(began_at);
+                    return Ok(acknowledgement_basis(&tables, waited, now));
                 }
                 tables.confirmations.count_behind(needed, now)
             };
@@ -51,7 +70,6 @@
             // Leases end without a notification.
             let _ = tokio::time::timeout(CONFIRMATION_CHECK_INTERVAL, confirmed).await;
         }
-        Ok(self.now().saturating_sub(began_at))
     }
 
     /// Records that a gateway has put a plan in force and evacuations in effect.
@@ -134,6 +152,22 @@
     }
 }
 
+fn acknowledgement_basis(
+    tables: &LeaderTables,
+    waited: Duration,
+    now: Duration,
+) -> AcknowledgementBasis {
+    let confirmations = &tables.confirmations;
+    let gateways = tables.gateways.keys();
+    let unleased = gateways.filter(|gateway| !confirmations.is_leased(gateway, now));
+    let unleased: Vec<&str> = unleased.map(|gateway| gateway.vm.as_str()).collect();
+    AcknowledgementBasis {
+        waited,
+        leased: confirmations.count_leased(now),
+        unleased: unleased.join(",").into(),
+    }
+}
+
 /// Returns the news for a gateway; `None` if there is nothing to tell. What does not fit into a datagram is left to a
 /// sync, evacuations last, since those are in effect only once all gateways have them.
 fn make_news(
--- a/src/coordinator/evacuation_store.rs
+++ b/src/coordinator/evacuation_store.rs
@@ -79,7 +79,7 @@
     /// Waits until all gateways have an evacuation in effect.
     async fn await_gateways(&self, data_centre: &DataCentreId, revision: Revision) -> Result<()> {
         let needed = ServingState::with_revision(revision);
-        let waited = self.state.await_confirmation(needed).await?;
+        let basis = self.state.await_confirmation(needed).await?;
         let local = |applied: &crate::state::ControlState| applied.evacuations().state(data_centre);
         // The data centre may have been returned to service meanwhile. An acknowledgement now would say that it is
         // evacuated.
@@ -89,7 +89,9 @@
         info!("evacuation: confirmed", kv: {
             data_centre = data_centre.as_str(),
             revision = revision,
-            waited_ms = waited.as_millis(),
+            waited_ms = basis.waited.as_millis(),
+            leased = basis.leased,
+            unleased = basis.unleased.as_str(),
         });
         Ok(())
     }
--- a/src/coordinator/gateway_table.rs
+++ b/src/coordinator/gateway_table.rs
@@ -217,6 +217,11 @@
         gateways.filter_map(|(key, state)| Some((key, state.news_address?)))
     }
 
+    /// Returns the gateways that have lately synced with a coordinator.
+    pub fn keys(&self) -> impl Iterator<Item = &EntryKey> {
+        self.gateways.keys()
+    }
+
     /// Returns the number of gateways.
     #[must_use]
     pub fn count(&self) -> u32 {
--- a/src/coordinator/plan_confirmations.rs
+++ b/src/coordinator/plan_confirmations.rs
@@ -1,5 +1,7 @@
 use std::{collections::HashMap, time::Duration};
 
+use spdlog::prelude::*;
+
 use crate::{ids::EntryKey, sync::ServingState};
 
 /// Plans and evacuations that gateways have in force, which decide when a plan or an evacuation may be acknowledged
@@ -51,8 +53,14 @@
         let known = self.gateways.get(gateway).copied();
         if state.plan_version == 0 {
             // A gateway syncs again only after it has given up the reply with its first plan.
-            let is_lost = known.is_some_and(|known| !known.is_reported);
-            return is_lost && self.gateways.remove(gateway).is_some();
+            let Some(sent) = known.filter(|known| !known.is_reported) else {
+                return false;
+            };
+            info!("plan: a gateway has lost its first plan", kv: {
+                gateway = gateway.vm.as_str(),
+                sent = sent.state.plan_version,
+            });
+            return self.gateways.remove(gateway).is_some();
         }
         let before = known.map_or(ServingState::default(), |known| known.state);
         let leased = LeasedState {
@@ -145,6 +153,20 @@
             .count()
     }
 
+    /// Returns the number of gateways and delegates with a lease.
+    #[must_use]
+    pub fn count_leased(&self, now: Duration) -> usize {
+        let leased = self.gateways.values().chain(self.delegates.values());
+        leased.filter(|leased| now < leased.until).count()
+    }
+
+    /// Returns whether a gateway has a lease on what it is known to have.
+    #[must_use]
+    pub fn is_leased(&self, gateway: &EntryKey, now: Duration) -> bool {
+        let known = self.gateways.get(gateway);
+        known.is_some_and(|known| now < known.until)
+    }
+
     /// Forgets gateways whose leases have ended.
     pub fn expire(&mut self, now: Duration) {
         self.gateways.retain(|_, leased| now < leased.until);
--- a/src/coordinator/plan_store.rs
+++ b/src/coordinator/plan_store.rs
@@ -60,10 +60,12 @@
     /// Waits until all gateways have a plan or a newer one in force.
     async fn await_gateways(&self, version: PlanVersion) -> Result<()> {
         let needed = ServingState::with_plan(version);
-        let waited = self.state.await_confirmation(needed).await?;
+        let basis = self.state.await_confirmation(needed).await?;
         info!("plan: confirmed", kv: {
             plan = version,
-            waited_ms = waited.as_millis(),
+            waited_ms = basis.waited.as_millis(),
+            leased = basis.leased,
+            unleased = basis.unleased.as_str(),
         });
         Ok(())
     }
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -46,6 +46,7 @@
 mod room;
 mod routing;
 mod send_permit;
+mod standing_watch;
 mod stream_origins;
 mod sync_client;
 mod sync_pacing;
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -30,6 +30,7 @@
     proxy::{GatewayProxy, RequestOrigin},
     readiness::ReadinessServer,
     regions::log_regions,
+    standing_watch::StandingWatch,
     stream_origins::StreamOrigins,
     sync_client::{SyncClient, SyncParts},
     targets::TargetTable,
@@ -94,9 +95,8 @@
         // The port number of load messages is free for TCP.
         let neighbour_listener = listen(config.load_listen).await?;
         let view = Arc::new(PlanView::default());
-        let targets =
-            TargetTable::new(&config.data_centre).with_warmup_bounds(config.warmup_bounds);
-        let targets = Arc::new(targets);
+        let targets = TargetTable::new(&config.data_centre);
+        let targets = Arc::new(targets.with_warmup_bounds(config.warmup_bounds));
         let allowance = Arc::new(SharedAllowance::new());
         let demand = Arc::new(ModelDemand::default());
         let queues = Arc::new(AdmissionQueues::new());
@@ -153,6 +153,7 @@
             retry_budget: RetryBudget::new().into(),
             started_at: Instant::now(),
             plan_lease: config.plan_lease,
+            standing_watch: StandingWatch::default(),
             regions: Arc::clone(&config.regions),
             admission_order: config.admission_order,
             queues: Arc::clone(&queues),
--- a/src/gateway/proxy.rs
+++ b/src/gateway/proxy.rs
@@ -31,6 +31,7 @@
     request_body::read_body,
     retry_delay::add_retry_after,
     routing::{model_pool, prefix_blocks},
+    standing_watch::StandingWatch,
     stream_origins::StreamOrigins,
     sync_client::SyncClient,
     targets::{ChosenTarget, TargetTable},
@@ -42,7 +43,7 @@
     answer::{AnswerFraming, EndCheck},
     entry::{SharedAllowance, body},
     ids::{RequestId, TargetId, TeamId},
-    plan::TeamMatch,
+    plan::{PlanIndex, TeamMatch},
     region::RegionTable,
     route::{ExchangeOutcome, PoolId, RetryBudget, RouteRequest, Warmth},
     sync::ServedModel,
@@ -78,6 +79,7 @@
     pub retry_budget: std::sync::Mutex<RetryBudget>,
     pub started_at: Instant,
     pub plan_lease: PlanLease,
+    pub standing_watch: StandingWatch,
     pub regions: Arc<RegionTable>,
     pub admission_order: AdmissionOrder,
     /// Requests that wait for capacity, if they wait in order.
@@ -176,7 +178,8 @@
         }
         let plan = self.view.get();
         let plan = plan.ok_or_else(|| unavailable("no plan is known yet"))?;
-        let standing = self.plan_standing();
+        let proof_age = self.view.proof_age();
+        let standing = self.plan_standing(&plan, proof_age);
         if standing == PlanStanding::Outdated {
             return Err(unavailable("the plan may be outdated"));
         }
@@ -218,15 +221,22 @@
             parts,
             metadata,
             plan,
+            proof_age,
             origin: None,
             scope,
         })
     }
 
-    fn plan_standing(&self) -> PlanStanding {
-        self.plan_lease.standing(self.view.proof_age(), |doubtful| {
-            self.sync_client.was_leaderless(doubtful)
-        })
+    fn plan_standing(&self, plan: &PlanIndex, proof_age: Option<Duration>) -> PlanStanding {
+        let mut was_leaderless = false;
+        let standing = self.plan_lease.standing(proof_age, |doubtful| {
+            was_leaderless = self.sync_client.was_leaderless(doubtful);
+            was_leaderless
+        });
+        let version = plan.plan().version;
+        self.standing_watch
+            .record(standing, was_leaderless, version, proof_age);
+        standing
     }
 
     /// Returns the refusal of a request that the plan does not allow. A newer plan may allow it, so
@@ -460,6 +470,7 @@
             request = request.log_id(),
             route = request.route.id.as_str(),
             plan = request.plan.plan().version,
+            proof_age_ms:? = request.proof_age.map(|age| age.as_millis()),
             team = request.team_id().map_or("-", |team| team.as_str()),
             tokens = request.token_cost(),
             target = choice.target.as_str(),
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -30,6 +30,8 @@
     pub metadata: RequestMetadata,
     /// Plan that the request was matched with.
     pub plan: Arc<PlanIndex>,
+    /// Time since the plan was last proved to be the newest one, when the request was matched.
+    pub proof_age: Option<Duration>,
     /// Route that matches the request.
     pub route: Arc<RoutePlan>,
     /// Team that the request belongs to; `None` on a route that is open to anyone.
