Take a first plan for lost only on the word of a later sync

Cause: a gateway without a plan holds up no acknowledgement, and one that asks again was held to have lost the plan it was sent. A sync that the gateway had given up (0.6 s at first) can arrive after the one that replaced it was answered: held up by the link, or in another worker's queue of a busy leader. The leader then forgot the lease on the first plan and acknowledged the next plan at once; delegates forgot it the same way.

Ruled out: syncs of gateways with a plan (a late one renews a lease, which is safe), news and confirmations (they say what is in force), and steps of the time of day.

Change: gateways number their syncs. A first plan counts as lost only if a sync with a higher number than the answered one reports none. A report no longer inherits a newer plan that the gateway was only sent.

--- a/src/coordinator.rs
+++ b/src/coordinator.rs
@@ -26,6 +26,7 @@
 mod neighbours;
 mod order_dispatcher;
 mod order_outcomes;
+mod pending_gateway;
 mod placement;
 mod plan_confirmations;
 mod plan_history;
--- a/src/coordinator/delegate_view.rs
+++ b/src/coordinator/delegate_view.rs
@@ -4,7 +4,10 @@
     time::Duration,
 };
 
-use super::{gateway_table::GatewayTable, plan_confirmations::PlanConfirmations};
+use super::{
+    gateway_table::GatewayTable, pending_gateway::PendingGateway,
+    plan_confirmations::PlanConfirmations,
+};
 use crate::{
     clock::BootInstant,
     ids::{EntryKey, ServiceId, TargetId, Term},
@@ -43,7 +46,7 @@
 /// What the leader has not been told yet, or not answered.
 #[derive(Debug, Default)]
 struct PendingReport {
-    gateways: BTreeMap<EntryKey, DelegatedGateway>,
+    gateways: BTreeMap<EntryKey, PendingGateway>,
     demand: HashMap<ServedModel, (u32, u64)>,
     unresponsive: BTreeSet<TargetId>,
     polled: Vec<PolledEngine>,
@@ -96,9 +99,13 @@
     pub fn record(&mut self, report: &GatewayReport, first: Option<ServingState>, now: Duration) {
         self.gateways.record(report, now);
         let confirmations = &mut self.confirmations;
-        confirmations.record_report(&report.gateway, report.serving_state(), now);
+        let serial = report.known_serial();
+        match report.plan_version {
+            0 => confirmations.record_missing_plan(&report.gateway, report.serial),
+            _ => confirmations.record_report(&report.gateway, report.serving_state(), now),
+        };
         if let Some(first) = first {
-            confirmations.record_first_plan(&report.gateway, first, now);
+            confirmations.record_first_plan(&report.gateway, first, serial, now);
         }
         let first = first.unwrap_or_default();
         let gateway = DelegatedGateway {
@@ -113,6 +120,7 @@
             evacuation_revision: report.evacuation_revision,
             first_revision: first.evacuation_revision,
         };
+        let gateway = PendingGateway::new(gateway).with_serial(serial);
         self.pending.add_gateway(gateway);
         self.pending.add_demand(&report.demand);
         self.pending
@@ -129,13 +137,14 @@
         let Some(entry) = self.gateways.roster_entry(gateway) else {
             return false;
         };
-        self.pending.add_gateway(DelegatedGateway {
-            entry,
-            plan_version: state.plan_version,
-            first_plan: 0,
-            evacuation_revision: state.evacuation_revision,
-            first_revision: 0,
-        });
+        self.pending
+            .add_gateway(PendingGateway::new(DelegatedGateway {
+                entry,
+                plan_version: state.plan_version,
+                first_plan: 0,
+                evacuation_revision: state.evacuation_revision,
+                first_revision: 0,
+            }));
         true
     }
 
@@ -153,6 +162,7 @@
         let is_due = |at: Duration| now.saturating_sub(at) >= ROSTER_INTERVAL;
         let pending = std::mem::take(&mut self.pending);
         let demand = pending.demand.into_iter();
+        let gateways = pending.gateways.into_values();
         DelegateReport {
             delegate,
             address,
@@ -164,7 +174,7 @@
                 .is_none_or(is_due)
                 .then_some(self.roster_number),
             fleet_size: self.gateways.count(),
-            gateways: pending.gateways.into_values().collect(),
+            gateways: gateways.map(|pending| pending.told).collect(),
             demand: demand
                 .map(|(model, (requests, tokens))| ModelRequests {
                     model,
@@ -236,19 +246,23 @@
 }
 
 impl PendingReport {
-    fn add_gateway(&mut self, gateway: DelegatedGateway) {
-        let known = self.gateways.remove(&gateway.entry.gateway);
-        let merged = known.map_or(gateway.clone(), |known| merge(known, gateway));
-        self.gateways.insert(merged.entry.gateway.clone(), merged);
+    fn add_gateway(&mut self, gateway: PendingGateway) {
+        let key = gateway.told.entry.gateway.clone();
+        let merged = match self.gateways.remove(&key) {
+            Some(known) => known.merge(gateway),
+            None => gateway,
+        };
+        self.gateways.insert(key, merged);
     }
 
     fn add_earlier_gateway(&mut self, gateway: DelegatedGateway) {
-        let later = self.gateways.remove(&gateway.entry.gateway);
-        let merged = match later {
-            Some(later) => merge(gateway, later),
-            None => gateway,
+        let key = gateway.entry.gateway.clone();
+        let earlier = PendingGateway::new(gateway);
+        let merged = match self.gateways.remove(&key) {
+            Some(later) => earlier.merge(later),
+            None => earlier,
         };
-        self.gateways.insert(merged.entry.gateway.clone(), merged);
+        self.gateways.insert(key, merged);
     }
 
     fn add_demand(&mut self, demand: &[ModelRequests]) {
@@ -259,24 +273,3 @@
         }
     }
 }
-
-/// Returns what two records of a gateway say together. A gateway that reports no plan was not reached by the
-/// first one that it was sent before.
-fn merge(earlier: DelegatedGateway, later: DelegatedGateway) -> DelegatedGateway {
-    let first = match (later.plan_version, later.first_plan, earlier.first_plan) {
-        (0, ..) | (_, _, 0) => later.first_state(),
-        (_, 0, _) => earlier.first_state(),
-        _ => {
-            let revision = later.first_revision.min(earlier.first_revision);
-            ServingState::new(later.first_plan.max(earlier.first_plan), revision)
-        }
-    };
-    let held = later.serving_state().join(earlier.serving_state());
-    DelegatedGateway {
-        plan_version: held.plan_version,
-        first_plan: first.plan_version,
-        evacuation_revision: held.evacuation_revision,
-        first_revision: first.evacuation_revision,
-        ..later
-    }
-}
--- a/src/coordinator/delegation.rs
+++ b/src/coordinator/delegation.rs
@@ -95,7 +95,8 @@
                 }
                 if gateway.first_plan > 0 {
                     let confirmations = &mut tables.confirmations;
-                    confirmations.record_first_plan(key, gateway.first_state(), now);
+                    // The report does not name the sync that was answered.
+                    confirmations.record_first_plan(key, gateway.first_state(), None, now);
                 }
             }
             if is_needed {
--- a/src/coordinator/plan_confirmations.rs
+++ b/src/coordinator/plan_confirmations.rs
@@ -2,7 +2,10 @@
 
 use spdlog::prelude::*;
 
-use crate::{ids::EntryKey, sync::ServingState};
+use crate::{
+    ids::EntryKey,
+    sync::{ServingState, SyncSerial},
+};
 
 /// Plans and evacuations that gateways have in force, which decide when a plan or an evacuation may be acknowledged
 /// to its operator.
@@ -27,6 +30,8 @@
     until: Duration,
     /// Whether the gateway has said that it has the plan; otherwise it was sent to it.
     is_reported: bool,
+    /// Last sync whose reply had a first plan; `None` if it is not known.
+    sent_with: Option<SyncSerial>,
 }
 
 impl PlanConfirmations {
@@ -50,40 +55,66 @@
         state: ServingState,
         now: Duration,
     ) -> bool {
-        let known = self.gateways.get(gateway).copied();
         if state.plan_version == 0 {
-            // A gateway syncs again only after it has given up the reply with its first plan.
-            let Some(sent) = known.filter(|known| !known.is_reported) else {
-                return false;
-            };
-            info!("plan: a gateway has lost its first plan", kv: {
-                gateway = gateway.vm.as_str(),
-                sent = sent.state.plan_version,
-            });
-            return self.gateways.remove(gateway).is_some();
+            return false;
         }
+        // What a gateway was sent says nothing once it reports what it has.
+        let known = self.gateways.get(gateway);
+        let known = known.filter(|known| known.is_reported);
         let before = known.map_or(ServingState::default(), |known| known.state);
         let leased = LeasedState {
             state: before.join(state),
             until: now + self.lease,
             is_reported: true,
+            sent_with: None,
         };
         self.gateways.insert(gateway.clone(), leased);
         !before.covers(state)
     }
 
     /// Records that a gateway without a plan is sent its first one, which it may have in force from now on. Of
-    /// several plans that it was sent, by coordinators whose reports may be late, it may apply any.
-    pub fn record_first_plan(&mut self, gateway: &EntryKey, state: ServingState, now: Duration) {
+    /// several plans that it was sent, by coordinators whose reports may be late, it may apply any. `sync` is the sync
+    /// that is answered, if it is known.
+    pub fn record_first_plan(
+        &mut self,
+        gateway: &EntryKey,
+        state: ServingState,
+        sync: Option<SyncSerial>,
+        now: Duration,
+    ) {
         let leased = LeasedState {
             state,
             until: now + self.lease,
             is_reported: false,
+            sent_with: sync,
         };
         // A gateway that has lost the document of its plan still runs by it.
         let known = self.gateways.entry(gateway.clone()).or_insert(leased);
         known.state = known.state.meet(state);
         known.until = known.until.max(leased.until);
+        // None is less than any serial, but proves nothing.
+        known.sent_with = known
+            .sent_with
+            .zip(leased.sent_with)
+            .map(|(first, second)| first.max(second));
+    }
+
+    /// Records a sync of a gateway that reports no plan. The first plans that it was sent before are lost if it has sent
+    /// this sync later than those that they answered: it sends one only once it has given up the last. A sync that
+    /// arrives late proves nothing. Returns whether plans may wait for fewer gateways than before.
+    pub fn record_missing_plan(&mut self, gateway: &EntryKey, sync: SyncSerial) -> bool {
+        let known = self.gateways.get(gateway);
+        let Some(sent) = known.filter(|known| !known.is_reported) else {
+            return false;
+        };
+        if sent.sent_with.is_none_or(|sent_with| sync <= sent_with) {
+            return false;
+        }
+        info!("plan: a gateway has lost its first plan", kv: {
+            gateway = gateway.vm.as_str(),
+            sent = sent.state.plan_version,
+        });
+        self.gateways.remove(gateway).is_some()
     }
 
     /// Returns the first plan that a gateway was sent and has not reported, with the evacuations sent with it.
@@ -109,6 +140,7 @@
             state: before.join(state),
             until: now + self.lease,
             is_reported: true,
+            sent_with: None,
         };
         self.delegates.insert(delegate.clone(), leased);
         !before.covers(state)
--- a/src/coordinator/state.rs
+++ b/src/coordinator/state.rs
@@ -413,7 +413,12 @@
         let tables = &mut *tables;
         tables.gateways.record(report, now);
         let confirmations = &mut tables.confirmations;
-        if confirmations.record_report(&report.gateway, report.serving_state(), now) {
+        let gateway = &report.gateway;
+        let is_changed = match report.plan_version {
+            0 => confirmations.record_missing_plan(gateway, report.serial),
+            _ => confirmations.record_report(gateway, report.serving_state(), now),
+        };
+        if is_changed {
             self.confirmed.notify_waiters();
         }
         for requests in &report.demand {
@@ -443,7 +448,7 @@
         let evacuations = self.evacuations_since(report.evacuation_revision);
         if let Some(first) = first_state(report, plan.as_ref(), evacuations.as_ref()) {
             let confirmations = &mut tables.confirmations;
-            confirmations.record_first_plan(&report.gateway, first, now);
+            confirmations.record_first_plan(&report.gateway, first, report.known_serial(), now);
         }
         let targets = match tables.listed_at {
             Some(_) => self.target_changes(report),
--- a/src/gateway/sync_client.rs
+++ b/src/gateway/sync_client.rs
@@ -37,7 +37,7 @@
     plan::{DocumentDelta, PlanIndex, PlanVersion},
     sync::{
         self, AwaitedModel, GATEWAY_SYNC_PATH, GatewayReply, GatewayReport, LeaderRedirect,
-        ListVersion, PlanNews, PlanUpdate, SECRET_HEADER, ServingState, TargetDigest,
+        ListVersion, PlanNews, PlanUpdate, SECRET_HEADER, ServingState, SyncSerial, TargetDigest,
     },
 };
 
@@ -92,6 +92,8 @@
     synced_with: Option<SyncPeer>,
     /// When the last sync was sent.
     synced_at: Duration,
+    /// Number of the last report.
+    last_serial: SyncSerial,
     sync_interval: Duration,
     /// Plan that the leader's incremental updates apply to: version and document.
     document: (PlanVersion, Vec<u8>),
@@ -135,6 +137,7 @@
             absence: AbsenceWatch::new(),
             synced_with: None,
             synced_at: Duration::ZERO,
+            last_serial: 0,
             sync_interval: INITIAL_SYNC_INTERVAL,
             document: (0, Vec::new()),
             is_plan_pending: false,
@@ -363,6 +366,7 @@
             .partition(|model| model.regions.is_limited());
         let (parts_version, parts) = self.crash_watch.take_report();
         let (streams, stream_queries) = self.stream_origins.make_report();
+        let serial = self.next_serial();
         GatewayReport {
             streams,
             stream_queries,
@@ -383,9 +387,16 @@
             missing_models: unlimited.into_iter().map(|wanted| wanted.model).collect(),
             missing_regional_models: regional,
             is_stranded: self.targets.is_cut_off() || self.neighbours.is_in_use(),
+            serial,
         }
     }
 
+    fn next_serial(&self) -> SyncSerial {
+        let mut state = self.state();
+        state.last_serial += 1;
+        state.last_serial
+    }
+
     async fn sync_once(&self, peer: SyncPeer, mut report: GatewayReport) -> Result<()> {
         match self.list_state(peer) {
             Ok(list) => (report.list_version, report.list_digest) = list,
--- a/src/sync.rs
+++ b/src/sync.rs
@@ -25,7 +25,7 @@
 };
 pub use gateway::{
     GATEWAY_SYNC_PATH, GatewayReply, GatewayReport, GrantReply, GrantRequest, ListVersion,
-    ModelRequests, PlanUpdate, PublishedPlan, ServedModel, TargetDigest, TargetList,
+    ModelRequests, PlanUpdate, PublishedPlan, ServedModel, SyncSerial, TargetDigest, TargetList,
 };
 pub use load::{LoadMessage, LoadScope, LoadSum, LoadTopology, TargetHash, target_hash};
 pub use neighbour::Neighbour;
--- a/src/sync/gateway.rs
+++ b/src/sync/gateway.rs
@@ -17,6 +17,9 @@
     },
 };
 
+/// Number of a sync, which grows with each one of a gateway's process; 0 at gateways of earlier releases.
+pub type SyncSerial = u64;
+
 /// Path of a gateway's sync on the system port.
 pub const GATEWAY_SYNC_PATH: &str = "/gateway/v1/sync";
 
@@ -75,6 +78,9 @@
     /// Whether the gateway passes requests on because it does not reach targets.
     #[serde(default)]
     pub is_stranded: bool,
+    /// Number of this sync. The gateway sends the next one once it has the reply or has given it up.
+    #[serde(default)]
+    pub serial: SyncSerial,
 }
 
 /// Version of the leader's target list.
@@ -197,6 +203,12 @@
         ServingState::new(self.plan_version, self.evacuation_revision)
     }
 
+    /// Returns the number of the sync; `None` if the gateway is of an earlier release.
+    #[must_use]
+    pub fn known_serial(&self) -> Option<SyncSerial> {
+        Some(self.serial).filter(|serial| *serial > 0)
+    }
+
     /// Returns whether the report has something that only the leader can record or answer.
     #[must_use]
     pub fn needs_leader(&self) -> bool {
--- a/tests/delegate_view.rs
+++ b/tests/delegate_view.rs
@@ -44,6 +44,7 @@
         missing_models: Vec::new(),
         missing_regional_models: Vec::new(),
         is_stranded: false,
+        serial: 0,
     }
 }
 
@@ -151,6 +152,31 @@
     assert!(report(&mut view, 5, Duration::ZERO).gateways.is_empty());
 }
 
+/// Guards against plans that are acknowledged although a gateway of a delegate runs by an older one (CONFIG): a sync
+/// without a plan that arrived late counted as a proof that the first plan, sent in reply to a later sync, was lost.
+#[test]
+fn late_sync_of_a_gateway_does_not_hide_its_first_plan() {
+    let mut view = DelegateView::new(LEASE);
+    let numbered = |vm, serial| GatewayReport {
+        serial,
+        ..gateway_report(vm, 0)
+    };
+    let [three, five] = [3, 5].map(ServingState::with_plan);
+    view.record(&numbered("edge-1", 2), Some(three), Duration::ZERO);
+    view.record(&numbered("edge-1", 1), Some(five), Duration::ZERO);
+    // This one has given up the sync whose reply had plan 3.
+    view.record(&numbered("edge-2", 2), Some(three), Duration::ZERO);
+    view.record(&numbered("edge-2", 3), Some(five), Duration::ZERO);
+    // Gateways of earlier releases do not number their syncs.
+    view.record(&gateway_report("edge-3", 0), Some(three), Duration::ZERO);
+    view.record(&gateway_report("edge-3", 0), Some(five), Duration::ZERO);
+    let next = report(&mut view, 5, Duration::ZERO);
+    assert_eq!(
+        told(&next),
+        [("edge-1", 0, 3), ("edge-2", 0, 5), ("edge-3", 0, 3)]
+    );
+}
+
 #[test]
 fn confirmation_of_a_plan_is_reported() {
     let mut view = DelegateView::new(LEASE);
--- a/tests/engine_fleet/mod.rs
+++ b/tests/engine_fleet/mod.rs
@@ -170,5 +170,6 @@
         missing_models: Vec::new(),
         missing_regional_models: Vec::new(),
         is_stranded: false,
+        serial: 0,
     }
 }
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -139,7 +139,7 @@
     let later = ServingState::with_revision(3);
     assert_eq!(confirmations.count_behind(later, now), 3);
     assert!(confirmations.is_confirmed(later, now + LEASE));
-    confirmations.record_first_plan(&key("edge-3"), ServingState::new(7, 2), now);
+    confirmations.record_first_plan(&key("edge-3"), ServingState::new(7, 2), None, now);
     assert_eq!(confirmations.count_behind(later, now), 4);
 }
 
--- a/tests/load_aggregator.rs
+++ b/tests/load_aggregator.rs
@@ -76,6 +76,7 @@
                 missing_models: Vec::new(),
                 missing_regional_models: Vec::new(),
                 is_stranded: false,
+                serial: 0,
             };
             table.record(&report, Duration::ZERO);
         }
--- a/tests/model_plans.rs
+++ b/tests/model_plans.rs
@@ -20,6 +20,8 @@
 const GATEWAYS: usize = 2;
 /// Voters of the log, of which two are a quorum.
 const VOTERS: usize = 3;
+/// Number of syncs without a plan, where they are told apart.
+const MAX_LATE_SERIAL: u8 = 4;
 /// Ticks for which a voter that has followed a leader supports no other, and in which a leader may count on
 /// it.
 const SUPPORT: u8 = 1;
@@ -39,6 +41,8 @@
     RunsWithoutProof,
     /// The leader forgets that it has sent a gateway its first plan.
     FirstPlanForgotten,
+    /// A sync without a plan that arrives late counts as a proof that the gateway's first plan is lost.
+    LateSyncIsProof,
     /// A gateway takes a delegate's answer for one of the leader.
     DelegateProofIsFresh,
     /// The leader does not wait for delegates with older plans.
@@ -131,6 +135,10 @@
     version: u8,
     proved_at: Option<u8>,
     sync: Sync,
+    /// Number of its last sync.
+    serial: u8,
+    /// Number of a sync without a plan that it has given up, and that is still under way.
+    late: Option<u8>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -144,8 +152,8 @@
     /// What each gateway has told the leader in its term: the newest version, and the time of the last
     /// report. Earlier reports have no further effect.
     reports: [Option<(u8, u8)>; GATEWAYS],
-    /// First plan that each gateway was sent in the leader's term, and when.
-    first_plans: [Option<(u8, u8)>; GATEWAYS],
+    /// First plan that each gateway was sent in the leader's term, when, and the sync that was answered.
+    first_plans: [Option<(u8, u8, u8)>; GATEWAYS],
     /// News on their way.
     news: [bool; GATEWAYS],
     delegate: Delegate,
@@ -167,6 +175,8 @@
     AnswerSync(#[allow(dead_code)] usize),
     ReceiveReply(#[allow(dead_code)] usize),
     LoseSync(#[allow(dead_code)] usize),
+    GiveUpSync(#[allow(dead_code)] usize),
+    AnswerLateSync(#[allow(dead_code)] usize),
     Publish,
     ReceiveNews(#[allow(dead_code)] usize),
     Acknowledge,
@@ -196,6 +206,8 @@
     has_delegate: bool,
     /// Whether leaders need the support of voters, which gateways ask whether there is a leader.
     has_voters: bool,
+    /// Whether a sync without a plan may arrive after the gateway has given it up.
+    has_late_syncs: bool,
 }
 
 fn key(gateway: usize) -> EntryKey {
@@ -225,10 +237,11 @@
         };
         let mut confirmations = PlanConfirmations::new(ticks(self.bound), ticks(unknown_until));
         for (gateway, sent) in state.first_plans.iter().enumerate() {
-            if let Some((version, at)) = sent
+            if let Some((version, at, sync)) = sent
                 && self.fault != Fault::FirstPlanForgotten
             {
-                confirmations.record_first_plan(&key(gateway), plan_state(*version), ticks(*at));
+                let (plan, at) = (plan_state(*version), ticks(*at));
+                confirmations.record_first_plan(&key(gateway), plan, Some(u64::from(*sync)), at);
             }
         }
         if let Some((version, at)) = state.delegate.report
@@ -309,6 +322,23 @@
 }
 
 impl PlanModel {
+    /// Answers a sync without a plan, as the leader does: it takes a first plan that it was sent before for lost if
+    /// that is proved, and sends the newest one.
+    fn answer_without_plan(&self, state: &mut State, index: usize, serial: u8) {
+        if let Some((_, at)) = &mut state.reports[index] {
+            *at = state.now;
+            return;
+        }
+        let mut confirmations = self.confirmations(state);
+        let is_lost = confirmations.record_missing_plan(&key(index), u64::from(serial))
+            || self.fault == Fault::LateSyncIsProof;
+        let sent = (state.newest, state.now, serial);
+        let before = state.first_plans[index].filter(|_| !is_lost);
+        state.first_plans[index] = Some(before.map_or(sent, |before| {
+            (before.0.min(sent.0), sent.1, before.2.max(sent.2))
+        }));
+    }
+
     /// Adds what a gateway does: its syncs and news may be late or lost at any point.
     fn add_gateway_actions(
         &self,
@@ -318,9 +348,11 @@
     ) {
         let gateway = state.gateways[index];
         match gateway.sync {
-            Sync::None if self.has_voters => {}
+            Sync::None if self.has_voters || gateway.serial == MAX_LATE_SERIAL => {}
             Sync::None => add(Action::SendSync(index), &|state| {
                 let gateway = &mut state.gateways[index];
+                // Only syncs without a plan are told apart.
+                gateway.serial += u8::from(gateway.version == 0 && self.has_late_syncs);
                 gateway.sync = Sync::Sent {
                     at: state.now,
                     held: gateway.version,
@@ -352,13 +384,20 @@
                     let newest = state.newest;
                     if held == 0 {
                         state.reports[index] = None;
-                        state.first_plans[index] = Some((newest, state.now));
+                        self.answer_without_plan(state, index, gateway.serial);
                     }
                     state.gateways[index].sync = Sync::Answered { at, newest };
                 });
                 add(Action::LoseSync(index), &|state| {
                     state.gateways[index].sync = Sync::None;
                 });
+                if held == 0 && self.has_late_syncs {
+                    add(Action::GiveUpSync(index), &|state| {
+                        let gateway = &mut state.gateways[index];
+                        gateway.sync = Sync::None;
+                        gateway.late = Some(gateway.serial);
+                    });
+                }
             }
             Sync::Answered { at, newest } => add(Action::ReceiveReply(index), &|state| {
                 let now = state.now;
@@ -372,6 +411,12 @@
                 gateway.sync = Sync::None;
             }),
         }
+        if let Some(serial) = gateway.late {
+            add(Action::AnswerLateSync(index), &|state| {
+                state.gateways[index].late = None;
+                self.answer_without_plan(state, index, serial);
+            });
+        }
         // News are changes of a plan, and come from the coordinator that answers syncs.
         let is_told = !self.has_delegate || state.delegate.version == state.newest;
         if state.news[index] && gateway.version > 0 && is_told {
@@ -530,6 +575,8 @@
             version: self.first_version,
             proved_at: None,
             sync: Sync::None,
+            serial: 0,
+            late: None,
         };
         // With voters, the first gateway has just been answered, and hears of no plan after that.
         let answered = self.has_voters.then_some(0);
@@ -645,6 +692,7 @@
         first_version: 1,
         has_delegate: false,
         has_voters: false,
+        has_late_syncs: false,
     };
     assert_holds("plan leases", &model, min_states);
 }
@@ -661,10 +709,28 @@
         first_version: 0,
         has_delegate: false,
         has_voters: false,
+        has_late_syncs: false,
     };
     assert_holds("plan leases from the start", &model, 10_000);
 }
 
+/// Guards against plans that are acknowledged although a gateway runs by an older one (CONFIG): a sync without a plan
+/// that the gateway had given up arrives after a later one was answered, and says that its first plan is lost.
+#[test]
+fn plan_is_in_force_in_time_where_syncs_of_a_starting_gateway_arrive_late() {
+    let model = PlanModel {
+        fault: Fault::None,
+        gateways: 1,
+        bound: 1,
+        last_tick: 3,
+        first_version: 0,
+        has_delegate: false,
+        has_voters: false,
+        has_late_syncs: true,
+    };
+    assert_holds("plan leases with late syncs", &model, 100_000);
+}
+
 /// Pattern: a delegate answers a gateway in the leader's place, with a log and a proof that lag, while a plan is
 /// published and the leader changes. The leader waits for what the delegate may still promise.
 #[test]
@@ -677,6 +743,7 @@
         first_version: 1,
         has_delegate: true,
         has_voters: false,
+        has_late_syncs: false,
     };
     assert_holds("plan leases with a delegate", &model, 100_000);
 }
@@ -694,6 +761,7 @@
         first_version: 1,
         has_delegate: true,
         has_voters: false,
+        has_late_syncs: false,
     };
     let property = "acknowledged under a lease on an older plan";
     assert_violates(&format!("{fault:?}"), &model, property);
@@ -711,6 +779,7 @@
         first_version: 1,
         has_delegate: false,
         has_voters: true,
+        has_late_syncs: false,
     };
     assert_holds("plan leases with voters", &model, 100_000);
 }
@@ -728,6 +797,7 @@
         first_version: 1,
         has_delegate: false,
         has_voters: true,
+        has_late_syncs: false,
     };
     let property = "a request runs by an older plan";
     assert_violates(&format!("{fault:?}"), &model, property);
@@ -749,15 +819,20 @@
     Fault::FirstPlanForgotten,
     "acknowledged under a lease on an older plan"
 )]
+#[case::late_sync_is_proof(Fault::LateSyncIsProof, "acknowledged under a lease on an older plan")]
 fn seeded_fault_is_found(#[case] fault: Fault, #[case] property: &str) {
     let model = PlanModel {
         fault,
         gateways: 1,
         bound: 2,
         last_tick: 5,
-        first_version: u8::from(fault != Fault::FirstPlanForgotten),
+        first_version: u8::from(!matches!(
+            fault,
+            Fault::FirstPlanForgotten | Fault::LateSyncIsProof
+        )),
         has_delegate: false,
         has_voters: false,
+        has_late_syncs: fault == Fault::LateSyncIsProof,
     };
     assert_violates(&format!("{fault:?}"), &model, property);
 }
--- a/tests/plan_fleet.rs
+++ b/tests/plan_fleet.rs
@@ -329,8 +329,11 @@
     for second in 0..20 {
         let now = Duration::from_secs(second);
         for gateway in 0..291 {
-            let held = if gateway < 100 { 8 } else { 0 };
-            confirmations.record_report(&key(gateway), ServingState::with_plan(held), now);
+            if gateway < 100 {
+                confirmations.record_report(&key(gateway), ServingState::with_plan(8), now);
+            } else {
+                confirmations.record_missing_plan(&key(gateway), second + 1);
+            }
         }
         assert!(
             confirmations.is_confirmed(ServingState::with_plan(8), now),
@@ -338,7 +341,8 @@
         );
         // One in ten is sent a plan, which is lost.
         for gateway in (100..291).step_by(10) {
-            confirmations.record_first_plan(&key(gateway), ServingState::with_plan(8), now);
+            let (plan, sync) = (ServingState::with_plan(8), Some(second + 1));
+            confirmations.record_first_plan(&key(gateway), plan, sync, now);
         }
     }
     let last = Duration::from_secs(19);
@@ -347,8 +351,8 @@
         120
     );
     // A gateway that has lost the document of its plan still runs by it.
-    confirmations.record_report(&key(0), ServingState::with_plan(0), last);
-    confirmations.record_first_plan(&key(0), ServingState::with_plan(9), last);
+    confirmations.record_missing_plan(&key(0), 21);
+    confirmations.record_first_plan(&key(0), ServingState::with_plan(9), Some(21), last);
     assert_eq!(
         confirmations.count_behind(ServingState::with_plan(9), last),
         120
@@ -361,8 +365,8 @@
 fn oldest_plan_that_a_gateway_was_sent_counts_until_its_last_lease_ends() {
     let second = Duration::from_secs(1);
     let mut confirmations = PlanConfirmations::new(BOUND, Duration::ZERO);
-    confirmations.record_first_plan(&key(0), ServingState::with_plan(4), second);
-    confirmations.record_first_plan(&key(0), ServingState::with_plan(3), 2 * second);
+    confirmations.record_first_plan(&key(0), ServingState::with_plan(4), None, second);
+    confirmations.record_first_plan(&key(0), ServingState::with_plan(3), None, 2 * second);
     assert_eq!(
         confirmations.count_behind(ServingState::with_plan(4), 2 * second),
         1
@@ -373,7 +377,7 @@
     );
     // A gateway that has lost the document of its plan applies the one that it is sent.
     confirmations.record_report(&key(1), ServingState::with_plan(8), Duration::ZERO);
-    confirmations.record_first_plan(&key(1), ServingState::with_plan(9), 2 * second);
+    confirmations.record_first_plan(&key(1), ServingState::with_plan(9), None, 2 * second);
     assert_eq!(
         confirmations.count_behind(ServingState::with_plan(9), 2 * second),
         2
@@ -383,3 +387,27 @@
         2
     );
 }
+
+/// Guards against plans that are acknowledged although a gateway runs by an older one (CONFIG): a sync without a plan
+/// that arrived late counted as a proof that the first plan, sent in reply to a later sync, was lost.
+#[rstest]
+#[case::sent_before_the_answered_one(Some(7), 6, 1)]
+#[case::the_answered_one_again(Some(7), 7, 1)]
+#[case::sent_after_the_answered_one(Some(7), 8, 0)]
+#[case::of_an_earlier_release(Some(7), 0, 1)]
+#[case::answered_by_a_delegate(None, 8, 1)]
+fn only_a_later_sync_proves_that_a_first_plan_is_lost(
+    #[case] answered: Option<u64>,
+    #[case] arrived: u64,
+    #[case] behind: usize,
+) {
+    let now = Duration::from_secs(1);
+    let mut confirmations = PlanConfirmations::new(BOUND, Duration::ZERO);
+    confirmations.record_first_plan(&key(0), ServingState::with_plan(3), answered, now);
+    let is_lost = confirmations.record_missing_plan(&key(0), arrived);
+    assert_eq!(is_lost, behind == 0);
+    assert_eq!(
+        confirmations.count_behind(ServingState::with_plan(4), now),
+        behind
+    );
+}
--- a/tests/regions.rs
+++ b/tests/regions.rs
@@ -253,6 +253,7 @@
         missing_models: Vec::new(),
         missing_regional_models: missing.collect(),
         is_stranded: false,
+        serial: 0,
     }
 }
 
