Let a leader use its lease once it has applied an entry of its term

A new leader told gateways that its plan is the newest one before it had applied what its predecessor had acknowledged.

Cause: the consensus core gives a lease once an entry of the term is committed, which says that the log is complete.

Change: the voter publishes a lease only once its state has applied an entry of the term.

--- a/src/voter/driver.rs
+++ b/src/voter/driver.rs
@@ -322,10 +322,12 @@
         let now = self.started.elapsed();
         let until = self.core.lease_until(now);
         let term = self.core.term();
-        self.shared.set_lease(until.map(|until| LeaderLease {
-            term,
-            until: self.started + until,
-        }));
+        let applied_term = self.applier.last_term();
+        self.shared.set_lease(
+            until.and_then(|until| {
+                LeaderLease::of_applied(term, applied_term, self.started + until)
+            }),
+        );
         let absence = self
             .core
             .support_end()
@@ -333,7 +335,7 @@
         self.shared.set_absence(absence);
         let applied = self.shared.state().applied();
         // If an entry of the current term is applied, so are all entries of earlier terms.
-        let has_applied_term = self.applier.last_term() == term;
+        let has_applied_term = applied_term == term;
         let is_restored = has_applied_term || applied >= self.restored_last;
         let is_caught_up = match self.core.role() {
             RaftRole::Leader => has_applied_term,
--- a/src/voter/driver_snapshot.rs
+++ b/src/voter/driver_snapshot.rs
@@ -35,6 +35,7 @@
             return Ok(());
         };
         let save_started = Instant::now();
+        let paused_entries = self.core.commit_index().saturating_sub(index);
         let bytes = state.len();
         let snapshot = Snapshot {
             index: meta.index,
@@ -45,7 +46,8 @@
         self.journal.save_snapshot(&snapshot, index)?;
         self.state_bytes = bytes;
         info!(
-            "journal: saved a snapshot of {bytes} bytes up to entry {index} in {:?}",
+            "journal: saved a snapshot of {bytes} bytes up to entry {index} in {:?}; {paused_entries} entries were \
+             committed while it was encoded",
             save_started.elapsed()
         );
         // The entries since the previous snapshot stay in memory for slightly slower members.
