Defer a plan update that cannot be encoded

The reply now says that the update follows, which proves nothing. Read, not seen: the encoder does not fail on what the log holds, so no test makes it fail.

--- a/src/coordinator/state.rs
+++ b/src/coordinator/state.rs
@@ -481,15 +481,18 @@
         }
     }
 
-    /// Returns the update to the newest plan for a gateway.
+    /// Returns the update to the newest plan for a gateway. A reply without one would prove that the gateway's plan is the
+    /// newest.
     pub(super) fn plan_update(&self, report: &GatewayReport) -> Option<PlanUpdate> {
-        let update = self.plans().update_since(report.plan_version, self.now());
+        let mut plans = self.plans();
+        let update = plans.update_since(report.plan_version, self.now());
         update.unwrap_or_else(|error| {
             spdlog::error!(
-                "plan: encoding an update for the gateway on {} failed, the reply has none: {error}",
+                "plan: encoding an update for the gateway on {} failed, it is deferred: {error}",
                 report.gateway.vm
             );
-            None
+            let version = plans.newest_version()?;
+            Some(PlanUpdate::Deferred { version })
         })
     }
 
