--- a/src/raft/core.rs
+++ b/src/raft/core.rs
@@ -341,6 +341,13 @@
         self.log.membership_index() <= self.commit
     }
 
+    /// Returns the index of the last committed change of the voters, unless a snapshot has replaced the log up to it.
+    /// That it is committed is not stored otherwise; see docs/design.md, section 5.
+    #[must_use]
+    pub fn last_voter_change(&self) -> Option<LogIndex> {
+        self.log.last_voter_change(self.commit)
+    }
+
     /// Returns the index of the last entry that this member knows to be committed.
     #[must_use]
     pub fn commit_index(&self) -> LogIndex {
--- a/src/raft/log.rs
+++ b/src/raft/log.rs
@@ -165,6 +165,21 @@
         open
     }
 
+    /// Returns the index of the last committed change of the voters or of their quorums since the base.
+    pub(super) fn last_voter_change(&self, commit: LogIndex) -> Option<LogIndex> {
+        let mut before = &self.base.membership;
+        let mut last = None;
+        for (index, membership) in &self.memberships {
+            let has_changed = membership.voters != before.voters
+                || membership.allows_half_quorums() != before.allows_half_quorums();
+            if has_changed && *index <= commit {
+                last = Some(*index);
+            }
+            before = membership;
+        }
+        last
+    }
+
     /// Returns the index from which the latest membership is in force.
     pub(super) fn membership_index(&self) -> LogIndex {
         self.memberships
--- a/src/voter/driver_snapshot.rs
+++ b/src/voter/driver_snapshot.rs
@@ -14,12 +14,17 @@
 };
 
 impl VoterDriver {
-    /// Starts to encode a snapshot when the log has grown by the configured size.
+    /// Starts to encode a snapshot when the log has grown by the configured size, or when a change of the voters is
+    /// committed, which a restarted voter would not know otherwise.
     pub fn start_snapshot(&mut self) -> Result<()> {
         let applied = self.shared.state().applied();
         // A large state is saved less often, as far as the limit of the log in memory allows.
         let min_bytes = (self.state_bytes / 2).min(self.settings.limits.log_bytes / 4);
-        let is_due = self.appended_bytes > self.settings.snapshot_bytes.max(min_bytes);
+        let has_grown = self.appended_bytes > self.settings.snapshot_bytes.max(min_bytes);
+        let change = self.core.last_voter_change();
+        let is_change_unsaved =
+            change.is_some_and(|change| change <= applied && self.snapshot < Some(change));
+        let is_due = has_grown || is_change_unsaved;
         if is_due && !self.snapshots.is_encoding() && self.snapshot.is_some_and(|at| at < applied) {
             self.appended_bytes = 0;
             self.applier.set_paused(true);
--- a/tests/raft_replacement.rs
+++ b/tests/raft_replacement.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use raft_sim::{Fleet, MS, ReplacementRule};
+use raft_sim::{CommittedChanges, Fleet, MS, ReplacementRule};
 use rand::Rng;
 use rstest::rstest;
 use waxwinglatch::raft::{RaftInput, ReplacementPolicy, VoterId};
@@ -54,6 +54,8 @@
     NoHandover,
     /// Successors wait for a loss, and half of the voters is no quorum, as before issue 56.
     NoSuccessor,
+    /// Members that restart do not know that the last change of the voters is committed, as before issue 60.
+    ChangeNotSaved,
 }
 
 fn rule(voters: usize, catch_up: Duration, fault: Fault) -> ReplacementRule {
@@ -89,7 +91,10 @@
 impl Chain {
     fn new(voters: usize, spares: usize, catch_up: Duration, fault: Fault, seed: u64) -> Self {
         let mut fleet = Fleet::new(voters, seed);
-        fleet.half_quorums = fault == Fault::None;
+        fleet.half_quorums = matches!(fault, Fault::None | Fault::ChangeNotSaved);
+        if fault == Fault::ChangeNotSaved {
+            fleet.committed_changes = CommittedChanges::KeptInMemory;
+        }
         fleet.replacement = Some(rule(voters, catch_up, fault));
         let mut chain = Self {
             fleet,
@@ -378,3 +383,64 @@
 fn a_former_rule_loses_the_quorum(#[case] fault: Fault, #[case] kinds: &[Loss]) {
     assert!(first_failure((3, 0), kinds, 1, fault, 40).is_some());
 }
+
+/// Replaces a voter, restarts all machines once the successor had its time, and keeps as many voters as may be lost at
+/// once away for good. Returns whether the fleet commits again.
+fn survives_a_restart(chain: &mut Chain, at_once: usize) -> bool {
+    let replaced = chain.removed(Victim::Follower);
+    let delay = chain.delay(2_000);
+    let until = chain.lose(Loss::Replaced, replaced, delay);
+    chain.fleet.run(until.saturating_sub(chain.fleet.now));
+    if !chain.commit() {
+        return false;
+    }
+    let leader = chain.fleet.run_to_leader();
+    let voters = chain.fleet.core(leader).membership().voters.clone();
+    let running = chain.running();
+    let is_voter = |vm: &&usize| voters.contains(&chain.fleet.nodes[**vm].id);
+    let away: Vec<usize> = running.iter().filter(is_voter).copied().collect();
+    let away = &away[..at_once];
+    for vm in &running {
+        chain.fleet.crash(*vm);
+    }
+    chain.history.push(format!(
+        "{:?}: all restart, {away:?} stay away",
+        chain.fleet.now
+    ));
+    chain.fleet.run(1_000 * MS);
+    for vm in running.iter().filter(|vm| !away.contains(vm)) {
+        chain.fleet.start(*vm);
+    }
+    chain.commit()
+}
+
+fn first_restart_failure(
+    (voters, spares): (usize, usize),
+    fault: Fault,
+    seeds: u64,
+) -> Option<(u64, Vec<String>)> {
+    (0..seeds).find_map(|seed| {
+        let catch_up = CATCH_UPS[usize::from(seed % 2 == 1)];
+        let mut chain = Chain::new(voters, spares, catch_up, fault, seed);
+        let survived = survives_a_restart(&mut chain, voters / 2);
+        (!survived).then_some((seed, chain.history))
+    })
+}
+
+/// Guards against a core without a leader for good (RECOVER) after all its machines lost power and one of them stays
+/// away: the others needed a quorum of the membership before the last replacement as well, with a voter that is gone.
+#[rstest]
+fn a_restart_after_a_replacement_needs_no_replaced_voter(
+    #[values((3, 0), (3, 1), (3, 2), (5, 0), (5, 1))] size: (usize, usize),
+) {
+    let failure = first_restart_failure(size, Fault::None, 20);
+    assert_eq!(failure, None, "{size:?} voters and learners");
+}
+
+/// Guards against a check that cannot fail: without the snapshot the replaced voter is needed.
+#[rstest]
+fn a_restart_by_the_rule_before_issue_60_needs_the_replaced_voter(
+    #[values((3, 0), (3, 1), (5, 0))] size: (usize, usize),
+) {
+    assert!(first_restart_failure(size, Fault::ChangeNotSaved, 20).is_some());
+}
--- a/tests/raft_sim/mod.rs
+++ b/tests/raft_sim/mod.rs
@@ -69,6 +69,15 @@
     }
 }
 
+/// What members do once a change of the voters is committed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CommittedChanges {
+    /// They save a snapshot.
+    Saved,
+    /// They know of it until they restart, as before issue 60.
+    KeptInMemory,
+}
+
 /// Probabilities of network faults.
 #[derive(Clone, Copy, Default)]
 pub struct Network {
@@ -95,6 +104,7 @@
     pub replacement: Option<ReplacementRule>,
     /// Whether half quorums are permitted once the fleet is set up, and daemons without a leader announce themselves.
     pub half_quorums: bool,
+    pub committed_changes: CommittedChanges,
     /// Whether machines that join from now on are additional.
     pub is_set_up: bool,
     pub nodes: Vec<Node>,
@@ -144,6 +154,7 @@
             now: Duration::from_secs(1),
             replacement: None,
             half_quorums: false,
+            committed_changes: CommittedChanges::Saved,
             is_set_up: false,
             nodes: nodes.collect(),
             network: Network::default(),
@@ -497,6 +508,7 @@
             }
             self.announce();
             self.advance_replacement();
+            self.save_changes();
         }
     }
 
@@ -556,6 +568,20 @@
         }
     }
 
+    /// Lets members save that a change of the voters is committed.
+    fn save_changes(&mut self) {
+        for vm in 0..self.nodes.len() {
+            let node = &self.nodes[vm];
+            let change = node.core.as_ref().and_then(RaftCore::last_voter_change);
+            let saved = node.disk.restored.snapshot.index;
+            let is_unsaved = change.is_some_and(|at| saved < at && at <= node.applied_index);
+            let is_kept = self.committed_changes == CommittedChanges::Saved;
+            if is_kept && is_unsaved && node.frozen_until <= self.now {
+                self.snapshot(vm);
+            }
+        }
+    }
+
     /// Runs until a leader has a lease, and returns it.
     pub fn run_to_leader(&mut self) -> usize {
         for _ in 0..600 {
