--- a/src/coordinator/acknowledgement.rs
+++ b/src/coordinator/acknowledgement.rs
@@ -20,6 +20,9 @@
 /// Time after the longest lease after which a publication counts as unconfirmed.
 const CONFIRMATION_MARGIN: Duration = Duration::from_millis(500);
 
+/// Maximum number of VMs that the line of an acknowledgement names.
+const MAX_NAMED_VMS: usize = 8;
+
 /// Maximum size of news. A datagram of this size fits one packet, whose other bytes are headers.
 const MAX_NEWS_BYTES: usize = 1_350;
 
@@ -30,8 +33,10 @@
     pub waited: Duration,
     /// Number of gateways and delegates with a lease, all of which have the plan or evacuation.
     pub leased: usize,
-    /// VMs of gateways that have lately synced and have no lease, separated by commas.
-    pub unleased: CompactString,
+    /// Number of gateways that have lately synced and have no lease.
+    pub unleased: usize,
+    /// Some of their VMs, separated by commas.
+    pub unleased_vms: CompactString,
 }
 
 /// Acknowledgement of plans and evacuations by the leader; see docs/design.md, section 18.
@@ -161,10 +166,12 @@
     let gateways = tables.gateways.keys();
     let unleased = gateways.filter(|gateway| !confirmations.is_leased(gateway, now));
     let unleased: Vec<&str> = unleased.map(|gateway| gateway.vm.as_str()).collect();
+    let named = &unleased[..unleased.len().min(MAX_NAMED_VMS)];
     AcknowledgementBasis {
         waited,
         leased: confirmations.count_leased(now),
-        unleased: unleased.join(",").into(),
+        unleased: unleased.len(),
+        unleased_vms: named.join(",").into(),
     }
 }
 
--- a/src/coordinator/evacuation_store.rs
+++ b/src/coordinator/evacuation_store.rs
@@ -91,7 +91,8 @@
             revision = revision,
             waited_ms = basis.waited.as_millis(),
             leased = basis.leased,
-            unleased = basis.unleased.as_str(),
+            unleased = basis.unleased,
+            unleased_vms = basis.unleased_vms.as_str(),
         });
         Ok(())
     }
--- a/src/coordinator/plan_confirmations.rs
+++ b/src/coordinator/plan_confirmations.rs
@@ -30,7 +30,7 @@
     until: Duration,
     /// Whether the gateway has said that it has the plan; otherwise it was sent to it.
     is_reported: bool,
-    /// Last sync whose reply had a first plan; `None` if it is not known.
+    /// Last sync whose reply had a first plan; `None` if it is not known, so that no later sync shows its loss.
     sent_with: Option<SyncSerial>,
 }
 
@@ -92,11 +92,10 @@
         let known = self.gateways.entry(gateway.clone()).or_insert(leased);
         known.state = known.state.meet(state);
         known.until = known.until.max(leased.until);
-        // None is less than any serial, but proves nothing.
         known.sent_with = known
             .sent_with
             .zip(leased.sent_with)
-            .map(|(first, second)| first.max(second));
+            .map(|(earlier, later)| earlier.max(later));
     }
 
     /// Records a sync of a gateway that reports no plan. The first plans that it was sent before are lost if it has sent
--- a/src/coordinator/plan_store.rs
+++ b/src/coordinator/plan_store.rs
@@ -65,7 +65,8 @@
             plan = version,
             waited_ms = basis.waited.as_millis(),
             leased = basis.leased,
-            unleased = basis.unleased.as_str(),
+            unleased = basis.unleased,
+            unleased_vms = basis.unleased_vms.as_str(),
         });
         Ok(())
     }
